--- /dev/null
+++ b/test/core/smoke.test.ts
@@ -0,0 +1,5 @@
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+testing.test("works", () => {
+    assert.equal(1, 1);
+});
