Add the core, the RPC messages, the manifest and the settings

Cause: the features need one vocabulary before they can be built side by side. Change: outcomes and failures as tagged unions, event and failure catalogues, blackboard, rendezvous hashing, RPC messages with generated code, manifest and settings schemas, interfaces of the platform, of gossip and of liveness. Ruled out: majority leases among three agents (a consensus group of our own). Conclusion: features can start.

--- /dev/null
+++ b/src/catalogue/failures.ts
@@ -0,0 +1,46 @@
+/** All failures of the product, by name. */
+import * as admission from "../admission/failures.js";
+import * as agent from "../agent/failures.js";
+import * as cli from "../cli/failures.js";
+import * as configuration from "../configuration/failures.js";
+import * as core from "../core/failures.js";
+import * as daemon from "../daemon/failures.js";
+import * as entry from "../entry/failures.js";
+import * as fairness from "../fairness/failures.js";
+import * as gossip from "../gossip/failures.js";
+import * as idempotency from "../idempotency/failures.js";
+import * as manifest from "../manifest/failures.js";
+import * as membership from "../membership/failures.js";
+import * as metrics from "../metrics/failures.js";
+import * as platform from "../platform/failures.js";
+import * as quarantine from "../quarantine/failures.js";
+import * as resilience from "../resilience/failures.js";
+import * as rollout from "../rollout/failures.js";
+import * as routing from "../routing/failures.js";
+import * as rpc from "../rpc/failures.js";
+import * as settings from "../settings/failures.js";
+import * as streams from "../streams/failures.js";
+
+export const failures = {
+    ...core.failures,
+    ...settings.failures,
+    ...manifest.failures,
+    ...platform.failures,
+    ...rpc.failures,
+    ...gossip.failures,
+    ...configuration.failures,
+    ...membership.failures,
+    ...admission.failures,
+    ...fairness.failures,
+    ...resilience.failures,
+    ...routing.failures,
+    ...streams.failures,
+    ...idempotency.failures,
+    ...quarantine.failures,
+    ...rollout.failures,
+    ...metrics.failures,
+    ...entry.failures,
+    ...agent.failures,
+    ...daemon.failures,
+    ...cli.failures,
+} as const;
--- /dev/null
+++ b/src/core/incarnation.ts
@@ -0,0 +1,15 @@
+/** Identity of one run of one process. */
+export interface Incarnation {
+    /** `host:port` of the RPC server of the process. */
+    readonly address: string;
+    /** Random identifier drawn at the start of the process. */
+    readonly boot: string;
+}
+
+export function sameIncarnation(left: Incarnation, right: Incarnation): boolean {
+    return left.address === right.address && left.boot === right.boot;
+}
+
+export function incarnationId(incarnation: Incarnation): string {
+    return `${incarnation.address}#${incarnation.boot}`;
+}
--- /dev/null
+++ b/src/core/outcome.ts
@@ -0,0 +1,23 @@
+/** Result of an operation that can fail in an expected way. */
+import type * as failures from "./failure.js";
+
+export interface Success<Value> {
+    readonly ok: true;
+    readonly value: Value;
+}
+
+export interface Refusal<Reason = failures.Failure> {
+    readonly ok: false;
+    readonly failure: Reason;
+}
+
+export type Outcome<Value, Reason = failures.Failure> = Success<Value> | Refusal<Reason>;
+
+export function succeed<Value>(value: Value): Success<Value> {
+    return { ok: true, value };
+}
+
+/** Builds a refusal. `retryAfterMs` is in milliseconds. */
+export function refuse(kind: failures.FailureKind, detail: string, retryAfterMs?: number): Refusal {
+    return { ok: false, failure: retryAfterMs === undefined ? { kind, detail } : { kind, detail, retryAfterMs } };
+}
--- /dev/null
+++ b/src/core/rendezvous.ts
@@ -0,0 +1,22 @@
+/** Weighted rendezvous (highest random weight) hashing. */
+import * as hashing from "./hashing.js";
+
+export interface Node {
+    readonly id: string;
+    /** Relative capacity; nodes with weight 0 are never chosen. */
+    readonly weight: number;
+}
+
+/** Orders the nodes for a key, best first. The order of the others does not change when a node joins or leaves. */
+export function rank<Candidate extends Node>(key: string, nodes: readonly Candidate[]): readonly Candidate[] {
+    return nodes
+        .filter(node => node.weight > 0)
+        .map(node => ({ node, score: score(key, node) }))
+        .sort((left, right) => right.score - left.score || (left.node.id < right.node.id ? -1 : 1))
+        .map(scored => scored.node);
+}
+
+/** Score of a node for a key; the highest one wins. */
+export function score(key: string, node: Node): number {
+    return -node.weight / Math.log(hashing.unitHash(`${key}\u0000${node.id}`));
+}
--- /dev/null
+++ b/src/membership/types.ts
@@ -0,0 +1,33 @@
+/** Members of the system as one process sees them. */
+import type * as incarnations from "../core/incarnation.js";
+
+export type Role = "entry" | "agent";
+
+export type MemberState = "live" | "draining";
+
+/** What a process says of itself; the value of the document `member/<address>`. */
+export interface Member {
+    readonly incarnation: incarnations.Incarnation;
+    readonly role: Role;
+    readonly dataCentre: string;
+    /** Name in the manifest; empty for entries. */
+    readonly backendServer: string;
+    readonly state: MemberState;
+    /** `model@version` of each loaded set of weights. */
+    readonly weights: readonly string[];
+    /** Version of the configuration in force in the process. */
+    readonly manifestVersion: number;
+    /** Boot identifier of the backend server; empty when it is unknown or down. */
+    readonly backendBoot: string;
+}
+
+/** Members by RPC address. */
+export type Members = ReadonlyMap<string, Member>;
+
+/** Liveness of one incarnation; `dead` is a proof, `unknown` is not. */
+export type Liveness = "alive" | "dead" | "unknown";
+
+/** Finds out whether an incarnation is alive. A paused process is never reported as dead. */
+export interface LivenessProbe {
+    probe(incarnation: incarnations.Incarnation): Promise<Liveness>;
+}
--- /dev/null
+++ b/src/metrics/events.ts
@@ -0,0 +1,4 @@
+/** Log events of this feature. */
+import type * as event from "../core/event.js";
+
+export const events = {} as const satisfies event.EventCatalogue;
--- /dev/null
+++ b/src/platform/failures.ts
@@ -0,0 +1,29 @@
+/** Failures of the services of the platform. */
+import type * as failure from "../core/failure.js";
+
+export const failures = {
+    "store-unavailable": {
+        number: 1301,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the object API did not answer: ${detail}`,
+        hint: "Nothing was written. The operation is retried; check the object API when this persists.",
+    },
+    "store-conflict": {
+        number: 1302,
+        status: 409,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the object was changed by another writer: ${detail}`,
+        hint: "Read the object again and repeat the change on the new version.",
+    },
+    "store-write-unconfirmed": {
+        number: 1303,
+        status: 503,
+        execution: "unknown",
+        retry: "after-delay",
+        message: detail => `the answer to a write was lost: ${detail}`,
+        hint: "Read the object to find out whether the write took effect.",
+    },
+} as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/src/rpc/client-pool.ts
@@ -0,0 +1,51 @@
+/** Clients for the RPC services of other processes, one HTTP/2 connection per address. */
+import type * as protobuf from "@bufbuild/protobuf";
+import * as connect from "@connectrpc/connect";
+import * as connectNode from "@connectrpc/connect-node";
+
+const IDLE_CONNECTION_TIMEOUT_MS = 15 * 60 * 1000;
+const PING_INTERVAL_MS = 2000;
+const PING_TIMEOUT_MS = 2000;
+
+interface Connection {
+    readonly session: connectNode.Http2SessionManager;
+    readonly transport: connect.Transport;
+}
+
+/** Creates clients and keeps one connection per address until it is disposed. */
+export class ClientPool implements AsyncDisposable {
+    private readonly connections = new Map<string, Connection>();
+
+    client<Service extends protobuf.DescService>(service: Service, address: string): connect.Client<Service> {
+        return connect.createClient(service, this.connection(address).transport);
+    }
+
+    /** Closes the connection to an address, for example after its process was replaced. */
+    drop(address: string): void {
+        this.connections.get(address)?.session.abort();
+        this.connections.delete(address);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        for (const address of [...this.connections.keys()]) {
+            this.drop(address);
+        }
+    }
+
+    private connection(address: string): Connection {
+        const existing = this.connections.get(address);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const baseUrl = `http://${address}`;
+        const session = new connectNode.Http2SessionManager(baseUrl, {
+            idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
+            pingIntervalMs: PING_INTERVAL_MS,
+            pingTimeoutMs: PING_TIMEOUT_MS,
+        });
+        const transport = connectNode.createConnectTransport({ baseUrl, httpVersion: "2", sessionManager: session });
+        const connection = { session, transport };
+        this.connections.set(address, connection);
+        return connection;
+    }
+}
--- /dev/null
+++ b/src/rpc/server.ts
@@ -0,0 +1,39 @@
+/** RPC server of a process: HTTP/2 without TLS on the address of its settings. */
+import type * as connect from "@connectrpc/connect";
+import * as connectNode from "@connectrpc/connect-node";
+import * as events from "node:events";
+import * as http2 from "node:http2";
+
+const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
+
+export interface RpcServer extends AsyncDisposable {
+    /** `host:port` that the server listens on. */
+    readonly address: string;
+}
+
+export type Routes = (router: connect.ConnectRouter) => void;
+
+/** Starts the server; port 0 takes a free port. Rejects when the address is in use. */
+export async function listen(address: string, routes: Routes): Promise<RpcServer> {
+    const handler = connectNode.connectNodeAdapter({ routes, readMaxBytes: MAXIMUM_MESSAGE_BYTES });
+    const server = http2.createServer(handler);
+    const sessions = new Set<http2.ServerHttp2Session>();
+    server.on("session", session => {
+        sessions.add(session);
+        session.on("error", () => session.destroy());
+        session.on("close", () => sessions.delete(session));
+    });
+    const [host, port] = address.split(":");
+    server.listen(Number(port), host);
+    await events.EventEmitter.once(server, "listening");
+    const bound = server.address() as { readonly port: number; };
+    return {
+        address: `${host}:${bound.port}`,
+        [Symbol.asyncDispose]: async () => {
+            const closed = events.EventEmitter.once(server, "close");
+            server.close();
+            sessions.forEach(session => session.destroy());
+            await closed;
+        },
+    };
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,50 @@
+/** Settings of a process in TOML, one schema with documented defaults. */
+import * as zod from "zod";
+
+const ADDRESS = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
+const NAME = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+const address = zod.string().regex(ADDRESS, "expected IP:PORT");
+
+const limits = zod.strictObject({
+    body_bytes: zod.int().positive().default(8 * 1024 * 1024).describe("Largest body of a request."),
+    header_bytes: zod.int().positive().default(16 * 1024).describe("Largest header of a request."),
+    prompt_tokens: zod.int().positive().default(262_144).describe("Longest prompt."),
+    requests_in_flight: zod.int().positive().default(4096).describe("Requests that one process holds at once."),
+});
+
+const timing = zod.strictObject({
+    admission_wait_ms: zod.int().positive().default(3000).describe("Wait for a rate admission before a refusal."),
+    request_deadline_ms: zod.int().positive().default(120_000).describe("Deadline of a model request."),
+    drain_ms: zod.int().positive().default(120_000).describe("Longest wait for requests in flight at shutdown."),
+});
+
+/** Settings of both roles. */
+export const settings = zod.strictObject({
+    role: zod.enum(["entry", "agent"]),
+    data_centre: zod.string().regex(NAME),
+    rpc_address: address.describe("Address for other processes of the system."),
+    http_address: address.optional().describe("Address for callers; entries only."),
+    health_address: address.optional().describe("Address of the health endpoints of an agent."),
+    backend_server: zod.string().regex(NAME).optional().describe("Name in the manifest; agents only."),
+    backend_address: address.optional().describe("Address of the backend server; agents only."),
+    object_api: zod.url().describe("Base URL of the object API."),
+    instance_list: zod.url().describe("Base URL of the instance list."),
+    weight_store: zod.url().optional().describe("Base URL of the weight store; agents of engines only."),
+    seeds: zod.array(address).default([]).describe("RPC addresses of processes to ask first."),
+    log_level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
+    limits: limits.prefault({}),
+    timing: timing.prefault({}),
+}).superRefine((value, context) => {
+    const required = REQUIRED_BY_ROLE[value.role].filter(field => value[field] === undefined);
+    for (const field of required) {
+        context.addIssue({ code: "custom", path: [field], message: `missing; the role "${value.role}" needs it` });
+    }
+});
+
+const REQUIRED_BY_ROLE = {
+    entry: ["http_address"],
+    agent: ["backend_server", "backend_address"],
+} as const;
+
+export type Settings = Readonly<zod.infer<typeof settings>>;
