--- a/src/entry/failures.ts
+++ b/src/entry/failures.ts
@@ -1,4 +1,101 @@
-/** Failures of this feature. */
+/** Failures of the front end for callers. */
 import type * as failure from "../core/failure.js";
 
-export const failures = {} as const satisfies failure.FailureCatalogue;
+export const failures = {
+    "key-missing": {
+        number: 2701,
+        status: 401,
+        execution: "not-run",
+        retry: "never",
+        message: () => 'the request has no key; send it as "Authorization: Bearer KEY"',
+        hint: "Add the Authorization header.",
+    },
+    "key-unknown": {
+        number: 2702,
+        status: 401,
+        execution: "not-run",
+        retry: "never",
+        message: () => "the key is not valid",
+        hint: "Check the key. It may have been revoked, or its hash is not in the manifest in force.",
+    },
+    "model-unknown": {
+        number: 2703,
+        status: 404,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the model "${detail}" does not exist`,
+        hint: "GET /v1/models lists the models.",
+    },
+    "route-unknown": {
+        number: 2704,
+        status: 404,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `no route for ${detail}`,
+        hint: "Check the path and the method against the routes of the manifest.",
+    },
+    "prompt-too-long": {
+        number: 2705,
+        status: 413,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the prompt is too long: ${detail}`,
+        hint: "Shorten the prompt; the limit is limits.prompt_tokens in the settings.",
+    },
+    "body-too-large": {
+        number: 2706,
+        status: 413,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the body is too large: ${detail}`,
+        hint: "Shorten the body; the limit is limits.body_bytes in the settings.",
+    },
+    "too-many-requests-in-flight": {
+        number: 2707,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the process holds too many requests: ${detail}`,
+        hint: "Retry after the delay; the limit is limits.requests_in_flight in the settings.",
+    },
+    "draining": {
+        number: 2708,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: () => "the process is shutting down",
+        hint: "Retry; another instance serves the request.",
+    },
+    "not-ready": {
+        number: 2709,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: () => "the process has no configuration yet",
+        hint: "Retry; check that the process reaches the object API or a seed.",
+    },
+    "no-backend-server": {
+        number: 2710,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `no backend server can take the request: ${detail}`,
+        hint: "Check the state of the backend servers with `ibisstep status`.",
+    },
+    "request-malformed": {
+        number: 2711,
+        status: 400,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the request is malformed: ${detail}`,
+        hint: "Correct the request.",
+    },
+    "caller-disconnected": {
+        number: 2712,
+        status: 499,
+        execution: "unknown",
+        retry: "never",
+        message: () => "the caller closed the connection",
+        hint: "The request was cancelled on the engine.",
+    },
+} as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/src/entry/http-server.ts
@@ -0,0 +1,152 @@
+/** HTTP front end of an entry. */
+import * as fastify from "fastify";
+import type * as failure from "../core/failure.js";
+import type * as outcomes from "../core/outcome.js";
+import * as health from "../daemon/health-server.js";
+import type * as settings from "../settings/schema.js";
+import * as errors from "./error-response.js";
+import type * as types from "./types.js";
+
+const CHAT_PATH = "/v1/chat/completions";
+const MODELS_PATH = "/v1/models";
+const REQUEST_ID_HEADER = "x-request-id";
+
+/** Handlers of the front end. */
+export interface Front {
+    readonly ready: health.Readiness;
+    /** Refuses a request before it is read, for example while the process drains. */
+    readonly gate: () => outcomes.Outcome<void>;
+    readonly models: (request: types.InboundRequest) => outcomes.Outcome<unknown>;
+    readonly chat: types.Handler;
+    readonly call: types.Handler;
+    readonly identifier: () => string;
+}
+
+export interface HttpServer extends AsyncDisposable {
+    readonly address: string;
+}
+
+/** Starts the front end. Rejects when the address is in use. */
+export async function listen(source: settings.Settings, front: Front): Promise<HttpServer> {
+    const server = fastify.fastify({
+        bodyLimit: source.limits.body_bytes,
+        http: { maxHeaderSize: source.limits.header_bytes },
+        genReqId: () => front.identifier(),
+        forceCloseConnections: true,
+        logger: false,
+    });
+    health.addHealthRoutes(server, front.ready);
+    server.removeAllContentTypeParsers();
+    server.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => {
+        done(null, body); // eslint-disable-line no-restricted-syntax -- fastify's callback expects null
+    });
+    server.setErrorHandler((error: fastify.FastifyError, request, reply) => {
+        sendFailure(reply, request.id, parseFailure(error));
+    });
+    server.addHook("onRequest", async (request, reply) => {
+        const open = front.gate();
+        if (!open.ok && !request.url.startsWith("/healthz") && !request.url.startsWith("/readyz")) {
+            return sendFailure(reply, request.id, open.failure);
+        }
+        return undefined;
+    });
+    server.get(MODELS_PATH, async (request, reply) => {
+        const models = front.models(inbound(request));
+        return models.ok ? reply.send(models.value) : sendFailure(reply, request.id, models.failure);
+    });
+    server.post(CHAT_PATH, (request, reply) => handle(front.chat, request, reply));
+    server.all("/*", (request, reply) => handle(front.call, request, reply));
+    const [host, port] = (source.http_address ?? "127.0.0.1:0").split(":");
+    await server.listen({ host, port: Number(port) });
+    const bound = server.server.address() as { readonly port: number; };
+    return { address: `${host}:${bound.port}`, [Symbol.asyncDispose]: () => server.close() };
+}
+
+function inbound(request: fastify.FastifyRequest): types.InboundRequest {
+    return {
+        id: request.id,
+        method: request.method,
+        target: request.url,
+        headers: request.headers,
+        body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
+    };
+}
+
+async function handle(
+    handler: types.Handler,
+    request: fastify.FastifyRequest,
+    reply: fastify.FastifyReply,
+): Promise<void> {
+    const disconnected = new AbortController();
+    reply.raw.on("close", () => {
+        if (!reply.raw.writableFinished) {
+            disconnected.abort();
+        }
+    });
+    reply.hijack();
+    const responder = new RawResponder(reply.raw, request.id);
+    try {
+        await handler(inbound(request), responder, disconnected.signal);
+    }
+    catch (error) {
+        responder.fail({ kind: "internal-error", detail: String(error) });
+    }
+}
+
+/** Writes a response on the raw stream, so that SSE events leave as they come. */
+class RawResponder implements types.Responder {
+    constructor(
+        private readonly raw: fastify.FastifyReply["raw"],
+        private readonly requestId: string,
+    ) {}
+
+    get started(): boolean {
+        return this.raw.headersSent;
+    }
+
+    begin(status: number, headers: Readonly<Record<string, string | readonly string[]>>): void {
+        this.raw.writeHead(status, { [REQUEST_ID_HEADER]: this.requestId, ...headers } as never);
+    }
+
+    async write(chunk: string | Uint8Array): Promise<void> {
+        if (this.raw.destroyed || this.raw.write(chunk)) {
+            return;
+        }
+        await new Promise<void>(resolve => {
+            const finish = () => {
+                this.raw.off("drain", finish);
+                this.raw.off("close", finish);
+                resolve();
+            };
+            this.raw.on("drain", finish);
+            this.raw.on("close", finish);
+        });
+    }
+
+    end(chunk?: string | Uint8Array): void {
+        this.raw.end(chunk);
+    }
+
+    fail(reason: failure.Failure): void {
+        if (this.started) {
+            this.raw.destroy();
+            return;
+        }
+        const response = errors.errorResponse(reason, this.requestId);
+        this.begin(response.status, { "content-type": "application/json", ...response.headers });
+        this.end(JSON.stringify(response.body));
+    }
+}
+
+function sendFailure(reply: fastify.FastifyReply, requestId: string, reason: failure.Failure): fastify.FastifyReply {
+    const response = errors.errorResponse(reason, requestId);
+    return reply.status(response.status).headers(response.headers).send(response.body);
+}
+
+function parseFailure(error: fastify.FastifyError): failure.Failure {
+    const failures: Readonly<Record<string, failure.FailureKind>> = {
+        FST_ERR_CTP_BODY_TOO_LARGE: "body-too-large",
+        FST_ERR_CTP_INVALID_CONTENT_LENGTH: "request-malformed",
+    };
+    return { kind: failures[error.code] ?? "request-malformed", detail: error.message };
+}
