--- a/src/platform/failures.ts
+++ b/src/platform/failures.ts
@@ -26,4 +26,12 @@
         message: detail => `the answer to a write was lost: ${detail}`,
         hint: "Read the object to find out whether the write took effect.",
     },
+    "store-value-too-large": {
+        number: 1304,
+        status: 413,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the value exceeds the limit of the object API: ${detail}`,
+        hint: "Nothing was written. Reduce the object; the limit is 1 MB.",
+    },
 } as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/src/platform/instance-list-client.ts
@@ -0,0 +1,53 @@
+/** Client of the instance list over HTTP. */
+import * as zod from "zod";
+import type * as clock from "../clock/clock.js";
+import * as outcomes from "../core/outcome.js";
+import * as httpCalls from "./http-call.js";
+import * as objectApi from "./object-api-client.js";
+import type * as types from "./types.js";
+
+const CALL_TIMEOUT_MS = 2000;
+/** About 200 bytes per instance, for 16 times the 1,210 processes of the target. */
+const MAXIMUM_RESPONSE_BYTES = 4 * 1024 * 1024;
+
+const responseSchema = zod.object({
+    instances: zod.array(zod.object({
+        address: zod.string(),
+        role: zod.enum(["entry", "agent"]),
+        data_centre: zod.string(),
+        state: zod.enum(["live", "leaving"]),
+    })),
+});
+
+export class InstanceListClient implements types.InstanceList, AsyncDisposable {
+    private readonly caller: httpCalls.HttpCaller;
+
+    constructor(baseUrl: string, time: clock.Clock, private readonly timeoutMs = CALL_TIMEOUT_MS) {
+        this.caller = new httpCalls.HttpCaller(new URL(baseUrl).origin, time);
+    }
+
+    async list(): Promise<outcomes.Outcome<readonly types.ListedInstance[]>> {
+        const result = await this.caller.send({
+            method: "GET",
+            target: "/v1/instances",
+            timeoutMs: this.timeoutMs,
+            maximumBytes: MAXIMUM_RESPONSE_BYTES,
+        });
+        if (result.kind !== "answered") {
+            return objectApi.unavailable(result.kind === "oversized" ? "response too large" : result.detail);
+        }
+        if (result.response.status !== 200) {
+            return objectApi.unavailable(`status ${result.response.status} of the instance list`);
+        }
+        const parsed = objectApi.parse(responseSchema, result.response.body);
+        return parsed.ok ? outcomes.succeed(parsed.value.instances.map(listedInstance)) : parsed;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.caller[Symbol.asyncDispose]();
+    }
+}
+
+function listedInstance(source: zod.infer<typeof responseSchema>["instances"][number]): types.ListedInstance {
+    return { address: source.address, role: source.role, dataCentre: source.data_centre, state: source.state };
+}
