--- a/src/routing/events.ts
+++ b/src/routing/events.ts
@@ -1,4 +1,23 @@
-/** Log events of this feature. */
+/** Log events of routing. */
 import type * as event from "../core/event.js";
 
-export const events = {} as const satisfies event.EventCatalogue;
+export const events = {
+    "cache-view-void": {
+        number: 2101,
+        level: "info",
+        message: fields => `the cache view of engine ${fields.server} is void: ${fields.reason}`,
+        hint: "The agent rebuilds the view from a snapshot. Check the event stream of the engine if this repeats.",
+    },
+    "cache-view-rebuilt": {
+        number: 2102,
+        level: "debug",
+        message: fields => `the cache view of engine ${fields.server} has ${fields.pieces} pieces`,
+        hint: "",
+    },
+    "engine-boot-changed": {
+        number: 2103,
+        level: "info",
+        message: fields => `engine ${fields.server} has the new boot ${fields.boot}; knowledge of its cache is void`,
+        hint: "",
+    },
+} as const satisfies event.EventCatalogue;
