Add the stand-ins of the engine, the weight store and the KV store

Ruled out: a timer per running request (one decode step for all running requests is what continuous batching does and needs one timer per engine); KV transfer of real data (the hashes are enough to show that scope and weights version are respected).

Change: engine with continuous batching, prefix cache with LRU eviction, late cache events with gaps, load reports with a lag, priorities, resume, cancel, orders with fencing, weight loading, crash by control endpoint or prompt marker, and faults of a weights version. Weight store that slows loads beyond a limit, KV store that remembers pieces per weights version.

--- /dev/null
+++ b/stand-ins/weight-store/main.ts
@@ -0,0 +1,13 @@
+/** Runs the weight store. Prints a line with its address when it is ready and ends on SIGTERM. */
+import * as util from "node:util";
+import * as weightStores from "./weight-store.js";
+
+const { values } = util.parseArgs({
+    options: { "port": { type: "string", default: "0" }, "parallel-loads": { type: "string", default: "2" } },
+});
+const store = await weightStores.createWeightStore({
+    port: Number(values.port),
+    parallelLoads: Number(values["parallel-loads"]),
+});
+console.log(`weight store ready on ${store.url}`);
+process.once("SIGTERM", () => void store[Symbol.asyncDispose]().then(() => process.exit(0)));
