Add process support for the demo

Cause: the demo starts stand-ins and daemons as separate processes. Ruled out: nothing. Change: launch, free ports and polling for tools.

--- /dev/null
+++ b/tools/support/processes.ts
@@ -0,0 +1,75 @@
+/** Starts the processes of a demo or a test on loopback and ends exactly those. */
+import * as childProcess from "node:child_process";
+import * as net from "node:net";
+import * as path from "node:path";
+
+const DIST = path.resolve(import.meta.dirname, "../..");
+const EXIT_WAIT_MS = 5000;
+const RECENT_LINES = 40;
+
+export interface Launched extends AsyncDisposable {
+    readonly name: string;
+    readonly pid: number;
+    /** Last lines of standard output and standard error. */
+    readonly output: () => readonly string[];
+    /** Resolves with the exit status or the signal when the process has ended. */
+    readonly exited: Promise<number | string>;
+    signal(name: NodeJS.Signals): void;
+}
+
+/** Starts a compiled program below `dist`. */
+export function launch(name: string, program: string, parameters: readonly string[]): Launched {
+    const child = childProcess.spawn(process.execPath, [path.join(DIST, program), ...parameters], {
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    const lines: string[] = [];
+    const collect = (data: Buffer) => {
+        lines.push(...data.toString("utf8").split("\n").filter(line => line !== ""));
+        lines.splice(0, Math.max(0, lines.length - RECENT_LINES));
+    };
+    child.stdout.on("data", collect);
+    child.stderr.on("data", collect);
+    const exited = new Promise<number | string>(resolve => {
+        child.once("exit", (status, signal) => resolve(status ?? signal ?? "unknown"));
+    });
+    const signal = (signalName: NodeJS.Signals) => void child.kill(signalName);
+    return {
+        name,
+        pid: child.pid ?? 0,
+        output: () => lines,
+        exited,
+        signal,
+        [Symbol.asyncDispose]: async () => {
+            signal("SIGTERM");
+            const timer = setTimeout(() => signal("SIGKILL"), EXIT_WAIT_MS);
+            await exited;
+            clearTimeout(timer);
+        },
+    };
+}
+
+/** Returns free ports of the loopback interface. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, () => listenOnFreePort()));
+    const ports = servers.map(server => (server.address() as net.AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
+
+/** Polls until the condition holds. Rejects after the limit, in milliseconds. */
+export async function waitUntil(what: string, limitMs: number, condition: () => Promise<boolean>): Promise<void> {
+    const end = performance.now() + limitMs;
+    while (!await condition().catch(() => false)) {
+        if (performance.now() > end) {
+            throw new Error(`${what} did not happen within ${limitMs} ms`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+}
+
+function listenOnFreePort(): Promise<net.Server> {
+    return new Promise(resolve => {
+        const server = net.createServer();
+        server.listen(0, "127.0.0.1", () => resolve(server));
+    });
+}
