--- /dev/null
+++ b/src/agent/cache-follower.ts
@@ -0,0 +1,50 @@
+/** Keeps the cache view of the engine current. One step is one long poll. */
+import type * as clocks from "../clock/clock.js";
+import type * as controllers from "../core/controller.js";
+import type * as views from "../routing/cache-view.js";
+import type * as engines from "./engine-client.js";
+
+const POLL_WAIT_MS = 1000;
+/** Pause after a failed poll. */
+const RETRY_MS = 200;
+
+export class CacheFollower implements controllers.Controller {
+    readonly name = "cache-follower";
+    private readonly abort = new AbortController();
+
+    constructor(
+        private readonly engine: engines.EngineClient,
+        private readonly view: views.CacheView,
+        private readonly clock: clocks.Clock,
+    ) {}
+
+    async step(now: number): Promise<void> {
+        const done = this.view.valid ? await this.poll(now) : await this.rebuild(now);
+        if (!done) {
+            this.view.invalidate();
+            await this.clock.sleep(RETRY_MS, this.abort.signal);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.abort.abort();
+    }
+
+    /** The engine names the last event it sent; the view names the first one that it lacks. */
+    private async poll(now: number): Promise<boolean> {
+        const after = Math.max(0, this.view.position - 1);
+        const page = await this.engine.cacheEvents(after, POLL_WAIT_MS, this.abort.signal);
+        if (page.ok) {
+            this.view.apply({ ...page.value, next: page.value.next + 1 }, now, this.clock.now());
+        }
+        return page.ok;
+    }
+
+    private async rebuild(now: number): Promise<boolean> {
+        const snapshot = await this.engine.cacheSnapshot();
+        if (snapshot.ok) {
+            this.view.rebuild({ ...snapshot.value, next: snapshot.value.next + 1 }, now, this.clock.now());
+        }
+        return snapshot.ok && this.view.valid;
+    }
+}
--- a/src/daemon/board.ts
+++ b/src/daemon/board.ts
@@ -1,5 +1,6 @@
 /** Sections of the blackboard of a process. */
 import * as admission from "../admission/types.js";
+import * as agent from "../agent/backend-state.js";
 import * as blackboards from "../core/blackboard.js";
 import * as manifest from "../manifest/types.js";
 import type * as membership from "../membership/types.js";
@@ -13,6 +14,8 @@
     readonly holders: admission.Holders;
     readonly rollouts: rollout.Rollouts;
     readonly suspects: quarantine.Suspects;
+    /** Backend server beside the agent; unknown in an entry. */
+    readonly backend: agent.Backend;
     /** Monotonic time in milliseconds of the last proof that the store is reachable; -Infinity before the first. */
     readonly storeSeenAt: number;
     /** The process accepts no new work. */
@@ -28,6 +31,7 @@
         holders: admission.emptyHolders,
         rollouts: rollout.emptyRollouts,
         suspects: new Map(),
+        backend: agent.unknownBackend,
         storeSeenAt: Number.NEGATIVE_INFINITY,
         draining: false,
     });
