Add the client of the engine

Cause: the agent needs typed access to the engine; a generation that was cut off must never look complete, and no header of a caller may pass.

Ruled out: throwing from the iteration (a caller of the iterable then has two ways to learn of a failure); quoting the engine's error text in the failure (it can contain the prompt).

--- a/src/agent/failures.ts
+++ b/src/agent/failures.ts
@@ -1,4 +1,77 @@
-/** Failures of this feature. */
+/** Failures of this feature. The numbers 2801 to 2820 belong to the client of the engine. */
 import type * as failure from "../core/failure.js";
 
-export const failures = {} as const satisfies failure.FailureCatalogue;
+export const failures = {
+    "engine-unreachable": {
+        number: 2801,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `no connection to the engine: ${detail}`,
+        hint: "The request was never sent. The engine is starting or down; check it when this persists.",
+    },
+    "engine-connection-lost": {
+        number: 2802,
+        status: 502,
+        execution: "unknown",
+        retry: "same-request",
+        message: detail => `the connection to the engine broke: ${detail}`,
+        hint: "The engine probably crashed. Check its log when the same server is named repeatedly.",
+    },
+    "engine-refused": {
+        number: 2803,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the engine refused the request: ${detail}`,
+        hint: "The engine does not serve these weights, or already runs a request with this identifier.",
+    },
+    "engine-failed": {
+        number: 2804,
+        status: 502,
+        execution: "unknown",
+        retry: "same-request",
+        message: detail => `the engine reported a fault: ${detail}`,
+        hint: "Check the engine's log; a new weights version with this fault is rolled back.",
+    },
+    "engine-cancelled": {
+        number: 2805,
+        status: 499,
+        execution: "unknown",
+        retry: "same-request",
+        message: detail => `the generation was cancelled: ${detail}`,
+        hint: "The caller went away, its key was revoked or the deadline passed.",
+    },
+    "engine-protocol-error": {
+        number: 2806,
+        status: 502,
+        execution: "unknown",
+        retry: "same-request",
+        message: detail => `the engine broke the protocol: ${detail}`,
+        hint: "Check that the version of the engine matches the one of the agent.",
+    },
+    "engine-order-rejected": {
+        number: 2807,
+        status: 409,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the engine rejected an order: ${detail}`,
+        hint: "A newer coordinator has given orders; the holder of the old fencing number must stop.",
+    },
+    "engine-unresponsive": {
+        number: 2808,
+        status: 504,
+        execution: "unknown",
+        retry: "same-request",
+        message: detail => `the engine did not answer in time: ${detail}`,
+        hint: "The engine is overloaded or stopped; check the load of its instance.",
+    },
+    "engine-request-invalid": {
+        number: 2809,
+        status: 400,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the engine found the request invalid: ${detail}`,
+        hint: "The request exceeds a limit of the engine or breaks its schema; another server refuses it too.",
+    },
+} as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/test/agent/engine-client.test.ts
@@ -0,0 +1,144 @@
+/** Guards against a client of the engine that reports a cut-off, wrong or cancelled generation as complete. */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as testing from "node:test";
+import * as clients from "../../src/agent/engine-client.js";
+import type * as types from "../../src/agent/engine-types.js";
+import * as answers from "../../stand-ins/engine/answer.js";
+import * as engines from "../../stand-ins/engine/engine.js";
+import * as calls from "../support/engine-calls.js";
+
+const FAST = { prefill_ms_per_token: 0, decode_ms: 0, weights: ["menu@1"], weights_load_ms: 0 };
+const SEED = 11;
+const REQUEST: types.EngineRequest = {
+    requestId: "request-1",
+    model: "menu",
+    adapter: "",
+    weightsVersion: "1",
+    cacheScope: "scope",
+    prompt: "hello",
+    resumeTokens: [],
+    maxTokens: 5,
+    priority: "interactive",
+    route: "chat",
+};
+
+async function collect(client: clients.EngineClient, changes: Partial<types.EngineRequest> = {}) {
+    const events: types.EngineEvent[] = [];
+    for await (const event of client.generate({ ...REQUEST, ...changes }, new AbortController().signal)) {
+        events.push(event);
+    }
+    return events;
+}
+
+function failureKind(events: readonly types.EngineEvent[]): string | undefined {
+    const last = events.at(-1);
+    return last?.type === "failed" ? last.failure.kind : undefined;
+}
+
+testing.test("engine client: a resumed generation delivers exactly the remaining tokens and the whole count", async () => {
+    await using engine = await engines.createEngine({ settings: FAST });
+    await using client = new clients.EngineClient(engine.address);
+    const events = await collect(client, { resumeTokens: answers.tokens("hello", 2) });
+    assert.equal(events[0].type === "start" && events[0].boot, engine.boot);
+    const texts = events.flatMap(event => event.type === "token" ? [event.text] : []);
+    assert.deepEqual(texts, answers.tokens("hello", 5).slice(2));
+    assert.deepEqual(events.at(-1), { type: "end", count: 5, reason: "length" });
+});
+
+testing.test("engine client: a crash ends the events with a lost connection, then the engine is unreachable", async () => {
+    await using engine = await engines.createEngine({ settings: FAST });
+    await using client = new clients.EngineClient(engine.address);
+    assert.equal(failureKind(await collect(client, { prompt: "[[crash:2]]" })), "engine-connection-lost");
+    assert.equal(failureKind(await collect(client)), "engine-unreachable");
+    const health = await client.health();
+    assert.equal(!health.ok && health.failure.kind, "engine-unreachable");
+});
+
+testing.test("engine client: leaving the iteration, aborting and cancelling each free the engine", async () => {
+    await using engine = await engines.createEngine({ settings: { ...FAST, decode_ms: 1 } });
+    await using client = new clients.EngineClient(engine.address);
+    const endless = { ...REQUEST, maxTokens: 1_000_000 };
+    for await (const event of client.generate(endless, new AbortController().signal)) {
+        if (event.type === "token") {
+            break;
+        }
+    }
+    await calls.untilLoad(engine.address, load => load.running === 0);
+    const abort = new AbortController();
+    const aborted: types.EngineEvent[] = [];
+    for await (const event of client.generate(endless, abort.signal)) {
+        aborted.push(event);
+        abort.abort();
+    }
+    assert.equal(failureKind(aborted), "engine-cancelled");
+    await calls.untilLoad(engine.address, load => load.running === 0);
+    const cancelled = collect(client, endless);
+    await calls.untilLoad(engine.address, load => load.running === 1);
+    assert.deepEqual(await client.cancel("request-1"), { ok: true, value: true });
+    assert.equal(failureKind(await cancelled), "engine-cancelled");
+});
+
+testing.test("engine client: refusals are typed and orders with an old fencing number are rejected", async () => {
+    await using engine = await engines.createEngine({ settings: FAST });
+    await using client = new clients.EngineClient(engine.address);
+    assert.equal(failureKind(await collect(client, { weightsVersion: "2" })), "engine-refused");
+    assert.equal(failureKind(await collect(client, { maxTokens: 0 })), "engine-request-invalid");
+    const order = { kind: "load-weights", model: "menu", weightsVersion: "2" } as const;
+    assert.deepEqual(await client.order({ ...order, fencingNumber: 2 }), { ok: true, value: ["menu@1", "menu@2"] });
+    const old = await client.order({ ...order, fencingNumber: 1 });
+    assert.equal(!old.ok && old.failure.kind, "engine-order-rejected");
+    assert.equal(failureKind(await collect(client, { weightsVersion: "2" })), undefined);
+});
+
+testing.test("engine client: a snapshot and the events after it give the cache of the engine", async () => {
+    await using engine = await engines.createEngine({ settings: FAST });
+    await using client = new clients.EngineClient(engine.address);
+    await collect(client, { prompt: "a".repeat(4096) });
+    const snapshot = await client.cacheSnapshot();
+    assert.ok(snapshot.ok && snapshot.value.hashes.length === 1);
+    await collect(client, { prompt: "b".repeat(8192) });
+    const page = await client.cacheEvents(snapshot.value.next, 1000);
+    assert.ok(page.ok && page.value.boot === engine.boot);
+    assert.deepEqual(page.value.events.map(event => [event.kind, event.sequence - snapshot.value.next]), [
+        ["stored", 1],
+        ["stored", 2],
+    ]);
+    const load = await client.load();
+    assert.ok(load.ok && load.value.running === 0);
+    const seen = Object.keys(await calls.get(engine.address, "/control/headers") as object).sort();
+    assert.deepEqual(seen, ["connection", "content-length", "content-type", "host"]);
+});
+
+testing.test("engine client: a stream that is cut anywhere or has altered events never looks complete", async () => {
+    const lines = [
+        ...["start"].map(type => ({ type, cached_tokens: 0, prompt_tokens: 2 })),
+        ...[0, 1, 2].map(index => ({ type: "token", index, text: `t${index}é` })),
+        { type: "end", count: 3, reason: "length" },
+    ].map(event => `data: ${JSON.stringify(event)}\n\n`);
+    let output = Buffer.from("");
+    const server = http.createServer((_request, response) => void response.end(output));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await using client = new clients.EngineClient(`127.0.0.1:${(server.address() as net.AddressInfo).port}`);
+    const whole = Buffer.from(lines.join(""));
+    // The last two bytes are the blank line after the end event.
+    const cut = fastCheck.integer({ min: 0, max: whole.length - 3 }).map(end => whole.subarray(0, end));
+    const dropped = fastCheck.integer({ min: 1, max: 4 }).map(at => lines.filter((_, index) => index !== at));
+    const doubled = fastCheck.integer({ min: 1, max: 3 }).map(at => lines.flatMap((l, i) => i === at ? [l, l] : [l]));
+    const altered = fastCheck.oneof(cut, fastCheck.oneof(dropped, doubled).map(list => Buffer.from(list.join(""))));
+    await fastCheck.assert(
+        fastCheck.asyncProperty(altered, async bytes => {
+            output = bytes;
+            const events = await collect(client);
+            assert.equal(events.some(event => event.type === "end"), false);
+            assert.equal(events.filter(event => event.type === "failed").length, 1);
+            const texts = events.flatMap(event => event.type === "token" ? [event.text] : []);
+            assert.deepEqual(texts, ["t0é", "t1é", "t2é"].slice(0, texts.length));
+        }),
+        { seed: SEED, numRuns: 200 },
+    );
+    server.close();
+    server.closeAllConnections();
+});
