--- a/tools/support/processes.ts
+++ b/tools/support/processes.ts
@@ -3,7 +3,9 @@
 import * as net from "node:net";
 import * as path from "node:path";
 
-const DIST = path.resolve(import.meta.dirname, "../..");
+const ROOT = path.resolve(import.meta.dirname, "../..");
+/** Programs run from source when this module does, for tests, and compiled otherwise. */
+const FROM_SOURCE = import.meta.filename.endsWith(".ts");
 const EXIT_WAIT_MS = 5000;
 const RECENT_LINES = 40;
 
@@ -17,9 +19,11 @@
     signal(name: NodeJS.Signals): void;
 }
 
-/** Starts a compiled program below `dist`. */
+/** Starts a program; `program` is its path below the root without the extension. */
 export function launch(name: string, program: string, parameters: readonly string[]): Launched {
-    const child = childProcess.spawn(process.execPath, [path.join(DIST, program), ...parameters], {
+    const file = path.join(ROOT, `${program}${FROM_SOURCE ? ".ts" : ".js"}`);
+    const loader = FROM_SOURCE ? ["--import", "tsx"] : [];
+    const child = childProcess.spawn(process.execPath, [...loader, file, ...parameters], {
         stdio: ["ignore", "pipe", "pipe"],
     });
     const lines: string[] = [];
