--- /dev/null
+++ b/src/agent/call-service.ts
@@ -0,0 +1,130 @@
+/** Calls of the plain service beside the agent. */
+import * as outcomes from "../core/outcome.js";
+import * as ledgers from "../idempotency/call-ledger.js";
+import type * as services from "../idempotency/service-client.js";
+import type * as types from "../idempotency/types.js";
+import type * as manifest from "../manifest/types.js";
+import type * as httpCalls from "../platform/http-call.js";
+import type * as messages from "../rpc/gen/ibisstep/v1/agent_pb.js";
+import type * as gates from "./gate.js";
+
+export interface CallServiceOptions {
+    readonly gate: gates.Gate;
+    readonly ledger: ledgers.CallLedger;
+    readonly client: services.ServiceClient;
+    /** Monotonic time in milliseconds. */
+    readonly now: () => number;
+}
+
+export type CallOutcome = outcomes.Outcome<ledgers.Answer>;
+
+export class CallService {
+    constructor(private readonly options: CallServiceOptions) {}
+
+    /** Runs a call; one of a route that is not idempotent at most once. */
+    async call(request: messages.CallRequest, caller: string, signal: AbortSignal): Promise<CallOutcome> {
+        const route = await this.route(request, caller);
+        if (!route.ok) {
+            return route;
+        }
+        const deadline = this.options.now() + request.deadlineMs;
+        return route.value.idempotent
+            ? this.runRepeatable(request, deadline)
+            : this.runOnce(request, route.value, deadline, signal);
+    }
+
+    /** Reads the outcome of a call without running it. */
+    async lookup(
+        request: messages.LookupRequest,
+        caller: string,
+    ): Promise<outcomes.Outcome<ledgers.LookupResult>> {
+        const route = await this.route(request, caller);
+        if (!route.ok) {
+            return route;
+        }
+        return this.options.ledger.lookup({
+            customer: request.customer,
+            route: route.value,
+            key: request.idempotencyKey,
+            requestId: request.idempotencyKey,
+            deadline: this.options.now() + request.deadlineMs,
+        });
+    }
+
+    private async route(
+        request: messages.CallRequest | messages.LookupRequest,
+        caller: string,
+    ): Promise<outcomes.Outcome<manifest.Route>> {
+        const passed = await this.options.gate.pass({
+            customer: request.customer,
+            manifestVersion: Number(request.manifestVersion),
+            caller,
+        });
+        if (!passed.ok) {
+            return passed;
+        }
+        const route = passed.value.routes.find(candidate => candidate.name === request.route);
+        if (route === undefined) {
+            return outcomes.refuse("route-unknown", request.route);
+        }
+        return request.customer === "" && !route.open
+            ? outcomes.refuse("customer-unknown", "a keyed route needs a customer")
+            : outcomes.succeed(route);
+    }
+
+    private runOnce(
+        request: messages.CallRequest,
+        route: manifest.Route,
+        deadline: number,
+        signal: AbortSignal,
+    ): Promise<CallOutcome> {
+        const call: ledgers.Call = {
+            customer: request.customer,
+            route,
+            key: request.idempotencyKey,
+            requestId: request.requestId,
+            attempt: request.attempt,
+            bodyHash: request.fingerprint,
+            deadline,
+            signal,
+        };
+        return this.options.ledger.run(call, permit =>
+            this.options.client.call({
+                ...serviceCall(request),
+                serviceKey: permit.serviceKey,
+                timeoutMs: permit.timeoutMs,
+                mayStart: () => permit.mayStart(),
+            }));
+    }
+
+    private async runRepeatable(request: messages.CallRequest, deadline: number): Promise<CallOutcome> {
+        const result = await this.options.client.call({
+            ...serviceCall(request),
+            serviceKey: "",
+            timeoutMs: Math.max(1, deadline - this.options.now()),
+        });
+        return RESULT_HANDLERS[result.kind](result as never);
+    }
+}
+
+function serviceCall(request: messages.CallRequest) {
+    return {
+        method: request.method as services.ServiceCall["method"],
+        target: request.target,
+        headers: request.headers,
+        body: request.body,
+        requestId: request.requestId,
+    };
+}
+
+const RESULT_HANDLERS: {
+    readonly [Kind in httpCalls.HttpResult["kind"]]: (
+        result: Extract<httpCalls.HttpResult, { readonly kind: Kind; }>,
+    ) => CallOutcome;
+} = {
+    "answered": result =>
+        outcomes.succeed({ response: result.response satisfies types.ServiceResponse, replayed: false }),
+    "oversized": () => outcomes.refuse("service-response-too-large", "the response exceeds the limit"),
+    "not-sent": result => outcomes.refuse("service-unreachable", result.detail),
+    "lost": result => outcomes.refuse("service-connection-lost", result.detail),
+};
--- /dev/null
+++ b/src/entry/call-pipeline.ts
@@ -0,0 +1,265 @@
+/** Pipeline of calls of plain services. */
+import * as hashing from "../core/hashing.js";
+import * as outcomes from "../core/outcome.js";
+import * as rendezvous from "../core/rendezvous.js";
+import type * as boards from "../daemon/board.js";
+import * as decisions from "../idempotency/attempt-decision.js";
+import * as records from "../idempotency/record-group.js";
+import type * as manifest from "../manifest/types.js";
+import type * as messages from "../rpc/gen/ibisstep/v1/agent_pb.js";
+import type * as callers from "./agent-caller.js";
+import type * as intake from "./intake.js";
+import * as routeTable from "./route-table.js";
+import type * as types from "./types.js";
+
+const IDEMPOTENCY_HEADER = "idempotency-key";
+const MAXIMUM_KEY_LENGTH = 255;
+const MAXIMUM_ATTEMPTS = 3;
+/** Margin in milliseconds for the answer of the agent, which gives up at its own deadline. */
+const ANSWER_MARGIN_MS = 200;
+
+export interface CallPipelineOptions {
+    readonly board: boards.Board;
+    readonly intake: intake.Intake;
+    readonly caller: callers.AgentCaller;
+    /** Monotonic time in milliseconds. */
+    readonly now: () => number;
+    readonly random: () => number;
+    readonly identifier: () => string;
+}
+
+/** A call that was admitted. */
+interface AdmittedCall {
+    readonly request: types.InboundRequest;
+    readonly route: manifest.Route;
+    /** Empty on open routes. */
+    readonly customer: string;
+    readonly key: string;
+    readonly keyOrigin: decisions.History["keyOrigin"];
+    readonly deadline: number;
+    readonly signal: AbortSignal;
+}
+
+type Result = outcomes.Outcome<ServiceAnswer>;
+
+interface ServiceAnswer {
+    readonly status: number;
+    readonly headers: readonly messages.Header[];
+    readonly body: Uint8Array;
+    readonly replayed: boolean;
+}
+
+export class CallPipeline {
+    constructor(private readonly options: CallPipelineOptions) {}
+
+    readonly handle: types.Handler = async (request, responder, disconnected) => {
+        const { board } = this.options;
+        const path = request.target.split("?")[0];
+        const route = routeTable.findRoute(board.read("configuration").routes, request.method, path);
+        if (route === undefined) {
+            responder.fail({ kind: "route-unknown", detail: `${request.method} ${path}` });
+            return;
+        }
+        const taken = await this.options.intake.take(request, disconnected, { open: route.open, class: route.name });
+        if (!taken.ok) {
+            responder.fail(taken.failure);
+            return;
+        }
+        using admitted = taken.value;
+        const result = await this.run(request, route, admitted);
+        admitted.finished(result);
+        respond(responder, result, route.idempotent ? "" : keyOf(request, request.id).key);
+    };
+
+    private async run(
+        request: types.InboundRequest,
+        route: manifest.Route,
+        admitted: intake.AdmittedRequest,
+    ): Promise<Result> {
+        const { key, origin } = keyOf(request, request.id);
+        if (key.length > MAXIMUM_KEY_LENGTH) {
+            return outcomes.refuse("request-malformed", `the idempotency key exceeds ${MAXIMUM_KEY_LENGTH} characters`);
+        }
+        const call: AdmittedCall = {
+            request,
+            route,
+            customer: admitted.customer,
+            key: route.idempotent ? "" : key,
+            keyOrigin: origin,
+            deadline: this.options.now() + route.deadlineMs,
+            signal: admitted.signal,
+        };
+        const result = route.idempotent ? await this.runRepeatable(call) : await this.runOnce(call);
+        const revoked = admitted.endedBy();
+        return !result.ok && revoked !== undefined && result.failure.kind !== "outcome-unknown"
+            ? { ok: false, failure: revoked }
+            : result;
+    }
+
+    /** Tries agents in random order; the call may run more than once. */
+    private async runRepeatable(call: AdmittedCall): Promise<Result> {
+        const agents = this.agents(call.route, String(this.options.random()));
+        let result: Result = outcomes.refuse("no-backend-server", call.route.service);
+        for (const [index, address] of agents.slice(0, MAXIMUM_ATTEMPTS).entries()) {
+            result = await this.attempt(call, address, index + 1);
+            if (result.ok || call.signal.aborted || this.options.now() >= call.deadline) {
+                return result;
+            }
+        }
+        return result;
+    }
+
+    /** Follows the decisions that keep the call from running twice and each `not-run` true. */
+    private async runOnce(call: AdmittedCall): Promise<Result> {
+        const group = records.groupName(records.recordId(call.customer, call.route.name, call.key));
+        const agents = [...this.agents(call.route, group)];
+        if (agents.length === 0) {
+            return call.keyOrigin === "generated"
+                ? outcomes.refuse("no-backend-server", call.route.service)
+                : outcomes.refuse("repeat-unsettled", "no agent can read the record");
+        }
+        let history = decisions.initialHistory(call.keyOrigin);
+        let attempt = 1;
+        let address = agents.shift() as string;
+        let result = await this.attempt(call, address, attempt);
+        let end = attemptEnd(result);
+        for (;;) {
+            const step = decisions.decide(history, end, {
+                remainingMs: call.deadline - this.options.now(),
+                otherAgents: agents.length,
+                mayRetry: attempt < MAXIMUM_ATTEMPTS && !call.signal.aborted,
+            });
+            history = step.history;
+            if (step.decision.kind === "deliver") {
+                return result;
+            }
+            if (step.decision.kind === "refuse") {
+                return { ok: false, failure: step.decision.failure };
+            }
+            address = agents.shift() as string;
+            if (step.decision.kind === "retry") {
+                attempt++;
+                result = await this.attempt(call, address, attempt);
+                end = attemptEnd(result);
+                continue;
+            }
+            const lookup = await this.lookup(call, address);
+            result = lookup.result;
+            end = lookup.end;
+        }
+    }
+
+    private async attempt(call: AdmittedCall, address: string, attempt: number): Promise<Result> {
+        const remainingMs = Math.max(1, Math.round(call.deadline - this.options.now()));
+        const response = await this.options.caller.call(
+            address,
+            { timeoutMs: remainingMs + ANSWER_MARGIN_MS, signal: call.signal },
+            (client, manifestVersion, callOptions) =>
+                client.call({
+                    requestId: call.request.id,
+                    attempt,
+                    customer: call.customer,
+                    route: call.route.name,
+                    method: call.request.method,
+                    target: call.request.target,
+                    headers: forwardedHeaders(call.request),
+                    body: call.request.body,
+                    idempotencyKey: call.key,
+                    deadlineMs: remainingMs,
+                    manifestVersion,
+                    fingerprint: fingerprint(call.request),
+                }, callOptions),
+        );
+        return response.ok ? outcomes.succeed(response.value) : response;
+    }
+
+    private async lookup(
+        call: AdmittedCall,
+        address: string,
+    ): Promise<{ readonly result: Result; readonly end: decisions.AttemptEnd; }> {
+        const remainingMs = Math.max(1, Math.round(call.deadline - this.options.now()));
+        const response = await this.options.caller.call(
+            address,
+            { timeoutMs: remainingMs + ANSWER_MARGIN_MS, signal: call.signal },
+            (client, manifestVersion, callOptions) =>
+                client.lookup({
+                    customer: call.customer,
+                    route: call.route.name,
+                    idempotencyKey: call.key,
+                    deadlineMs: remainingMs,
+                    manifestVersion,
+                }, callOptions),
+        );
+        if (!response.ok) {
+            return { result: response, end: { kind: "looked-up", state: "no-answer" } };
+        }
+        const { state, status, headers, body } = response.value;
+        const result = outcomes.succeed({ status, headers, body, replayed: true });
+        return { result, end: { kind: "looked-up", state: state as decisions.LookupState } };
+    }
+
+    /** Live agents of the service, best first for the key. */
+    private agents(route: manifest.Route, key: string): readonly string[] {
+        const { board } = this.options;
+        const { backendServers } = board.read("configuration");
+        const nodes = [...board.read("members").values()].flatMap(member => {
+            const server = backendServers.get(member.backendServer);
+            const isCandidate = member.state === "live" && server?.service === route.service;
+            return isCandidate ? [{ id: member.incarnation.address, weight: server.weight }] : [];
+        });
+        return rendezvous.rank(key, nodes).map(node => node.id);
+    }
+}
+
+function keyOf(
+    request: types.InboundRequest,
+    generated: string,
+): { readonly key: string; readonly origin: decisions.History["keyOrigin"]; } {
+    const header = request.headers[IDEMPOTENCY_HEADER];
+    const key = Array.isArray(header) ? header[0] : header;
+    return key === undefined || key === "" ? { key: generated, origin: "generated" } : { key, origin: "caller" };
+}
+
+function fingerprint(request: types.InboundRequest): string {
+    return hashing.sha256([request.method, request.target, Buffer.from(request.body).toString("base64")].join("\n"));
+}
+
+/** The agent filters these again; the key of the caller does not even reach the agent. */
+function forwardedHeaders(request: types.InboundRequest) {
+    return Object.entries(request.headers)
+        .filter(([name]) => !CREDENTIAL_HEADERS.has(name))
+        .map(([name, value]) => ({ name, value: Array.isArray(value) ? value.join(", ") : value ?? "" }));
+}
+
+const CREDENTIAL_HEADERS: ReadonlySet<string> = new Set([
+    "authorization",
+    "proxy-authorization",
+    "cookie",
+    "x-api-key",
+    "api-key",
+]);
+
+function attemptEnd(result: Result): decisions.AttemptEnd {
+    if (result.ok) {
+        return { kind: "answered" };
+    }
+    return { kind: END_BY_FAILURE[result.failure.kind] ?? "refused", failure: result.failure };
+}
+
+const END_BY_FAILURE: Readonly<Record<string, "not-sent" | "lost">> = {
+    "peer-unreachable": "not-sent",
+    "peer-connection-lost": "lost",
+    "deadline-exceeded": "lost",
+};
+
+function respond(responder: types.Responder, result: Result, key: string): void {
+    const keyHeader: Readonly<Record<string, string>> = key === "" ? {} : { [IDEMPOTENCY_HEADER]: key };
+    if (!result.ok) {
+        responder.fail(result.failure);
+        return;
+    }
+    const headers = Object.fromEntries(result.value.headers.map(header => [header.name, header.value]));
+    const replayed: Readonly<Record<string, string>> = result.value.replayed ? { "idempotent-replayed": "true" } : {};
+    responder.begin(result.value.status, { ...headers, ...keyHeader, ...replayed });
+    responder.end(result.value.body);
+}
--- /dev/null
+++ b/src/entry/intake.ts
@@ -0,0 +1,150 @@
+/** What each request passes first: the limit of requests in flight, its key, and the rate of its customer. */
+import type * as admission from "../admission/client.js";
+import * as keys from "../configuration/keys.js";
+import type * as live from "../configuration/live-requests.js";
+import * as failures from "../core/failure.js";
+import * as outcomes from "../core/outcome.js";
+import type * as drains from "../membership/drain.js";
+import type * as recorders from "../metrics/recorder.js";
+import type * as settings from "../settings/schema.js";
+import type * as types from "./types.js";
+
+/** Name of the customer in the measures of open routes. */
+const OPEN_CUSTOMER = "(open)";
+const OVERLOAD_RETRY_MS = 500;
+
+export interface IntakeOptions {
+    readonly settings: settings.Settings;
+    readonly drain: drains.Drain;
+    readonly live: live.LiveRequests;
+    readonly admission: admission.AdmissionClient;
+    readonly recorder: recorders.Recorder;
+    /** Monotonic time in milliseconds. */
+    readonly now: () => number;
+}
+
+export interface Classification {
+    /** The request needs no key. */
+    readonly open: boolean;
+    /** Class of the measures: priority or route. */
+    readonly class: string;
+}
+
+/** A request that may run; disposed when it has ended. */
+export interface AdmittedRequest extends Disposable {
+    /** Empty on open routes. */
+    readonly customer: string;
+    /** Aborted when the caller disconnects or the key is revoked. */
+    readonly signal: AbortSignal;
+    /** Failure that ended the request from outside; undefined while it may run. */
+    endedBy(): failures.Failure | undefined;
+    /** Records the end in the measures. */
+    finished(result: outcomes.Outcome<unknown>): void;
+}
+
+export class Intake {
+    constructor(private readonly options: IntakeOptions) {}
+
+    /** Fails with the failures of `Drain`, of the keys and of the admission; nothing ran. */
+    async take(
+        request: types.InboundRequest,
+        disconnected: AbortSignal,
+        classification: Classification,
+    ): Promise<outcomes.Outcome<AdmittedRequest>> {
+        const startedAt = this.options.now();
+        if (this.options.drain.inFlight >= this.options.settings.limits.requests_in_flight) {
+            return outcomes.refuse(
+                "too-many-requests-in-flight",
+                String(this.options.drain.inFlight),
+                OVERLOAD_RETRY_MS,
+            );
+        }
+        const entered = this.options.drain.enter();
+        if (!entered.ok) {
+            return entered;
+        }
+        const registered = classification.open ? undefined : this.register(request);
+        if (registered !== undefined && !registered.ok) {
+            entered.value[Symbol.dispose]();
+            return registered;
+        }
+        const admitted = new Admitted(
+            this.options,
+            classification.class,
+            startedAt,
+            entered.value,
+            registered?.value,
+            disconnected,
+        );
+        if (registered !== undefined) {
+            const admission = await this.admit(registered.value.customer.name, admitted);
+            if (!admission.ok) {
+                admitted[Symbol.dispose]();
+                return admission;
+            }
+        }
+        return outcomes.succeed(admitted);
+    }
+
+    private register(request: types.InboundRequest): outcomes.Outcome<live.LiveRequest> {
+        const hash = keys.hashOfAuthorization(request.headers.authorization);
+        return hash.ok ? this.options.live.admit(hash.value) : hash;
+    }
+
+    private async admit(customer: string, admitted: Admitted): Promise<outcomes.Outcome<void>> {
+        const waitMs = this.options.settings.timing.admission_wait_ms;
+        const result = await this.options.admission.admit(customer, waitMs, admitted.signal);
+        const ended = admitted.endedBy();
+        if (!result.ok && ended !== undefined) {
+            return { ok: false, failure: ended };
+        }
+        if (!result.ok) {
+            this.options.recorder.count("requests-refused", customer);
+        }
+        return result;
+    }
+}
+
+class Admitted implements AdmittedRequest {
+    readonly customer: string;
+    readonly signal: AbortSignal;
+
+    constructor(
+        private readonly options: IntakeOptions,
+        private readonly className: string,
+        private readonly startedAt: number,
+        private readonly entered: Disposable,
+        private readonly registered: live.LiveRequest | undefined,
+        private readonly disconnected: AbortSignal,
+    ) {
+        this.customer = registered?.customer.name ?? "";
+        this.signal = registered === undefined ? disconnected : AbortSignal.any([registered.signal, disconnected]);
+        options.recorder.count("requests", this.label);
+    }
+
+    endedBy(): failures.Failure | undefined {
+        const reason: unknown = this.registered?.signal.reason;
+        if (reason instanceof failures.FailureError) {
+            return reason.failure;
+        }
+        return this.disconnected.aborted ? { kind: "caller-disconnected", detail: "" } : undefined;
+    }
+
+    finished(result: outcomes.Outcome<unknown>): void {
+        const { recorder, now } = this.options;
+        recorder.record("duration", this.label, this.className, now() - this.startedAt);
+        recorder.count(result.ok ? "requests-finished" : "requests-failed", this.label);
+        if (!result.ok && result.failure.kind === "outcome-unknown") {
+            recorder.count("outcome-unknown", this.label);
+        }
+    }
+
+    [Symbol.dispose](): void {
+        this.registered?.[Symbol.dispose]();
+        this.entered[Symbol.dispose]();
+    }
+
+    private get label(): string {
+        return this.customer === "" ? OPEN_CUSTOMER : this.customer;
+    }
+}
--- a/tools/support/deployment.ts
+++ b/tools/support/deployment.ts
@@ -334,8 +334,8 @@
 idempotent = true
 
 [[routes]]
-name = "opening-hours"
-path = "/hours"
+name = "run-counts"
+path = "/runs"
 methods = ["GET"]
 service = "${BOOKING_SERVICE}"
 idempotent = true
