Add the dissemination of documents

Cause: 1,210 processes need the configuration and each other's state without 1,210 watches on the object API. Ruled out: learning the age of the store also on the answering side of a comparison. The delay of each request would refresh the proof on every hop, so with slow links an outage would never show. Rounds with random peers alone for that age: a proof needs about four rounds to reach 1,210 processes from 14 watchers, longer than the 3 s after which a process reads the store itself. Unknown kinds of documents: a table that takes them has no bound. Conclusion: membership and configuration can build on it.

--- /dev/null
+++ b/src/gossip/codec.ts
@@ -0,0 +1,58 @@
+/** Converts documents and comparisons to and from RPC messages. */
+import * as outcomes from "../core/outcome.js";
+import type * as messages from "../rpc/gen/ibisstep/v1/peer_pb.js";
+import * as kinds from "./kinds.js";
+import type * as types from "./types.js";
+
+const UNKNOWN_AGE = -1n;
+const decoder = new TextDecoder("utf-8", { fatal: true });
+const encoder = new TextEncoder();
+
+export interface DocumentMessage {
+    readonly name: string;
+    readonly version: bigint;
+    readonly value: Uint8Array;
+}
+
+export function encodeDocument(document: types.Document): DocumentMessage {
+    return {
+        name: document.name,
+        version: BigInt(document.version),
+        value: encoder.encode(JSON.stringify(document.value)),
+    };
+}
+
+/** Reads a document. Fails with `document-invalid` for an unknown kind, a value over its bound, or broken JSON. */
+export function decodeDocument(message: DocumentMessage): outcomes.Outcome<types.Document> {
+    const kind = kinds.kindOf(message.name);
+    if (kind === undefined) {
+        return outcomes.refuse("document-invalid", `${message.name}: unknown kind`);
+    }
+    if (message.value.length > kind.maximumBytes) {
+        return outcomes.refuse("document-invalid", `${message.name}: ${message.value.length} bytes`);
+    }
+    try {
+        const value: unknown = JSON.parse(decoder.decode(message.value));
+        return outcomes.succeed({ name: message.name, version: Number(message.version), value });
+    }
+    catch {
+        return outcomes.refuse("document-invalid", `${message.name}: not JSON in UTF-8`);
+    }
+}
+
+/** Reads the documents that are valid and leaves the others out. */
+export function decodeDocuments(list: readonly messages.Document[]): readonly types.Document[] {
+    return list.flatMap(message => {
+        const outcome = decodeDocument(message);
+        return outcome.ok ? [outcome.value] : [];
+    });
+}
+
+/** Encodes an age in milliseconds; an infinite one becomes -1. */
+export function encodeAge(ageMs: number): bigint {
+    return Number.isFinite(ageMs) ? BigInt(Math.max(0, Math.ceil(ageMs))) : UNKNOWN_AGE;
+}
+
+export function decodeAge(age: bigint): number {
+    return age < 0n ? Number.POSITIVE_INFINITY : Number(age);
+}
