--- a/src/membership/events.ts
+++ b/src/membership/events.ts
@@ -1,4 +1,36 @@
-/** Log events of this feature. */
+/** Log events of members and of shutdown. */
 import type * as event from "../core/event.js";
 
-export const events = {} as const satisfies event.EventCatalogue;
+export const events = {
+    "member-gone": {
+        number: 1701,
+        level: "info",
+        message: fields => `member ${fields.address} (${fields.boot}) is gone: ${fields.kind}`,
+        hint: "",
+    },
+    "instance-list-implausible": {
+        number: 1702,
+        level: "error",
+        message: fields =>
+            `the instance list lost most of its instances at once and is ignored; it has ${fields.listed}`,
+        hint: "Check the instance list. Members are known through each other until it is plausible again.",
+    },
+    "drain-started": {
+        number: 1703,
+        level: "info",
+        message: fields => `shutdown begins (${fields.reason}) with ${fields.inFlight} requests in flight`,
+        hint: "",
+    },
+    "drain-finished": {
+        number: 1704,
+        level: "info",
+        message: fields => `shutdown has waited for all requests, ${fields.durationMs} ms`,
+        hint: "",
+    },
+    "drain-interrupted": {
+        number: 1705,
+        level: "error",
+        message: fields => `shutdown interrupts ${fields.interrupted} requests after ${fields.durationMs} ms`,
+        hint: "Requests ran longer than `timing.drain_ms`. Raise it above the longest deadline.",
+    },
+} as const satisfies event.EventCatalogue;
