--- /dev/null
+++ b/src/configuration/store-reader.ts
@@ -0,0 +1,76 @@
+/** Reads the manifest from the object API, with a bound on the time of each call. */
+import type * as clocks from "../clock/clock.js";
+import * as outcomes from "../core/outcome.js";
+import type * as gossip from "../gossip/types.js";
+import type * as platform from "../platform/types.js";
+import * as adoption from "./adoption.js";
+
+/** Keeps watchers from calling a store in a loop that answers watches at once. */
+const PACE_MS = 50;
+/** Also the longest age of the proof that a watcher gives to its peers. */
+export const WATCH_WAIT_MS = 1000;
+const READ_TIMEOUT_MS = 1000;
+const WATCH_TIMEOUT_MS = WATCH_WAIT_MS + READ_TIMEOUT_MS;
+/** Spreads the reads of processes that start together. */
+const START_JITTER_MS = 200;
+
+export class StoreReader {
+    constructor(private readonly store: platform.ObjectStore, private readonly clock: clocks.Clock) {}
+
+    /** Reads the manifest; undefined when there is none. Fails with `store-unavailable`. */
+    async read(): Promise<outcomes.Outcome<adoption.Candidate | undefined>> {
+        const outcome = await this.bounded(this.store.get(adoption.MANIFEST_OBJECT), READ_TIMEOUT_MS);
+        if (!outcome.ok) {
+            return outcome;
+        }
+        return outcomes.succeed(outcome.value === undefined ? undefined : candidateOf(outcome.value));
+    }
+
+    /** Waits for a manifest after a revision. Fails with `store-unavailable`. */
+    async watch(
+        afterRevision: number,
+    ): Promise<outcomes.Outcome<{ readonly revision: number; readonly candidates: readonly adoption.Candidate[]; }>> {
+        const startedAt = this.clock.now();
+        const call = this.store.watch(adoption.MANIFEST_OBJECT, afterRevision, WATCH_WAIT_MS);
+        const outcome = await this.bounded(call, WATCH_TIMEOUT_MS);
+        if (!outcome.ok) {
+            return outcome;
+        }
+        const candidates = outcome.value.objects
+            .filter(object => object.name === adoption.MANIFEST_OBJECT)
+            .map(candidateOf);
+        if (candidates.length === 0) {
+            await this.clock.sleep(PACE_MS - (this.clock.now() - startedAt));
+        }
+        return outcomes.succeed({ revision: outcome.value.revision, candidates });
+    }
+
+    /** Source of the document `manifest` for the start of a process. */
+    async documents(): Promise<outcomes.Outcome<readonly gossip.Document[]>> {
+        await this.clock.sleep(this.clock.random() * START_JITTER_MS);
+        const outcome = await this.read();
+        if (!outcome.ok) {
+            return outcome;
+        }
+        return outcomes.succeed(outcome.value === undefined ? [] : [adoption.toDocument(outcome.value)]);
+    }
+
+    private async bounded<Value>(
+        call: Promise<outcomes.Outcome<Value>>,
+        timeoutMs: number,
+    ): Promise<outcomes.Outcome<Value>> {
+        const answered = new AbortController();
+        const expiry = this.clock.sleep(timeoutMs, answered.signal)
+            .then(() => outcomes.refuse("store-unavailable", `no answer in ${timeoutMs} ms`));
+        try {
+            return await Promise.race([call, expiry]);
+        }
+        finally {
+            answered.abort();
+        }
+    }
+}
+
+function candidateOf(object: platform.StoredObject): adoption.Candidate {
+    return { version: object.version, text: object.value };
+}
--- /dev/null
+++ b/test/configuration/propagation.test.ts
@@ -0,0 +1,140 @@
+/**
+ * Guards against a process that misses an accepted configuration, or that falls back to a lower one, when one process
+ * cannot reach the object API, messages are lost or late, and processes restart.
+ */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as simulation from "../support/simulated-system.js";
+
+const SEED = 20;
+const RUNS = 25;
+const IN_FORCE_WITHIN_MS = 4000;
+const OBJECT = "config/manifest";
+
+const situation = fastCheck.record({
+    seed: fastCheck.integer(),
+    count: fastCheck.integer({ min: 3, max: 9 }),
+    dataCentres: fastCheck.integer({ min: 1, max: 3 }),
+    cut: fastCheck.nat(),
+    restarted: fastCheck.nat(),
+    loss: fastCheck.double({ min: 0, max: 0.15, noNaN: true }),
+    delayMs: fastCheck.integer({ min: 0, max: 80 }),
+    pauseMs: fastCheck.integer({ min: 0, max: 3000 }),
+});
+
+function placesOf(count: number, dataCentres: number): readonly simulation.Place[] {
+    return Array.from({ length: count }, (_, index) => ({
+        address: `10.0.0.${index + 1}:7000`,
+        dataCentre: `dc-${index % dataCentres}`,
+    }));
+}
+
+async function accept(system: simulation.SimulatedSystem, change: number): Promise<number> {
+    const current = await system.store.get(OBJECT);
+    const version = current.ok ? current.value?.version ?? 0 : 0;
+    const written = await system.store.put(OBJECT, `# change ${change}`, version);
+    assert.ok(written.ok);
+    return written.value;
+}
+
+function assertInForce(system: simulation.SimulatedSystem, version: number): void {
+    for (const address of system.processes.keys()) {
+        assert.ok(system.versionOf(address) >= version, `${address} has ${system.versionOf(address)}, not ${version}`);
+    }
+}
+
+function assertNeverBack(system: simulation.SimulatedSystem): void {
+    for (const process of system.processes.values()) {
+        const sorted = [...process.adopted].sort((left, right) => left - right);
+        assert.deepEqual(process.adopted, sorted, process.incarnation.address);
+    }
+}
+
+testing.test("configuration: each change is in force everywhere within 4 s although one process lost the store", async () => {
+    await fastCheck.assert(
+        fastCheck.asyncProperty(situation, async given => {
+            const places = placesOf(given.count, given.dataCentres);
+            const system = new simulation.SimulatedSystem(given.seed, places);
+            system.faults = { loss: given.loss, delayMs: given.delayMs };
+            system.cutFromStore.add(places[given.cut % places.length].address);
+            await accept(system, 0);
+            await system.startAll();
+            await system.clock.advance(5000);
+            for (let change = 1; change <= 3; change++) {
+                const version = await accept(system, change);
+                await system.clock.advance(IN_FORCE_WITHIN_MS);
+                assertInForce(system, version);
+                await system.clock.advance(given.pauseMs);
+            }
+            assertNeverBack(system);
+        }),
+        { seed: SEED, numRuns: RUNS },
+    );
+});
+
+testing.test("configuration: a restarted process has no lower version than before, also without the store", async () => {
+    await fastCheck.assert(
+        fastCheck.asyncProperty(situation, async given => {
+            const places = placesOf(given.count, given.dataCentres);
+            const system = new simulation.SimulatedSystem(given.seed, places);
+            system.faults = { loss: given.loss / 3, delayMs: given.delayMs };
+            await accept(system, 0);
+            await system.startAll();
+            await system.clock.advance(5000);
+            const version = await accept(system, 1);
+            await system.clock.advance(IN_FORCE_WITHIN_MS);
+            const place = places[given.restarted % places.length];
+            system.cutFromStore.add(place.address);
+            system.crash(place.address);
+            await system.clock.advance(given.pauseMs);
+            const restarted = await system.clock.complete(system.start(place));
+            await system.clock.advance(IN_FORCE_WITHIN_MS);
+            assert.ok(restarted.adopted.every(adopted => adopted >= version), restarted.adopted.join(" "));
+            assertInForce(system, version);
+        }),
+        { seed: SEED, numRuns: RUNS },
+    );
+});
+
+testing.test("configuration: a process that restarts in the middle of a change does not go back", async () => {
+    await fastCheck.assert(
+        fastCheck.asyncProperty(situation, async given => {
+            const places = placesOf(given.count, given.dataCentres);
+            const system = new simulation.SimulatedSystem(given.seed, places);
+            system.faults = { loss: 0, delayMs: given.delayMs };
+            await accept(system, 0);
+            await system.startAll();
+            await system.clock.advance(5000);
+            await accept(system, 1);
+            await system.clock.advance(given.pauseMs);
+            const place = places[given.restarted % places.length];
+            const before = system.versionOf(place.address);
+            system.crash(place.address);
+            const restarted = await system.clock.complete(system.start(place));
+            await system.clock.advance(IN_FORCE_WITHIN_MS);
+            assert.ok(
+                restarted.adopted.every(adopted => adopted >= before),
+                `${before}: ${restarted.adopted.join(" ")}`,
+            );
+        }),
+        { seed: SEED, numRuns: RUNS },
+    );
+});
+
+testing.test("configuration: a restarted process serves within a second although seeds hang and the store is down", async () => {
+    const places = placesOf(6, 2);
+    const system = new simulation.SimulatedSystem(SEED, places);
+    await accept(system, 0);
+    await system.startAll();
+    await system.clock.advance(5000);
+    const [first, second, third, fourth] = places.map(place => place.address);
+    for (const address of [second, third, fourth]) {
+        system.crash(address);
+        system.hanging.add(address);
+    }
+    system.crash(first);
+    system.cutFromStore.add(first);
+    const restarted = await system.clock.complete(system.start(places[0]));
+    assert.ok(restarted.readyAfterMs !== undefined && restarted.readyAfterMs <= 1000, String(restarted.readyAfterMs));
+});
