--- a/src/entry/failures.ts
+++ b/src/entry/failures.ts
@@ -2,6 +2,22 @@
 import type * as failure from "../core/failure.js";
 
 export const failures = {
+    "key-missing": {
+        number: 2701,
+        status: 401,
+        execution: "not-run",
+        retry: "never",
+        message: () => 'the request has no key; send it as "Authorization: Bearer KEY"',
+        hint: "Add the Authorization header.",
+    },
+    "key-unknown": {
+        number: 2702,
+        status: 401,
+        execution: "not-run",
+        retry: "never",
+        message: () => "the key is not valid",
+        hint: "Check the key. It may have been revoked, or its hash is not in the manifest in force.",
+    },
     "model-unknown": {
         number: 2703,
         status: 404,
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -1,12 +1,12 @@
 /** What each request passes first: the limit of requests in flight, its key, and the rate of its customer. */
 import type * as admission from "../admission/client.js";
-import * as keys from "../configuration/keys.js";
 import type * as live from "../configuration/live-requests.js";
 import * as failures from "../core/failure.js";
 import * as outcomes from "../core/outcome.js";
 import type * as drains from "../membership/drain.js";
 import type * as recorders from "../metrics/recorder.js";
 import type * as settings from "../settings/schema.js";
+import * as authentication from "./authentication.js";
 import type * as types from "./types.js";
 
 /** Name of the customer in the measures of open routes. */
@@ -87,7 +87,7 @@
     }
 
     private register(request: types.InboundRequest): outcomes.Outcome<live.LiveRequest> {
-        const hash = keys.hashOfAuthorization(request.headers.authorization);
+        const hash = authentication.keyHashOf(request.headers.authorization);
         return hash.ok ? this.options.live.admit(hash.value) : hash;
     }
 
