Add the booking service stand-in

Cause: tests of calls that run at most once need a service that runs whatever it receives and counts. Ruled out: a crash that ends the process, since its counts would be lost with it; the stand-in closes its listener and all connections instead, and keeps its bookings. Change: bookings, lookup by key, list, counts of runs; control of crash before or after the run, delay and lost answers. Conclusion: runs as a process and within tests.

--- /dev/null
+++ b/stand-ins/booking-service/booking-service.ts
@@ -0,0 +1,103 @@
+/** Stand-in for a plain service that must not get a call twice: runs every booking that it receives and counts. */
+import * as fastify from "fastify";
+import type * as net from "node:net";
+import type * as standIns from "../process.js";
+
+export interface Control {
+    /** Ends all connections at the next booking and refuses new ones for `restart_ms`; bookings survive. */
+    readonly crash?: "none" | "before-run" | "after-run";
+    readonly restart_ms?: number;
+    /** Milliseconds before each run. */
+    readonly delay_ms?: number;
+    /** Number of the next bookings that run but whose answer is lost. */
+    readonly lose_answers?: number;
+}
+
+interface Booking {
+    readonly key: string;
+    readonly request: unknown;
+    readonly response: { readonly booking: number; readonly key: string; };
+}
+
+export interface BookingService extends standIns.StandIn {
+    /** Number of runs by idempotency key. */
+    readonly runs: ReadonlyMap<string, number>;
+    /** Headers of the last booking, for tests of what reaches the service. */
+    lastHeaders(): Readonly<Record<string, unknown>>;
+    control(change: Control): void;
+}
+
+/** Starts the stand-in on a port of the loopback interface; port 0 takes a free one. */
+export async function createBookingService(port = 0): Promise<BookingService> {
+    const server = fastify.fastify({ forceCloseConnections: true });
+    const bookings: Booking[] = [];
+    const runs = new Map<string, number>();
+    let state: Required<Control> = { crash: "none", restart_ms: 0, delay_ms: 0, lose_answers: 0 };
+    let headers: Readonly<Record<string, unknown>> = {};
+    let restart: NodeJS.Timeout | undefined;
+    let boundPort = port;
+    const control = (change: Control): void => {
+        state = { ...state, ...change };
+    };
+    const crash = (): void => {
+        const restartMs = state.restart_ms;
+        state = { ...state, crash: "none" };
+        server.server.close();
+        server.server.closeAllConnections();
+        restart = setTimeout(() => server.server.listen(boundPort, "127.0.0.1"), restartMs);
+    };
+    const run = (key: string, request: unknown): Booking => {
+        runs.set(key, (runs.get(key) ?? 0) + 1);
+        const booking = { key, request, response: { booking: bookings.length + 1, key } };
+        bookings.push(booking);
+        return booking;
+    };
+
+    server.post("/bookings", async (request, reply) => {
+        headers = request.headers;
+        if (state.delay_ms > 0) {
+            await new Promise(resolve => setTimeout(resolve, state.delay_ms));
+        }
+        if (state.crash === "before-run") {
+            reply.hijack();
+            crash();
+            return reply;
+        }
+        const booking = run(String(request.headers["idempotency-key"] ?? ""), request.body);
+        if (state.crash === "after-run") {
+            reply.hijack();
+            crash();
+            return reply;
+        }
+        if (state.lose_answers > 0) {
+            control({ lose_answers: state.lose_answers - 1 });
+            reply.hijack();
+            request.raw.socket.destroy();
+            return reply;
+        }
+        return reply.code(201).send(booking.response);
+    });
+    server.get("/bookings", async () => ({ bookings: bookings.map(booking => booking.request) }));
+    server.get<{ Params: { key: string; }; }>("/bookings/lookup/:key", async (request, reply) => {
+        const found = bookings.find(booking => booking.key === request.params.key);
+        return found === undefined ? reply.code(404).send({}) : reply.code(200).send(found.response);
+    });
+    server.get("/runs", async () => ({ runs: Object.fromEntries(runs) }));
+    server.put<{ Body: Control; }>("/control", async request => {
+        control(request.body);
+        return state;
+    });
+
+    await server.listen({ port, host: "127.0.0.1" });
+    boundPort = (server.server.address() as net.AddressInfo).port;
+    return {
+        address: `127.0.0.1:${boundPort}`,
+        runs,
+        lastHeaders: () => headers,
+        control,
+        [Symbol.asyncDispose]: async () => {
+            clearTimeout(restart);
+            await server.close();
+        },
+    };
+}
--- /dev/null
+++ b/stand-ins/booking-service/main.ts
@@ -0,0 +1,5 @@
+/** Process of the booking service stand-in. */
+import * as standIns from "../process.js";
+import * as bookingService from "./booking-service.js";
+
+await standIns.run("booking-service", bookingService.createBookingService);
