Run calls at most once through claims in the store

Ruled out: synchronized clocks for the time limit of a claim; a claim carries a duration that its holder counts from before the write and a reader counts from its first read. Running a call that waited for another claim, since its caller may have been told "not run". One recorded exclusion per record: a schedule showed a late first attempt of a request that ran after the answer "not run", because a later request had replaced the exclusion.

--- a/src/idempotency/failures.ts
+++ b/src/idempotency/failures.ts
@@ -1,4 +1,86 @@
-/** Failures of this feature. */
+/** Failures of calls that run at most once. */
 import type * as failure from "../core/failure.js";
 
-export const failures = {} as const satisfies failure.FailureCatalogue;
+export const failures = {
+    "idempotency-key-reused": {
+        number: 2301,
+        status: 422,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the idempotency key belongs to a request with another body: ${detail}`,
+        hint: "Use a new key for a new request. This request was not run; the first one with the key may have been.",
+    },
+    "call-not-run": {
+        number: 2302,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the call was not run: ${detail}`,
+        hint: "No call with this idempotency key has run. Repeat it with the same key.",
+    },
+    "call-not-claimed": {
+        number: 2303,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the call was not run, since its claim was not confirmed in time: ${detail}`,
+        hint: "This attempt did not run. Check the object API; repeat the call with the same key.",
+    },
+    "outcome-unknown": {
+        number: 2304,
+        status: 503,
+        execution: "unknown",
+        retry: "after-delay",
+        message: detail => `it is not known whether the call ran: ${detail}`,
+        hint:
+            "Repeat the call with the same idempotency key; it runs only when the earlier one is proved not to have run.",
+    },
+    "idempotency-group-full": {
+        number: 2305,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `there is no room for the record of the call: ${detail}`,
+        hint: "Records are removed 24 hours after they were written. Too many keys are in use.",
+    },
+    "response-not-stored": {
+        number: 2306,
+        status: 409,
+        execution: "ran",
+        retry: "never",
+        message: detail => `the call ran, but its response was too large to be stored: ${detail}`,
+        hint: "Ask the service for the result; do not send the call with another key.",
+    },
+    "response-too-large": {
+        number: 2307,
+        status: 502,
+        execution: "ran",
+        retry: "never",
+        message: detail => `the service answered with a body over the limit: ${detail}`,
+        hint: "The call ran. Ask the service for the result; do not send the call with another key.",
+    },
+    "idempotency-group-unreadable": {
+        number: 2308,
+        status: 500,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the records in the object API cannot be read: ${detail}`,
+        hint: "The object was written by another program or an incompatible version. Calls of the group are refused.",
+    },
+    "repeat-unsettled": {
+        number: 2309,
+        status: 503,
+        execution: "unknown",
+        retry: "after-delay",
+        message: detail => `this request was not run, but an earlier one with its key may have run: ${detail}`,
+        hint: "Repeat the call with the same idempotency key.",
+    },
+    "earlier-call-not-run": {
+        number: 2310,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the earlier call with the idempotency key was proved not to have run: ${detail}`,
+        hint: "No call with this idempotency key has run. Repeat it with the same key.",
+    },
+} as const satisfies failure.FailureCatalogue;
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -21,6 +21,8 @@
      * response of a request that was never read, which makes the outcome of the call unknown without need.
      */
     readonly ownConnection?: boolean;
+    /** Asked directly before the first byte is written; false ends the call as `not-sent`. */
+    readonly mayStart?: () => boolean;
 }
 
 export interface HttpResponse {
@@ -55,7 +57,7 @@
     /** Never rejects: each way in which a call can end is a result. */
     async send(request: HttpRequest): Promise<HttpResult> {
         const timer = new AbortController();
-        const exchange = new Exchange(request.maximumBytes);
+        const exchange = new Exchange(request.maximumBytes, request.mayStart ?? (() => true));
         void this.time.sleep(request.timeoutMs, timer.signal).then(() => {
             exchange.expire(`no response within ${Math.round(request.timeoutMs)} ms`);
         });
@@ -95,7 +97,7 @@
     private readonly chunks: Buffer[] = [];
     private bytes = 0;
 
-    constructor(private readonly maximumBytes: number) {
+    constructor(private readonly maximumBytes: number, private readonly mayStart: () => boolean) {
         this.result = new Promise(resolve => {
             this.settle = resolve;
         });
@@ -107,6 +109,11 @@
             controller.abort(new undici.errors.RequestAbortedError());
             return;
         }
+        if (!this.mayStart()) {
+            this.end({ kind: "not-sent", detail: "the time limit of the start has passed" });
+            controller.abort(new undici.errors.RequestAbortedError());
+            return;
+        }
         this.controller = controller;
         this.sent = true;
     }
--- /dev/null
+++ b/test/idempotency/schedules-worker.ts
@@ -0,0 +1,41 @@
+/** Runs a share of the schedules in a thread; the hooks of the test runner would double their time. */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as threads from "node:worker_threads";
+import * as simulation from "./simulation.js";
+
+export interface Share {
+    readonly seed: number;
+    readonly schedules: number;
+}
+
+export interface ShareReport {
+    readonly error: string | undefined;
+    readonly coverage: simulation.Coverage;
+}
+
+async function check(share: Share): Promise<ShareReport> {
+    const coverage: simulation.Coverage = {
+        runs: 0,
+        notRun: 0,
+        unknown: 0,
+        replayed: 0,
+        settledNotRun: 0,
+        crashes: 0,
+    };
+    const property = fastCheck.asyncProperty(fastCheck.integer({ min: 0, max: 0x7fffffff }), async seed => {
+        const report = await simulation.simulate(seed);
+        for (const name of Object.keys(coverage) as (keyof simulation.Coverage)[]) {
+            coverage[name] += report.coverage[name];
+        }
+        assert.deepEqual(report.violations, []);
+    });
+    const details = await fastCheck.check(property, {
+        seed: share.seed,
+        numRuns: share.schedules,
+        endOnFailure: true,
+    });
+    return { error: details.failed ? String(details.errorInstance) : undefined, coverage };
+}
+
+threads.parentPort?.postMessage(await check(threads.workerData as Share));
--- /dev/null
+++ b/test/idempotency/schedules.test.ts
@@ -0,0 +1,40 @@
+/** Guards against double bookings, false `not-run` answers and requests that are never settled. */
+import * as assert from "node:assert/strict";
+import * as events from "node:events";
+import * as testing from "node:test";
+import * as threads from "node:worker_threads";
+import type * as worker from "./schedules-worker.js";
+import type * as simulation from "./simulation.js";
+
+const SEED = 20261204;
+const SCHEDULES = 10_000;
+const THREADS = 4;
+
+testing.test("idempotency: 10,000 random schedules of crashes and repeats run each request at most once", async () => {
+    const shares = Array.from({ length: THREADS }, (_, index) => ({
+        seed: SEED + index,
+        schedules: SCHEDULES / THREADS,
+    }));
+    const reports = await Promise.all(shares.map(share => run(share)));
+    assert.deepEqual(reports.map(report => report.error), shares.map(() => undefined));
+    // Schedules without faults would pass too.
+    for (const name of Object.keys(reports[0].coverage) as (keyof simulation.Coverage)[]) {
+        const total = reports.reduce((sum, report) => sum + report.coverage[name], 0);
+        assert.ok(total > SCHEDULES / 100, `${name} occurred ${total} times`);
+    }
+});
+
+/** Threads do not inherit the TypeScript loader of the process. */
+const THREAD_SOURCE = `
+    import("tsx/esm/api").then(loader => {
+        loader.register();
+        return import(${JSON.stringify(new URL("./schedules-worker.ts", import.meta.url).href)});
+    });
+`;
+
+async function run(share: worker.Share): Promise<worker.ShareReport> {
+    const thread = new threads.Worker(THREAD_SOURCE, { eval: true, workerData: share });
+    const [report] = await events.EventEmitter.once(thread, "message") as [worker.ShareReport];
+    await thread.terminate();
+    return report;
+}
