--- a/eslint.config.js
+++ b/eslint.config.js
@@ -53,7 +53,7 @@
             "@typescript-eslint/no-explicit-any": "error",
             "@typescript-eslint/consistent-type-imports": ["error", { disallowTypeAnnotations: false }],
             "@typescript-eslint/prefer-readonly": "error",
-            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", varsIgnorePattern: "^_" }],
             "@typescript-eslint/naming-convention": [
                 "error",
                 {
--- a/src/agent/call-service.ts
+++ b/src/agent/call-service.ts
@@ -1,6 +1,6 @@
 /** Calls of the plain service beside the agent. */
 import * as outcomes from "../core/outcome.js";
-import * as ledgers from "../idempotency/call-ledger.js";
+import type * as ledgers from "../idempotency/call-ledger.js";
 import type * as services from "../idempotency/service-client.js";
 import type * as types from "../idempotency/types.js";
 import type * as manifest from "../manifest/types.js";
--- a/src/agent/failures.ts
+++ b/src/agent/failures.ts
@@ -82,6 +82,14 @@
         message: detail => `the customer is not in the configuration: ${detail}`,
         hint: "The customer was removed from the manifest while the request was on its way.",
     },
+    "weights-not-loaded": {
+        number: 2825,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the engine has not loaded the weights ${detail}`,
+        hint: "Another server with these weights can run the request.",
+    },
     "service-unreachable": {
         number: 2822,
         status: 503,
--- /dev/null
+++ b/src/agent/generation-service.ts
@@ -0,0 +1,234 @@
+/** Generations on the engine beside the agent. */
+import type * as clocks from "../clock/clock.js";
+import type * as failures from "../core/failure.js";
+import * as outcomes from "../core/outcome.js";
+import type * as boards from "../daemon/board.js";
+import type * as queues from "../fairness/job-queue.js";
+import type * as manifest from "../manifest/types.js";
+import type * as recorders from "../metrics/recorder.js";
+import type * as views from "../routing/cache-view.js";
+import * as prefixes from "../routing/prefix.js";
+import * as redirections from "../routing/redirection.js";
+import * as failureCodec from "../rpc/failure-codec.js";
+import type * as messages from "../rpc/gen/ibisstep/v1/agent_pb.js";
+import * as states from "./backend-state.js";
+import type * as engines from "./engine-client.js";
+import type * as engineTypes from "./engine-types.js";
+import type * as gates from "./gate.js";
+
+/** Prefill time per token in milliseconds that the redirect decision assumes before requests have been measured. */
+const INITIAL_PREFILL_MS_PER_TOKEN = 0.02;
+/** Weight of the newest request in the moving average of the prefill time. */
+const PREFILL_SMOOTHING = 0.2;
+
+export interface GenerationServiceOptions {
+    readonly gate: gates.Gate;
+    readonly board: boards.Board;
+    readonly engine: engines.EngineClient;
+    readonly queue: queues.JobQueue;
+    readonly cache: views.CacheView;
+    readonly recorder: recorders.Recorder;
+    readonly clock: clocks.Clock;
+}
+
+type Event = Exclude<messages.GenerateEvent["event"], { case: undefined; }>;
+/** An event without the type name that only received messages have. */
+type OutboundEvent = { [Case in Event["case"]]: { readonly case: Case; readonly value: object; }; }[Event["case"]];
+
+/** A request with what follows from its prompt. */
+interface Work {
+    readonly request: messages.GenerateRequest;
+    readonly prefix: prefixes.Prefix;
+    readonly cachedTokens: number;
+    readonly deadline: number;
+    readonly signal: AbortSignal;
+}
+
+export class GenerationService {
+    private prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
+
+    constructor(private readonly options: GenerationServiceOptions) {}
+
+    /** Yields the events of one attempt; the last one is `ended`, `failed` or `redirected`. */
+    async *generate(
+        request: messages.GenerateRequest,
+        caller: string,
+        signal: AbortSignal,
+    ): AsyncGenerator<OutboundEvent, void, void> {
+        const arrivedAt = this.options.clock.now();
+        const configuration = await this.options.gate.pass({
+            customer: request.customer,
+            manifestVersion: Number(request.manifestVersion),
+            caller,
+        });
+        if (!configuration.ok) {
+            yield failed(configuration.failure);
+            return;
+        }
+        const work = this.prepare(request, configuration.value, arrivedAt, signal);
+        if (!work.ok) {
+            yield failed(work.failure);
+            return;
+        }
+        const decision = this.decideRedirect(work.value);
+        if (decision.kind === "redirect") {
+            yield { case: "redirected", value: { betterAddress: decision.address, load: this.load() } };
+            return;
+        }
+        yield* this.runInTurn(work.value, arrivedAt);
+    }
+
+    /** Load of the engine and of the queue in front of it. */
+    load() {
+        const { queue, board } = this.options;
+        const { load } = board.read("backend");
+        const waiting = queue.load();
+        return {
+            queuedTokens: BigInt(Math.round(load.queuedTokens + waiting.queuedCost)),
+            running: waiting.runningJobs,
+            waiting: waiting.queuedJobs,
+        };
+    }
+
+    private prepare(
+        request: messages.GenerateRequest,
+        configuration: manifest.Configuration,
+        arrivedAt: number,
+        signal: AbortSignal,
+    ): outcomes.Outcome<Work> {
+        const model = configuration.models.get(request.model);
+        const backend = this.options.board.read("backend");
+        if (model === undefined) {
+            return outcomes.refuse("model-unknown", request.model);
+        }
+        if (!backend.reachable) {
+            return outcomes.refuse("engine-unreachable", this.options.engine.address);
+        }
+        const weights = states.weightsName(request.model, request.weightsVersion);
+        if (!backend.weights.includes(weights)) {
+            return outcomes.refuse("weights-not-loaded", weights);
+        }
+        const prefix = prefixes.prefixOf(request, request.prompt, model.pieceTokens);
+        const cachedPieces = this.options.cache.matchedPieces(prefix.chain);
+        return outcomes.succeed({
+            request,
+            prefix,
+            cachedTokens: cachedPieces * model.pieceTokens,
+            deadline: arrivedAt + request.deadlineMs,
+            signal,
+        });
+    }
+
+    private decideRedirect(work: Work): redirections.Decision {
+        const { request, prefix, cachedTokens } = work;
+        const alternative = request.alternativeAddress === ""
+            ? undefined
+            : { address: request.alternativeAddress, expectedMs: request.alternativeMs };
+        const own = {
+            queuedTokens: Number(this.load().queuedTokens),
+            uncachedTokens: prefix.promptTokens - cachedTokens,
+            prefillMsPerToken: this.prefillMsPerToken,
+            networkMs: 0,
+        };
+        return redirections.decide(own, alternative, request.mayRedirect);
+    }
+
+    private async *runInTurn(work: Work, arrivedAt: number): AsyncGenerator<OutboundEvent, void, void> {
+        const { request, prefix, cachedTokens, deadline, signal } = work;
+        const output = Math.max(0, request.maxTokens - request.resumeTokens.length);
+        const slot = await this.options.queue.acquire({
+            customer: request.customer,
+            priority: request.priority === "batch" ? "batch" : "interactive",
+            cost: prefix.promptTokens - cachedTokens + output,
+            tokens: prefix.promptTokens + output,
+            deadline,
+            alone: request.runAlone,
+        }, signal);
+        if (!slot.ok) {
+            yield failed(slot.failure);
+            return;
+        }
+        using held = slot.value;
+        const startedAt = this.options.clock.now();
+        this.options.recorder.record("queue-time", request.customer, request.priority, startedAt - arrivedAt);
+        yield* this.run(work, cost => held.complete(cost));
+    }
+
+    private async *run(work: Work, complete: (cost: number) => void): AsyncGenerator<OutboundEvent, void, void> {
+        const startedAt = this.options.clock.now();
+        const { request, prefix } = work;
+        let uncachedTokens = prefix.promptTokens;
+        let tokens = 0;
+        const stop = new AbortController();
+        const remainingMs = Math.max(0, work.deadline - startedAt);
+        const timer = setTimeout(() => stop.abort(), remainingMs);
+        const signal = AbortSignal.any([work.signal, stop.signal]);
+        try {
+            for await (const event of this.options.engine.generate(engineRequest(request, prefix.scope), signal)) {
+                if (event.type === "start") {
+                    uncachedTokens = event.promptTokens - event.cachedTokens;
+                }
+                if (event.type === "token") {
+                    tokens++;
+                    this.learnPrefill(tokens, uncachedTokens, startedAt);
+                }
+                const expired = event.type === "failed" && stop.signal.aborted;
+                yield expired
+                    ? failed({ kind: "deadline-exceeded", detail: request.requestId })
+                    : this.translate(event);
+            }
+        }
+        finally {
+            clearTimeout(timer);
+            complete(uncachedTokens + tokens);
+        }
+    }
+
+    private learnPrefill(tokens: number, uncachedTokens: number, startedAt: number): void {
+        if (tokens !== 1 || uncachedTokens <= 0) {
+            return;
+        }
+        const observed = (this.options.clock.now() - startedAt) / uncachedTokens;
+        this.prefillMsPerToken += PREFILL_SMOOTHING * (observed - this.prefillMsPerToken);
+    }
+
+    private translate(event: engineTypes.EngineEvent): OutboundEvent {
+        switch (event.type) {
+            case "start":
+                return {
+                    case: "started",
+                    value: {
+                        promptTokens: event.promptTokens,
+                        cachedTokens: event.cachedTokens,
+                        engineBoot: event.boot,
+                        load: this.load(),
+                    },
+                };
+            case "token":
+                return { case: "token", value: { index: event.index, text: event.text } };
+            case "end":
+                return { case: "ended", value: { count: event.count, reason: event.reason, load: this.load() } };
+            case "failed":
+                return failed(event.failure);
+        }
+    }
+}
+
+function engineRequest(request: messages.GenerateRequest, scope: string): engineTypes.EngineRequest {
+    return {
+        requestId: `${request.requestId}-${request.attempt}`,
+        model: request.model,
+        adapter: request.adapter,
+        weightsVersion: request.weightsVersion,
+        cacheScope: scope,
+        prompt: request.prompt,
+        resumeTokens: request.resumeTokens,
+        maxTokens: request.maxTokens,
+        priority: request.priority === "batch" ? "batch" : "interactive",
+        route: request.route,
+    };
+}
+
+function failed(failure: failures.Failure): OutboundEvent {
+    return { case: "failed", value: failureCodec.encode(failure) };
+}
--- /dev/null
+++ b/src/daemon/agent-role.ts
@@ -0,0 +1,170 @@
+/** Assembles the role `agent`: the process beside one backend server. */
+import * as budgetControllers from "../admission/controller.js";
+import * as budgetServices from "../admission/service.js";
+import * as transports from "../admission/transport.js";
+import * as agentServices from "../agent/agent-service.js";
+import * as followers from "../agent/cache-follower.js";
+import * as calls from "../agent/call-service.js";
+import * as engineClients from "../agent/engine-client.js";
+import * as monitors from "../agent/engine-monitor.js";
+import * as gates from "../agent/gate.js";
+import * as generations from "../agent/generation-service.js";
+import * as serviceMonitors from "../agent/service-monitor.js";
+import * as disposal from "../core/disposal.js";
+import * as jobQueues from "../fairness/job-queue.js";
+import * as ledgers from "../idempotency/call-ledger.js";
+import * as serviceClients from "../idempotency/service-client.js";
+import type * as manifest from "../manifest/types.js";
+import * as views from "../routing/cache-view.js";
+import * as agentMessages from "../rpc/gen/ibisstep/v1/agent_pb.js";
+import * as budgetMessages from "../rpc/gen/ibisstep/v1/budget_pb.js";
+import * as health from "./health-server.js";
+import * as loops from "./loop.js";
+import type * as nodes from "./node.js";
+
+const ENGINE_POLL_MS = 100;
+const SERVICE_PROBE_MS = 500;
+const LEDGER_TICK_MS = 250;
+/** Time in milliseconds that the results of calls may take to reach the store at shutdown. */
+const FLUSH_MS = 5000;
+
+/** What the kind of the backend server adds to the agent. */
+interface Backend {
+    readonly schedules: readonly loops.Schedule[];
+    readonly calls?: calls.CallService;
+    readonly generations?: generations.GenerationService;
+    /** Completes what must not be lost at shutdown. */
+    readonly flush: () => Promise<void>;
+}
+
+/** Runs until the drain has finished. */
+export async function run(node: nodes.Node): Promise<void> {
+    await using stack = new disposal.DisposalStack();
+    stack.use(node);
+    await node.start();
+    const budgets = new budgetControllers.BudgetController({
+        ...node.shared,
+        self: node.self,
+        store: node.store,
+        liveness: node.liveness,
+        transport: transports.createTransport(node.pool),
+    });
+    const gate = new gates.Gate({
+        board: node.board,
+        checkNewWork: () => node.membership.checkNewWork(),
+        require: node.require,
+    });
+    const backend = createBackend(node, gate);
+    stack.use(followBackend(node));
+    stack.use(
+        await node.listen(router => {
+            router.service(budgetMessages.BudgetService, budgetServices.createBudgetService(budgets));
+            router.service(
+                agentMessages.AgentService,
+                agentServices.createAgentService({
+                    calls: backend.calls,
+                    generations: backend.generations,
+                    manifestVersion: () => gate.version,
+                    enter: () => enter(node),
+                }),
+            );
+        }),
+    );
+    const schedules = [
+        ...node.schedules(),
+        { controller: budgets, intervalMs: budgetControllers.STEP_INTERVAL_MS },
+        ...backend.schedules,
+    ];
+    stack.use(new loops.ControllerLoop(schedules, node.clock, node.journal));
+    if (node.settings.health_address !== undefined) {
+        stack.use(await health.listen(node.settings.health_address, () => isReady(node)));
+    }
+    stack.use(node.drainOnSignal());
+    node.journal.emit("process-ready", { version: gate.version });
+    await node.drain.finished;
+    await backend.flush();
+}
+
+function isReady(node: nodes.Node): boolean {
+    return node.ready() && node.board.read("backend").reachable;
+}
+
+function createBackend(node: nodes.Node, gate: gates.Gate): Backend {
+    return BACKEND_KINDS[node.settings.backend_kind](node, gate);
+}
+
+const BACKEND_KINDS: Readonly<Record<manifest.ServerKind, (node: nodes.Node, gate: gates.Gate) => Backend>> = {
+    engine: createEngine,
+    service: createService,
+};
+
+function createEngine(node: nodes.Node, gate: gates.Gate): Backend {
+    const { settings, board, clock, journal, recorder } = node;
+    const engine = new engineClients.EngineClient(settings.backend_address ?? "");
+    const cache = new views.CacheView();
+    const queue = new jobQueues.JobQueue(
+        {
+            slots: settings.backend.slots,
+            runningTokens: settings.backend.running_tokens,
+            queuedJobs: settings.backend.queued_requests,
+            queuedCost: settings.backend.queued_tokens,
+        },
+        clock,
+        journal,
+    );
+    followWeights(node, queue);
+    const monitor = new monitors.EngineMonitor({ engine, board, journal, crashed: () => cache.invalidate() });
+    return {
+        schedules: [
+            { controller: monitor, intervalMs: ENGINE_POLL_MS },
+            { controller: new followers.CacheFollower(engine, cache, clock), intervalMs: 0 },
+        ],
+        generations: new generations.GenerationService({ gate, board, engine, queue, cache, recorder, clock }),
+        flush: async () => queue[Symbol.dispose](),
+    };
+}
+
+function createService(node: nodes.Node, gate: gates.Gate): Backend {
+    const { settings, board, clock, journal } = node;
+    const address = settings.backend_address ?? "";
+    const client = new serviceClients.ServiceClient(address, clock);
+    const ledger = new ledgers.CallLedger({
+        self: node.self,
+        store: node.store,
+        time: clock,
+        journal,
+        liveness: node.liveness,
+        service: client,
+    });
+    return {
+        schedules: [
+            { controller: new serviceMonitors.ServiceMonitor(address, board, journal), intervalMs: SERVICE_PROBE_MS },
+            { controller: ledger, intervalMs: LEDGER_TICK_MS },
+        ],
+        calls: new calls.CallService({ gate, ledger, client, now: () => clock.now() }),
+        flush: () => ledger.flush(clock.now() + FLUSH_MS),
+    };
+}
+
+/** Keeps the shares of the customers as the manifest declares them. */
+function followWeights(node: nodes.Node, queue: jobQueues.JobQueue): void {
+    const update = () => {
+        const customers = [...node.board.read("configuration").customers.values()];
+        queue.setWeights(new Map(customers.map(customer => [customer.name, customer.weight])));
+    };
+    node.board.subscribe("configuration", update);
+    update();
+}
+
+/** Publishes the state of the backend server in the member document. */
+function followBackend(node: nodes.Node): Disposable {
+    return node.board.subscribe("backend", backend => {
+        node.membership.describeBackend({ weights: backend.weights, backendBoot: backend.boot });
+    });
+}
+
+/** Work that arrives during the drain is refused by the gate; it still counts until the refusal is sent. */
+function enter(node: nodes.Node): Disposable {
+    const entered = node.drain.enter();
+    return entered.ok ? entered.value : { [Symbol.dispose]: () => undefined };
+}
--- /dev/null
+++ b/src/daemon/entry-role.ts
@@ -0,0 +1,77 @@
+/** Assembles the role `entry`: the process that faces callers. */
+import * as admissions from "../admission/client.js";
+import * as transports from "../admission/transport.js";
+import * as live from "../configuration/live-requests.js";
+import * as disposal from "../core/disposal.js";
+import * as outcomes from "../core/outcome.js";
+import * as callers from "../entry/agent-caller.js";
+import * as authentication from "../entry/authentication.js";
+import * as callPipelines from "../entry/call-pipeline.js";
+import * as httpServers from "../entry/http-server.js";
+import * as intakes from "../entry/intake.js";
+import * as modelLists from "../entry/model-list.js";
+import * as loops from "./loop.js";
+import type * as nodes from "./node.js";
+
+/** Runs until the drain has finished. */
+export async function run(node: nodes.Node): Promise<void> {
+    await using stack = new disposal.DisposalStack();
+    stack.use(node);
+    const { board, clock, settings } = node;
+    stack.use(node.followHolders());
+    await node.start();
+    const transport = transports.createTransport(node.pool);
+    const admission = stack.use(new admissions.AdmissionClient({ board, transport, clock }));
+    const requests = stack.use(new live.LiveRequests(board));
+    const intake = new intakes.Intake({
+        settings,
+        drain: node.drain,
+        live: requests,
+        admission,
+        recorder: node.recorder,
+        now: () => clock.now(),
+    });
+    const caller = new callers.AgentCaller({
+        address: node.self.address,
+        pool: node.pool,
+        board,
+        require: node.require,
+        refused: incarnation => node.membership.report(incarnation, "refused"),
+    });
+    const calls = new callPipelines.CallPipeline({
+        board,
+        intake,
+        caller,
+        now: () => clock.now(),
+        random: () => clock.random(),
+    });
+    stack.use(await node.listen(() => undefined));
+    stack.use(new loops.ControllerLoop(node.schedules(), clock, node.journal));
+    stack.use(
+        await httpServers.listen(settings, {
+            ready: node.ready,
+            gate: () => openGate(node),
+            models: request => {
+                const hash = authentication.keyHashOf(request.headers.authorization);
+                const configuration = board.read("configuration");
+                const principal = hash.ok ? authentication.authorize(hash.value, configuration) : hash;
+                return principal.ok ? outcomes.succeed(modelLists.modelList(configuration)) : principal;
+            },
+            chat: calls.handle,
+            call: calls.handle,
+            identifier: () => clock.identifier(),
+        }),
+    );
+    stack.use(node.drainOnSignal());
+    node.journal.emit("process-ready", { version: board.read("configuration").version });
+    await node.drain.finished;
+}
+
+function openGate(node: nodes.Node): outcomes.Outcome<void> {
+    if (node.board.read("draining")) {
+        return outcomes.refuse("draining", "");
+    }
+    return node.board.read("configuration").version === 0
+        ? outcomes.refuse("not-ready", "")
+        : outcomes.succeed(undefined);
+}
--- /dev/null
+++ b/src/daemon/node.ts
@@ -0,0 +1,187 @@
+/** What both roles share: state, connections to other processes and the controllers that keep the state current. */
+import type * as connect from "@connectrpc/connect";
+import * as process from "node:process";
+import * as holdersSections from "../admission/holders-section.js";
+import * as clocks from "../clock/clock.js";
+import * as configurations from "../configuration/controller.js";
+import * as startups from "../configuration/startup.js";
+import * as watchers from "../configuration/watchers.js";
+import type * as event from "../core/event.js";
+import type * as incarnations from "../core/incarnation.js";
+import * as gossips from "../gossip/controller.js";
+import type * as peers from "../gossip/peers.js";
+import * as responders from "../gossip/responder.js";
+import * as rpcPeers from "../gossip/rpc-peers.js";
+import * as peerServices from "../gossip/service.js";
+import * as tables from "../gossip/table.js";
+import * as journals from "../logging/journal.js";
+import * as memberships from "../membership/controller.js";
+import * as drains from "../membership/drain.js";
+import * as probes from "../membership/probe.js";
+import type * as membership from "../membership/types.js";
+import * as recorders from "../metrics/recorder.js";
+import * as instanceLists from "../platform/instance-list-client.js";
+import * as objectApis from "../platform/object-api-client.js";
+import * as pools from "../rpc/client-pool.js";
+import * as operationsMessages from "../rpc/gen/ibisstep/v1/operations_pb.js";
+import * as peerMessages from "../rpc/gen/ibisstep/v1/peer_pb.js";
+import * as servers from "../rpc/server.js";
+import type * as settings from "../settings/schema.js";
+import * as boards from "./board.js";
+import type * as loops from "./loop.js";
+import * as operations from "./operations-service.js";
+
+const GOSSIP_TICK_MS = 50;
+const MEMBERSHIP_TICK_MS = 200;
+const CONFIGURATION_TICK_MS = 100;
+
+export class Node {
+    readonly clock: clocks.Clock = clocks.systemClock;
+    readonly self: incarnations.Incarnation;
+    readonly board: boards.Board = boards.createBoard();
+    readonly journal: event.Journal;
+    readonly pool = new pools.ClientPool();
+    readonly recorder = new recorders.Recorder();
+    readonly documents: tables.DocumentTable;
+    readonly peers: peers.Peers;
+    readonly store: objectApis.ObjectApiClient;
+    readonly instances: instanceLists.InstanceListClient;
+    readonly membership: memberships.MembershipController;
+    readonly drain: drains.Drain;
+    readonly liveness: membership.LivenessProbe;
+    private readonly responder: responders.PeerResponder;
+    private startedConfiguration: configurations.ConfigurationController | undefined;
+
+    constructor(readonly settings: settings.Settings) {
+        this.self = { address: settings.rpc_address, boot: this.clock.identifier() };
+        const context = {
+            role: settings.role,
+            instance: settings.rpc_address,
+            dataCentre: settings.data_centre,
+            boot: this.self.boot,
+        };
+        this.journal = journals.createJournal(this.clock, context, settings.log_level);
+        this.documents = new tables.DocumentTable();
+        this.peers = rpcPeers.createRpcPeers(this.pool, this.self);
+        this.store = new objectApis.ObjectApiClient(settings.object_api, { time: this.clock });
+        this.instances = new instanceLists.InstanceListClient(settings.instance_list, this.clock);
+        this.responder = new responders.PeerResponder(this.self, this.documents, this.board, this.clock);
+        this.membership = new memberships.MembershipController({
+            ...this.shared,
+            self: this.self,
+            role: settings.role,
+            dataCentre: settings.data_centre,
+            backendServer: settings.backend_server ?? "",
+            seeds: settings.seeds,
+            instances: this.instances,
+        });
+        this.liveness = probes.createLivenessProbe({
+            connect: probes.connectTcp,
+            peers: this.peers,
+            listingOf: address => this.membership.listingOf(address),
+        });
+        this.drain = new drains.Drain({ ...this.shared, limitMs: settings.timing.drain_ms });
+    }
+
+    /** Fetches the documents of other processes; takes at most 850 ms. The RPC server runs already. */
+    async start(): Promise<void> {
+        const { settings } = this;
+        const { formerVersion } = await startups.start({
+            ...this.shared,
+            address: this.self.address,
+            seeds: settings.seeds,
+            store: this.store,
+            peers: this.peers,
+        });
+        this.startedConfiguration = new configurations.ConfigurationController({
+            ...this.shared,
+            address: this.self.address,
+            dataCentre: settings.data_centre,
+            store: this.store,
+            peers: this.peers,
+            formerVersion,
+        });
+    }
+
+    /** Available after `start`. */
+    get configuration(): configurations.ConfigurationController {
+        return this.startedConfiguration as configurations.ConfigurationController;
+    }
+
+    /** Returns true once a configuration is in force and the process does not drain. */
+    readonly ready = (): boolean => this.board.read("configuration").version > 0 && !this.board.read("draining");
+
+    /** Controllers of both roles, in the order of their start. */
+    schedules(): readonly loops.Schedule[] {
+        const gossip = new gossips.GossipController({
+            ...this.shared,
+            address: this.self.address,
+            peers: this.peers,
+            contacts: () => this.membership.contacts(),
+            watchers: () => watchers.allWatchers(this.settings.data_centre, this.board.read("members")),
+        });
+        return [
+            { controller: gossip, intervalMs: GOSSIP_TICK_MS },
+            { controller: this.membership, intervalMs: MEMBERSHIP_TICK_MS },
+            { controller: this.configuration, intervalMs: CONFIGURATION_TICK_MS },
+        ];
+    }
+
+    /** Starts the RPC server with the services of both roles and those of the role. */
+    listen(addRoutes: (router: connect.ConnectRouter) => void): Promise<servers.RpcServer> {
+        return servers.listen(this.settings.rpc_address, router => {
+            router.service(peerMessages.PeerService, peerServices.createPeerService(this.responder, this.journal));
+            router.service(
+                operationsMessages.OperationsService,
+                operations.createOperationsService({
+                    board: this.board,
+                    recorder: this.recorder,
+                    self: () => this.describeSelf(),
+                    requestsInFlight: () => this.drain.inFlight,
+                    now: () => this.clock.now(),
+                    drain: () => void this.drain.begin("requested by an operator"),
+                }),
+            );
+            addRoutes(router);
+        });
+    }
+
+    /** Follows the holders of the budgets; agents do that through the budget controller. */
+    followHolders(): Disposable {
+        return holdersSections.followHolders(this.documents, this.board, this.journal);
+    }
+
+    /** Begins the drain on SIGTERM and SIGINT. */
+    drainOnSignal(): Disposable {
+        return drains.drainOnSignal(this.drain, process as NodeJS.EventEmitter);
+    }
+
+    /** Configuration of at least the version, from the given RPC addresses. */
+    readonly require: configurations.ConfigurationController["require"] = (version, addresses) =>
+        this.configuration.require(version, addresses);
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.pool[Symbol.asyncDispose]();
+        await this.store[Symbol.asyncDispose]();
+        await this.instances[Symbol.asyncDispose]();
+    }
+
+    /** What most features take. */
+    get shared() {
+        return { board: this.board, documents: this.documents, clock: this.clock, journal: this.journal };
+    }
+
+    private describeSelf(): membership.Member {
+        const own = this.board.read("members").get(this.self.address);
+        return own ?? {
+            incarnation: this.self,
+            role: this.settings.role,
+            dataCentre: this.settings.data_centre,
+            backendServer: this.settings.backend_server ?? "",
+            state: "live",
+            weights: [],
+            manifestVersion: this.board.read("configuration").version,
+            backendBoot: "",
+        };
+    }
+}
--- a/src/entry/agent-caller.ts
+++ b/src/entry/agent-caller.ts
@@ -2,7 +2,7 @@
 import type * as connect from "@connectrpc/connect";
 import * as versions from "../configuration/versions.js";
 import type * as failures from "../core/failure.js";
-import * as incarnations from "../core/incarnation.js";
+import type * as incarnations from "../core/incarnation.js";
 import * as outcomes from "../core/outcome.js";
 import type * as boards from "../daemon/board.js";
 import type * as manifest from "../manifest/types.js";
--- a/src/entry/call-pipeline.ts
+++ b/src/entry/call-pipeline.ts
@@ -25,7 +25,6 @@
     /** Monotonic time in milliseconds. */
     readonly now: () => number;
     readonly random: () => number;
-    readonly identifier: () => string;
 }
 
 /** A call that was admitted. */
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -19,6 +19,13 @@
     drain_ms: zod.int().positive().default(120_000).describe("Longest wait for requests in flight at shutdown."),
 });
 
+const backend = zod.strictObject({
+    slots: zod.int().positive().default(16).describe("Requests that the backend server runs at the same time."),
+    running_tokens: zod.int().positive().default(1_000_000).describe("Tokens of all running requests together."),
+    queued_requests: zod.int().positive().default(512).describe("Requests that wait at the agent."),
+    queued_tokens: zod.int().positive().default(4_000_000).describe("Cost in tokens of all waiting requests."),
+});
+
 /** Settings of both roles. */
 export const settings = zod.strictObject({
     role: zod.enum(["entry", "agent"]),
@@ -27,6 +34,7 @@
     http_address: address.optional().describe("Address for callers; entries only."),
     health_address: address.optional().describe("Address of the health endpoints of an agent."),
     backend_server: zod.string().regex(NAME).optional().describe("Name in the manifest; agents only."),
+    backend_kind: zod.enum(["engine", "service"]).default("engine").describe("Kind of the backend server."),
     backend_address: address.optional().describe("Address of the backend server; agents only."),
     object_api: zod.url().describe("Base URL of the object API."),
     instance_list: zod.url().describe("Base URL of the instance list."),
@@ -35,6 +43,7 @@
     log_level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
     limits: limits.prefault({}),
     timing: timing.prefault({}),
+    backend: backend.prefault({}).describe("Limits of the queue in front of the backend server; agents only."),
 }).superRefine((value, context) => {
     const required = REQUIRED_BY_ROLE[value.role].filter(field => value[field] === undefined);
     for (const field of required) {
--- a/tools/support/deployment.ts
+++ b/tools/support/deployment.ts
@@ -299,6 +299,7 @@
             ...(node.role === "entry" ? [`http_address = "${node.httpAddress}"`] : [
                 `health_address = "${node.httpAddress}"`,
                 `backend_server = "${node.backendServer}"`,
+                `backend_kind = "${this.backend(node.backendServer).kind}"`,
                 `backend_address = "${node.backendAddress}"`,
             ]),
             `object_api = "${this.objectApi}"`,
