Serve chat completions from the caller to the engine

Cause: the thin path lacked the model route. Change: selection of servers at the entry, attempts with agreement on the configuration, SSE and plain answers, measures. Ruled out: nothing.

--- a/src/daemon/entry-role.ts
+++ b/src/daemon/entry-role.ts
@@ -7,9 +7,11 @@
 import * as callers from "../entry/agent-caller.js";
 import * as authentication from "../entry/authentication.js";
 import * as callPipelines from "../entry/call-pipeline.js";
+import * as chatPipelines from "../entry/chat-pipeline.js";
 import * as httpServers from "../entry/http-server.js";
 import * as intakes from "../entry/intake.js";
 import * as modelLists from "../entry/model-list.js";
+import * as serverSelections from "../entry/server-selection.js";
 import * as loops from "./loop.js";
 import type * as nodes from "./node.js";
 
@@ -45,6 +47,23 @@
         now: () => clock.now(),
         random: () => clock.random(),
     });
+    const servers = new serverSelections.ServerSelection({
+        board,
+        dataCentre: settings.data_centre,
+        random: () => clock.random(),
+    });
+    stack.use(board.subscribe("members", members => servers.retain(members)));
+    const chats = new chatPipelines.ChatPipeline({
+        settings,
+        board,
+        intake,
+        caller,
+        servers,
+        recorder: node.recorder,
+        clock,
+        journal: node.journal,
+        takeRetry: () => true,
+    });
     stack.use(await node.listen(() => undefined));
     stack.use(new loops.ControllerLoop(node.schedules(), clock, node.journal));
     stack.use(
@@ -57,7 +76,7 @@
                 const principal = hash.ok ? authentication.authorize(hash.value, configuration) : hash;
                 return principal.ok ? outcomes.succeed(modelLists.modelList(configuration)) : principal;
             },
-            chat: calls.handle,
+            chat: chats.handle,
             call: calls.handle,
             identifier: () => clock.identifier(),
         }),
--- a/src/entry/call-pipeline.ts
+++ b/src/entry/call-pipeline.ts
@@ -59,12 +59,16 @@
             responder.fail({ kind: "route-unknown", detail: `${request.method} ${path}` });
             return;
         }
-        const taken = await this.options.intake.take(request, disconnected, { open: route.open, class: route.name });
+        const taken = await this.options.intake.take(request, disconnected, {
+            open: route.open,
+            class: route.name,
+            validate: () => validateKey(request),
+        });
         if (!taken.ok) {
             responder.fail(taken.failure);
             return;
         }
-        using admitted = taken.value;
+        using admitted = taken.value.request;
         const result = await this.run(request, route, admitted);
         admitted.finished(result);
         respond(responder, result, route.idempotent ? "" : keyOf(request, request.id).key);
@@ -76,9 +80,6 @@
         admitted: intake.AdmittedRequest,
     ): Promise<Result> {
         const { key, origin } = keyOf(request, request.id);
-        if (key.length > MAXIMUM_KEY_LENGTH) {
-            return outcomes.refuse("request-malformed", `the idempotency key exceeds ${MAXIMUM_KEY_LENGTH} characters`);
-        }
         const call: AdmittedCall = {
             request,
             route,
@@ -219,6 +220,12 @@
     return key === undefined || key === "" ? { key: generated, origin: "generated" } : { key, origin: "caller" };
 }
 
+function validateKey(request: types.InboundRequest): outcomes.Outcome<void> {
+    return keyOf(request, request.id).key.length > MAXIMUM_KEY_LENGTH
+        ? outcomes.refuse("request-malformed", `the idempotency key exceeds ${MAXIMUM_KEY_LENGTH} characters`)
+        : outcomes.succeed(undefined);
+}
+
 function fingerprint(request: types.InboundRequest): string {
     return hashing.sha256([request.method, request.target, Buffer.from(request.body).toString("base64")].join("\n"));
 }
--- /dev/null
+++ b/src/entry/generation-attempt.ts
@@ -0,0 +1,106 @@
+/** Opens one attempt of a generation at an agent. */
+import * as failures from "../core/failure.js";
+import * as outcomes from "../core/outcome.js";
+import * as streamMessages from "../streams/messages.js";
+import type * as streams from "../streams/types.js";
+import type * as callers from "./agent-caller.js";
+import type * as serverSelection from "./server-selection.js";
+
+/** Rounds of agreement on the configuration within one attempt. */
+const AGREEMENT_ROUNDS = 3;
+
+/** A generation that was admitted. */
+export interface Generation {
+    readonly requestId: string;
+    readonly customer: string;
+    readonly demand: Omit<serverSelection.Demand, "excluded" | "preferred">;
+    readonly priority: "interactive" | "batch";
+    readonly maxTokens: number;
+    readonly fingerprint: string;
+    readonly runAlone: boolean;
+    readonly route: string;
+}
+
+/**
+ * Streams the events of one attempt. A refusal because of an older configuration is answered by adopting the newer one
+ * and asking the same agent again; the adoption ends the request when its key was revoked.
+ */
+export async function* attemptEvents(
+    caller: callers.AgentCaller,
+    choice: serverSelection.Choice,
+    generation: Generation,
+    plan: streams.AttemptPlan,
+    manifestVersion: () => number,
+    signal: AbortSignal,
+): AsyncGenerator<streams.StreamEvent, void, void> {
+    const timeoutMs = Math.max(1, Math.round(plan.remainingMs));
+    for (let round = 1;; round++) {
+        const request = requestMessage(choice, generation, plan, manifestVersion());
+        const stale = yield* events(caller, choice.address, request, { timeoutMs, signal }, round < AGREEMENT_ROUNDS);
+        if (!stale) {
+            return;
+        }
+        signal.throwIfAborted();
+    }
+}
+
+/** Returns true when the agent refused because of an older configuration and the newer one is now in force. */
+async function* events(
+    caller: callers.AgentCaller,
+    address: string,
+    request: ReturnType<typeof requestMessage>,
+    settings: callers.CallSettings,
+    mayAgree: boolean,
+): AsyncGenerator<streams.StreamEvent, boolean, void> {
+    try {
+        for await (const message of caller.client(address).generate(request, caller.callOptions(settings))) {
+            const event = streamMessages.fromMessage(message);
+            const failure = event?.body.type === "failed" ? event.body.failure : undefined;
+            const agreed = await caller.agree(address, Number(message.manifestVersion), failure);
+            if (agreed && mayAgree) {
+                return true;
+            }
+            if (event !== undefined) {
+                yield event;
+            }
+        }
+        return false;
+    }
+    catch (error) {
+        throw new failures.FailureError(caller.failureOf(error, address));
+    }
+}
+
+function requestMessage(
+    choice: serverSelection.Choice,
+    generation: Generation,
+    plan: streams.AttemptPlan,
+    manifestVersion: number,
+) {
+    const { demand } = generation;
+    return {
+        requestId: generation.requestId,
+        attempt: plan.attempt,
+        customer: generation.customer,
+        model: demand.model.name,
+        adapter: demand.adapter,
+        weightsVersion: demand.weightsVersion,
+        priority: generation.priority,
+        prompt: demand.prompt,
+        maxTokens: generation.maxTokens,
+        resumeTokens: [...plan.tokens],
+        deadlineMs: Math.max(1, Math.round(plan.remainingMs)),
+        manifestVersion: BigInt(manifestVersion),
+        mayRedirect: plan.mayRedirect,
+        fingerprint: generation.fingerprint,
+        runAlone: generation.runAlone,
+        route: generation.route,
+        alternativeAddress: choice.alternative?.address ?? "",
+        alternativeMs: Math.round(choice.alternative?.expectedMs ?? 0),
+    };
+}
+
+/** Refusal when no server can take the request. */
+export function noServer(demand: Generation["demand"]): outcomes.Refusal {
+    return outcomes.refuse("no-backend-server", `${demand.model.name}@${demand.weightsVersion}`);
+}
--- a/src/entry/http-server.ts
+++ b/src/entry/http-server.ts
@@ -127,12 +127,12 @@
         this.raw.end(chunk);
     }
 
-    fail(reason: failure.Failure): void {
+    fail(reason: failure.Failure, execution?: failure.Execution): void {
         if (this.started) {
             this.raw.destroy();
             return;
         }
-        const response = errors.errorResponse(reason, this.requestId);
+        const response = errors.errorResponse(reason, this.requestId, execution);
         this.begin(response.status, { "content-type": "application/json", ...response.headers });
         this.end(JSON.stringify(response.body));
     }
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -23,17 +23,27 @@
     readonly now: () => number;
 }
 
-export interface Classification {
+export interface Classification<Validated> {
     /** The request needs no key. */
     readonly open: boolean;
     /** Class of the measures: priority or route. */
     readonly class: string;
+    /** Checks the request after its key and before its rate, so that an invalid one uses up no rate. */
+    readonly validate: () => outcomes.Outcome<Validated>;
+}
+
+/** An admitted request with the result of its validation. */
+export interface Taken<Validated> {
+    readonly request: AdmittedRequest;
+    readonly validated: Validated;
 }
 
 /** A request that may run; disposed when it has ended. */
 export interface AdmittedRequest extends Disposable {
     /** Empty on open routes. */
     readonly customer: string;
+    /** Monotonic time in milliseconds. */
+    readonly arrivedAt: number;
     /** Aborted when the caller disconnects or the key is revoked. */
     readonly signal: AbortSignal;
     /** Failure that ended the request from outside; undefined while it may run. */
@@ -46,11 +56,11 @@
     constructor(private readonly options: IntakeOptions) {}
 
     /** Fails with the failures of `Drain`, of the keys and of the admission; nothing ran. */
-    async take(
+    async take<Validated>(
         request: types.InboundRequest,
         disconnected: AbortSignal,
-        classification: Classification,
-    ): Promise<outcomes.Outcome<AdmittedRequest>> {
+        classification: Classification<Validated>,
+    ): Promise<outcomes.Outcome<Taken<Validated>>> {
         const startedAt = this.options.now();
         if (this.options.drain.inFlight >= this.options.settings.limits.requests_in_flight) {
             return outcomes.refuse(
@@ -68,6 +78,12 @@
             entered.value[Symbol.dispose]();
             return registered;
         }
+        const validated = classification.validate();
+        if (!validated.ok) {
+            registered?.value[Symbol.dispose]();
+            entered.value[Symbol.dispose]();
+            return validated;
+        }
         const admitted = new Admitted(
             this.options,
             classification.class,
@@ -83,7 +99,7 @@
                 return admission;
             }
         }
-        return outcomes.succeed(admitted);
+        return outcomes.succeed({ request: admitted, validated: validated.value });
     }
 
     private register(request: types.InboundRequest): outcomes.Outcome<live.LiveRequest> {
@@ -112,7 +128,7 @@
     constructor(
         private readonly options: IntakeOptions,
         private readonly className: string,
-        private readonly startedAt: number,
+        readonly arrivedAt: number,
         private readonly entered: Disposable,
         private readonly registered: live.LiveRequest | undefined,
         private readonly disconnected: AbortSignal,
@@ -132,7 +148,7 @@
 
     finished(result: outcomes.Outcome<unknown>): void {
         const { recorder, now } = this.options;
-        recorder.record("duration", this.label, this.className, now() - this.startedAt);
+        recorder.record("duration", this.label, this.className, now() - this.arrivedAt);
         recorder.count(result.ok ? "requests-finished" : "requests-failed", this.label);
         if (!result.ok && result.failure.kind === "outcome-unknown") {
             recorder.count("outcome-unknown", this.label);
--- /dev/null
+++ b/src/entry/server-selection.ts
@@ -0,0 +1,126 @@
+/** Selects servers for generations and learns from their replies. */
+import * as states from "../agent/backend-state.js";
+import type * as boards from "../daemon/board.js";
+import type * as manifest from "../manifest/types.js";
+import type * as membership from "../membership/types.js";
+import * as prefixIndexes from "../routing/prefix-index.js";
+import * as prefixes from "../routing/prefix.js";
+import * as selection from "../routing/selection.js";
+import * as serverLoads from "../routing/server-loads.js";
+import type * as routing from "../routing/types.js";
+
+/** Round trip to an agent of the own data centre and of another one, in milliseconds. */
+const LOCAL_ROUND_TRIP_MS = 0.5;
+const REMOTE_ROUND_TRIP_MS = 3;
+
+/** What a generation needs to know before a server is selected. */
+export interface Demand {
+    readonly customer: string;
+    readonly model: manifest.Model;
+    readonly adapter: string;
+    readonly weightsVersion: string;
+    readonly prompt: string;
+    /** Servers that failed this request. */
+    readonly excluded: ReadonlySet<string>;
+    /** Server that an agent named in a redirect. */
+    readonly preferred: string | undefined;
+}
+
+/** One selected server and the best other one. */
+export interface Choice {
+    readonly address: string;
+    readonly alternative: routing.RankedServer | undefined;
+    readonly prefix: prefixes.Prefix;
+    readonly request: routing.RoutableRequest;
+    readonly sentAt: number;
+}
+
+export interface ServerSelectionOptions {
+    readonly board: boards.Board;
+    readonly dataCentre: string;
+    readonly random: () => number;
+}
+
+export class ServerSelection {
+    private readonly index = new prefixIndexes.PrefixIndex();
+    private readonly loads = new serverLoads.ServerLoads();
+
+    constructor(private readonly options: ServerSelectionOptions) {}
+
+    /** Returns undefined when no live server has the weights. */
+    select(demand: Demand, attemptId: string, now: number): Choice | undefined {
+        const scope = { ...demand, model: demand.model.name };
+        const prefix = prefixes.prefixOf(scope, demand.prompt, demand.model.pieceTokens);
+        const { chain, promptTokens } = prefix;
+        const request = { chain, promptTokens, pieceTokens: demand.model.pieceTokens };
+        const candidates = this.candidates(demand);
+        const ranked = selection.choose(request, candidates, this.index, this.loads, now, this.options.random());
+        const chosen = ranked.find(server => server.address === demand.preferred) ?? ranked[0];
+        if (chosen === undefined) {
+            return undefined;
+        }
+        const networkMs = candidates.find(candidate => candidate.address === chosen.address)?.networkMs ?? 0;
+        const uncachedTokens = Math.max(0, promptTokens - chosen.expectedCachedTokens);
+        this.loads.sent(chosen.address, attemptId, uncachedTokens, networkMs, now);
+        this.index.expect(chain, chosen.address, now);
+        const alternative = ranked.find(server => server.address !== chosen.address);
+        return { address: chosen.address, alternative, prefix, request, sentAt: now };
+    }
+
+    /** Learns from the first event of a reply. */
+    started(
+        choice: Choice,
+        attemptId: string,
+        reply: routing.CacheReport & { readonly load: routing.LoadReport | undefined; },
+        now: number,
+    ): void {
+        const computed = Math.max(0, choice.request.promptTokens - reply.cachedTokens);
+        if (reply.load !== undefined) {
+            this.loads.started(choice.address, attemptId, computed, reply.load, now);
+        }
+        this.index.learn(choice.request, choice.address, reply, choice.sentAt, now);
+    }
+
+    reported(address: string, load: routing.LoadReport, now: number): void {
+        this.loads.reported(address, load, now);
+    }
+
+    /** Notes the end of an attempt, whether or not it started. */
+    ended(address: string, attemptId: string): void {
+        this.loads.abandoned(address, attemptId);
+    }
+
+    /** Voids what is known of the cache of a server whose connection broke. */
+    lost(address: string, now: number): void {
+        this.index.forget(address, now);
+    }
+
+    /** Drops the state of servers that are no longer members. */
+    retain(members: membership.Members): void {
+        const addresses = new Set(members.keys());
+        this.index.retain(addresses);
+        this.loads.retain(addresses);
+    }
+
+    private candidates(demand: Demand): readonly routing.Candidate[] {
+        const { board, dataCentre } = this.options;
+        const { backendServers } = board.read("configuration");
+        const weights = states.weightsName(demand.model.name, demand.weightsVersion);
+        return [...board.read("members").values()].flatMap(member => {
+            const server = backendServers.get(member.backendServer);
+            const address = member.incarnation.address;
+            const isCandidate = member.state === "live"
+                && server?.models.includes(demand.model.name) === true
+                && member.weights.includes(weights)
+                && !demand.excluded.has(address);
+            return isCandidate
+                ? [{
+                    address,
+                    engineBoot: member.backendBoot,
+                    weight: server.weight,
+                    networkMs: member.dataCentre === dataCentre ? LOCAL_ROUND_TRIP_MS : REMOTE_ROUND_TRIP_MS,
+                }]
+                : [];
+        });
+    }
+}
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -19,8 +19,8 @@
     /** Resolves when the connection accepts more data. */
     write(chunk: string | Uint8Array): Promise<void>;
     end(chunk?: string | Uint8Array): void;
-    /** Sends an error response, or breaks the connection when the response has started. */
-    fail(reason: failure.Failure): void;
+    /** Sends an error response, or breaks the connection when the response has started. `execution` overrides the catalogue. */
+    fail(reason: failure.Failure, execution?: failure.Execution): void;
 }
 
 /** Serves one request. `disconnected` is aborted when the caller closes the connection. */
