--- a/eslint.config.js
+++ b/eslint.config.js
@@ -47,7 +47,7 @@
             "prefer-const": "error",
             "no-restricted-syntax": ["error", nullLiteral, ...namespaceImports, stringErrors, ...ambientTime],
             "@typescript-eslint/no-floating-promises": ["error", {
-                allowForKnownSafeCalls: [{ from: "package", package: "node:test", name: ["test", "describe", "it"] }],
+                allowForKnownSafeCalls: [{ from: "package", package: "node:test", name: ["test", "describe", "suite", "it"] }],
             }],
             "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
             "@typescript-eslint/no-explicit-any": "error",
