Test the reader of server-sent events with random chunk boundaries

Cause: scratch changes that dropped the rest of a chunk or decoded a character across chunks wrongly passed all tests, and a failing property test hung because its server stayed open.

Ruled out: sending in parts over a connection (the parts can be joined, so the test would not be deterministic).

Change: property test of the reader on its own; the server of the cut-off test closes also on failure. The explicit destruction of the response body is removed: leaving the iteration already destroys it, and the test of leaving passes without it.

--- a/src/agent/engine-client.ts
+++ b/src/agent/engine-client.ts
@@ -89,7 +89,6 @@
      * The engine cancels the request when the signal is aborted or the iteration is left early.
      */
     async *generate(request: types.EngineRequest, signal: AbortSignal): AsyncGenerator<types.EngineEvent, void, void> {
-        let body: undici.Dispatcher.ResponseData["body"] | undefined;
         try {
             const response = await this.pool.request({
                 method: "POST",
@@ -100,7 +99,6 @@
                 bodyTimeout: 0,
                 signal,
             });
-            body = response.body;
             if (response.statusCode !== 200) {
                 yield failed(await this.refusal(response));
                 return;
@@ -110,9 +108,6 @@
         catch (error) {
             yield failed(this.failureOf(error, signal));
         }
-        finally {
-            body?.on("error", () => undefined).destroy();
-        }
     }
 
     /** Returns false when the engine does not know the request. */
--- a/test/agent/engine-client.test.ts
+++ b/test/agent/engine-client.test.ts
@@ -3,9 +3,11 @@
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as stream from "node:stream";
 import * as testing from "node:test";
 import * as clients from "../../src/agent/engine-client.js";
 import type * as types from "../../src/agent/engine-types.js";
+import * as eventStream from "../../src/agent/event-stream.js";
 import * as answers from "../../stand-ins/engine/answer.js";
 import * as engines from "../../stand-ins/engine/engine.js";
 import * as calls from "../support/engine-calls.js";
@@ -112,7 +114,7 @@
     assert.deepEqual(seen, ["connection", "content-length", "content-type", "host"]);
 });
 
-testing.test("engine client: a stream that is cut anywhere or has altered events never looks complete", async () => {
+testing.test("engine client: a stream that is cut anywhere or has altered events never looks complete", async context => {
     const lines = [
         ...["start"].map(type => ({ type, cached_tokens: 0, prompt_tokens: 2 })),
         ...[0, 1, 2].map(index => ({ type: "token", index, text: `t${index}é` })),
@@ -121,6 +123,10 @@
     let output = Buffer.from("");
     const server = http.createServer((_request, response) => void response.end(output));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    context.after(() => {
+        server.close();
+        server.closeAllConnections();
+    });
     await using client = new clients.EngineClient(`127.0.0.1:${(server.address() as net.AddressInfo).port}`);
     const whole = Buffer.from(lines.join(""));
     // The last two bytes are the blank line after the end event.
@@ -139,6 +145,21 @@
         }),
         { seed: SEED, numRuns: 200 },
     );
-    server.close();
-    server.closeAllConnections();
+});
+
+testing.test("event stream: lines survive any split into chunks, also inside a character", async () => {
+    const bytes = Buffer.from(["a", "é", "日本", "d"].map(text => `data: ${text}\n\n`).join(""));
+    const splits = fastCheck.uniqueArray(fastCheck.integer({ min: 1, max: bytes.length - 1 }));
+    await fastCheck.assert(
+        fastCheck.asyncProperty(splits, async positions => {
+            const bounds = [0, ...positions.sort((left, right) => left - right), bytes.length];
+            const chunks = bounds.slice(1).map((end, index) => bytes.subarray(bounds[index], end));
+            const lines: string[] = [];
+            for await (const line of eventStream.dataLines(stream.Readable.from(chunks))) {
+                lines.push(line);
+            }
+            assert.deepEqual(lines, ["a", "é", "日本", "d"]);
+        }),
+        { seed: SEED },
+    );
 });
