--- /dev/null
+++ b/src/streams/messages.ts
@@ -0,0 +1,92 @@
+/** Conversion between the events of a stream and their messages. */
+import * as protobuf from "@bufbuild/protobuf";
+import * as catalogue from "../catalogue/failures.js";
+import type * as failures from "../core/failure.js";
+import * as agent from "../rpc/gen/ibisstep/v1/agent_pb.js";
+import type * as common from "../rpc/gen/ibisstep/v1/common_pb.js";
+import type * as types from "./types.js";
+
+/** Returns undefined for a message without a known event; the stream is then not complete. */
+export function fromMessage(message: agent.GenerateEvent): types.StreamEvent | undefined {
+    const body = bodyOf(message);
+    const { requestId, attempt, sequence } = message;
+    return body === undefined ? undefined : { requestId, attempt, sequence, body };
+}
+
+export function toMessage(event: types.StreamEvent, manifestVersion: number): agent.GenerateEvent {
+    return protobuf.create(agent.GenerateEventSchema, {
+        requestId: event.requestId,
+        attempt: event.attempt,
+        sequence: event.sequence,
+        event: caseOf(event.body),
+        manifestVersion: BigInt(manifestVersion),
+    });
+}
+
+/** A kind that this version does not know becomes `internal-error`, whose execution is unknown. */
+export function failureFromMessage(message: common.Failure): failures.Failure {
+    const known = Object.hasOwn(catalogue.failures, message.kind);
+    const failure: failures.Failure = known
+        ? { kind: message.kind as failures.FailureKind, detail: message.detail }
+        : { kind: "internal-error", detail: `${message.kind}: ${message.detail}` };
+    return message.retryAfterMs === 0 ? failure : { ...failure, retryAfterMs: message.retryAfterMs };
+}
+
+function bodyOf(message: agent.GenerateEvent): types.Body | undefined {
+    const { event } = message;
+    switch (event.case) {
+        case "started": {
+            const { promptTokens, cachedTokens, engineBoot } = event.value;
+            return { type: "started", promptTokens, cachedTokens, engineBoot, load: loadOf(event.value.load) };
+        }
+        case "token":
+            return { type: "token", index: event.value.index, text: event.value.text };
+        case "ended": {
+            const { count, reason } = event.value;
+            return reason === "stop" || reason === "length"
+                ? { type: "ended", count, reason, load: loadOf(event.value.load) }
+                : undefined;
+        }
+        case "failed":
+            return { type: "failed", failure: failureFromMessage(event.value) };
+        case "redirected":
+            return {
+                type: "redirected",
+                betterAddress: event.value.betterAddress,
+                load: loadOf(event.value.load),
+            };
+        default:
+            return undefined;
+    }
+}
+
+function loadOf(load: agent.ServerLoad | undefined): types.ServerLoad | undefined {
+    return load && { queuedTokens: Number(load.queuedTokens), running: load.running, waiting: load.waiting };
+}
+
+function loadMessage(load: types.ServerLoad | undefined) {
+    return load && { ...load, queuedTokens: BigInt(Math.round(load.queuedTokens)) };
+}
+
+function caseOf(body: types.Body): protobuf.MessageInitShape<typeof agent.GenerateEventSchema>["event"] {
+    switch (body.type) {
+        case "started": {
+            const { promptTokens, cachedTokens, engineBoot } = body;
+            const load = loadMessage(body.load);
+            return { case: "started", value: { promptTokens, cachedTokens, engineBoot, load } };
+        }
+        case "token":
+            return { case: "token", value: { index: body.index, text: body.text } };
+        case "ended":
+            return { case: "ended", value: { count: body.count, reason: body.reason, load: loadMessage(body.load) } };
+        case "failed": {
+            const { kind, detail, retryAfterMs } = body.failure;
+            return { case: "failed", value: { kind, detail, retryAfterMs: Math.ceil(retryAfterMs ?? 0) } };
+        }
+        case "redirected":
+            return {
+                case: "redirected",
+                value: { betterAddress: body.betterAddress, load: loadMessage(body.load) },
+            };
+    }
+}
