Write the release of a claim over records left as not-run

Cause: a schedule stayed unsettled. A claim was given up while its write was open; its release found the record in the state "not-run" of an older claim and wrote nothing, and the delayed write then left a claim that nobody released. Ruled out: a longer wait before the release, since a delayed write has no bound. Conclusion: each version of a group that a given-up claim was based on is superseded before its key is free again.

--- a/src/idempotency/record-group.ts
+++ b/src/idempotency/record-group.ts
@@ -104,8 +104,9 @@
 }
 
 /**
- * Gives up a claim under which nothing ran and nothing will. An absent record is written too: the new version of the
- * object excludes a delayed write of the claim.
+ * Gives up a claim under which nothing ran and nothing will. A record that is absent or that another claim left as
+ * `not-run` is written too: the new version of the object excludes a delayed write of the claim, which was applied to
+ * such a record. Any other record of another claim is newer than that write.
  */
 export function release(
     group: types.RecordGroup,
@@ -115,9 +116,13 @@
     wallTime: number,
 ): Change<UpdateResult> {
     const record = group.records.get(id);
-    const isOwn = record === undefined || (record.claim.id === holder.id && record.state === "claimed");
-    if (!isOwn) {
-        return { group, result: { applied: record?.claim.id === holder.id, record } };
+    const isFree = record === undefined || record.state === "not-run";
+    const isOwn = record?.claim.id === holder.id;
+    if (!isFree && !(isOwn && record.state === "claimed")) {
+        return { group, result: { applied: isOwn, record } };
+    }
+    if (isOwn && record.state === "not-run") {
+        return { group, result: { applied: true, record } };
     }
     const excluded = extended(record?.excluded ?? [], holder);
     return replace(group, id, { state: "not-run", claim: holder, bodyHash, excluded, writtenAt: wallTime });
--- a/test/idempotency/simulation.ts
+++ b/test/idempotency/simulation.ts
@@ -21,6 +21,9 @@
 const DEADLINE_MS = 10_000;
 const SETTLE_AFTER_MS = 30_000;
 const STORE_TIMEOUT_MS = 2000;
+const TICK_MS = 5000;
+/** Exceeds the time in which another agent can settle the claim of a paused one. */
+const LONGEST_PAUSE_MS = 120_000;
 /** The service makes a call visible to its lookup within `settle_after_ms`. */
 const LONGEST_SERVICE_DELAY_MS = 25_000;
 
@@ -60,15 +63,25 @@
 /** One run of an agent process. */
 class Process {
     isDead = false;
+    pausedSince = 0;
     pausedUntil = 0;
-    readonly pausedSince = () => this.pauseStart;
-    private pauseStart = 0;
+    readonly death: Promise<void>;
+    private die: () => void = () => undefined;
 
-    constructor(readonly incarnation: incarnations.Incarnation, private readonly time: virtual.VirtualTime) {}
+    constructor(readonly incarnation: incarnations.Incarnation, private readonly time: virtual.VirtualTime) {
+        this.death = new Promise(resolve => {
+            this.die = resolve;
+        });
+    }
+
+    kill(): void {
+        this.isDead = true;
+        this.die();
+    }
 
     pause(durationMs: number): void {
-        this.pauseStart = this.time.now();
-        this.pausedUntil = this.pauseStart + durationMs;
+        this.pausedSince = this.time.now();
+        this.pausedUntil = this.pausedSince + durationMs;
     }
 
     /** Continues after a pause; never after a crash. */
@@ -168,7 +181,7 @@
 
     private async tick(process: Process, ledger: ledgers.CallLedger): Promise<void> {
         while (!process.isDead) {
-            await process.gate(this.time.sleep(2000));
+            await process.gate(this.time.sleep(TICK_MS));
             await ledger.step(this.time.now());
         }
     }
@@ -183,7 +196,7 @@
                 void this.crash(index);
             }
             else if (kind === 2) {
-                process.pause(this.between(100, 60_000));
+                process.pause(this.between(100, LONGEST_PAUSE_MS));
             }
             else if (kind === 3) {
                 this.storeDownUntil = this.time.now() + this.between(100, 15_000);
@@ -196,10 +209,18 @@
         this.serviceDownUntil = 0;
     }
 
+    /** Pauses at the moments that matter most: after a claim was written and before the call is sent. */
+    private async mayPause(process: Process): Promise<void> {
+        if (this.fault(0.02)) {
+            process.pause(this.between(100, LONGEST_PAUSE_MS));
+        }
+        await process.gate(Promise.resolve());
+    }
+
     private async crash(index: number): Promise<void> {
         const { process, ledger } = this.agents[index];
         this.coverage.crashes++;
-        process.isDead = true;
+        process.kill();
         void ledger[Symbol.asyncDispose]();
         await this.time.sleep(this.between(10, 8000));
         this.agents[index] = this.boot(index);
@@ -214,7 +235,7 @@
         }
         const isPaused = this.time.now() < current.process.pausedUntil;
         if (isPaused) {
-            const longPause = this.time.now() - current.process.pausedSince() > 3000;
+            const longPause = this.time.now() - current.process.pausedSince > 3000;
             return this.dropsPaused && longPause ? "dead" : "unknown";
         }
         return this.fault(0.1) ? "unknown" : "alive";
@@ -223,7 +244,13 @@
     private store(process: Process): platform.ObjectStore {
         return {
             get: name => process.gate(this.get(name)),
-            put: (name, value, version) => process.gate(this.put(name, value, version)),
+            put: (name, value, version) =>
+                process.gate(
+                    this.put(name, value, version).then(async result => {
+                        await this.mayPause(process);
+                        return result;
+                    }),
+                ),
             list: async () => outcomes.succeed([]),
             watch: async () => outcomes.succeed({ revision: 0, objects: [] }),
         };
@@ -278,13 +305,16 @@
         return this.time.now() < this.serviceDownUntil;
     }
 
-    private async serviceCall(attempt: Attempt, permit: ledgers.Permit): Promise<httpCalls.HttpResult> {
+    private async serviceCall(
+        process: Process,
+        attempt: Attempt,
+        permit: ledgers.Permit,
+    ): Promise<httpCalls.HttpResult> {
         await this.time.sleep(this.between(0, 5));
         if (this.serviceIsDown) {
             return { kind: "not-sent", detail: "ECONNREFUSED" };
         }
-        const process = this.agents.find(agent => this.active.get(idOf(attempt, agent.process)) !== undefined)?.process;
-        await process?.gate(Promise.resolve());
+        await this.mayPause(process);
         if (!permit.mayStart()) {
             return { kind: "not-sent", detail: "too late" };
         }
@@ -425,14 +455,14 @@
                 // The request carries the remaining time, so a delayed request extends its own deadline.
                 deadline: this.time.now() + Math.max(0, deadline - this.time.now() + delay),
                 signal: abort.signal,
-            }, permit => process.gate(this.serviceCall(attempt, permit))))
+            }, permit => process.gate(this.serviceCall(process, attempt, permit))))
         );
         void work.then(() => this.active.delete(id));
         const breaks = this.fault(0.15) ? this.time.sleep(this.between(1, 5000)) : undefined;
         const end = await Promise.race([
             work.then(outcome => this.ended(outcome, attempt.key)),
             this.time.sleep(Math.max(0, deadline - this.time.now())).then(() => lost),
-            this.untilDead(process, deadline).then(() => lost),
+            process.death.then(() => lost),
             ...(breaks === undefined ? [] : [breaks.then(() => lost)]),
         ]);
         if (end === lost && this.chance(0.5)) {
@@ -441,12 +471,6 @@
         return end;
     }
 
-    private async untilDead(process: Process, deadline: number): Promise<void> {
-        while (!process.isDead && this.time.now() < deadline) {
-            await this.time.sleep(500);
-        }
-    }
-
     private ended(outcome: outcomes.Outcome<ledgers.Answer>, key: string): decisions.AttemptEnd {
         if (!outcome.ok) {
             return { kind: "refused", failure: outcome.failure };
