Test the fetch of reported versions and the wait after a restart

Ruled out: larger simulations; the mechanisms cover rare orders that random schedules of few processes do not reach. Change: one directed test per mechanism; further properties for a process without peers, for the number of store calls and for the age of the store in an outage. Conclusion: each mechanism has a test that fails without it.

--- /dev/null
+++ b/test/configuration/controller.test.ts
@@ -0,0 +1,122 @@
+/** Guards against a lost push that leaves a process behind, and against a restart that takes it back. */
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as controllers from "../../src/configuration/controller.js";
+import * as startup from "../../src/configuration/startup.js";
+import * as outcomes from "../../src/core/outcome.js";
+import * as boards from "../../src/daemon/board.js";
+import * as gossipControllers from "../../src/gossip/controller.js";
+import type * as peers from "../../src/gossip/peers.js";
+import * as tables from "../../src/gossip/table.js";
+import type * as gossip from "../../src/gossip/types.js";
+import * as journals from "../../src/logging/journal.js";
+import * as memberDocuments from "../../src/membership/member-document.js";
+import type * as membership from "../../src/membership/types.js";
+import * as memoryStore from "../support/memory-object-store.js";
+import * as virtualClock from "../support/virtual-clock.js";
+
+const SEED = 25;
+const SELF = "10.0.0.1:7000";
+const PEER = "10.0.0.2:7000";
+
+function manifestDocument(version: number): gossip.Document {
+    return { name: "manifest", version, value: { text: "" } };
+}
+
+function memberOf(address: string, manifestVersion: number): membership.Member {
+    return {
+        incarnation: { address, boot: "boot" },
+        role: "entry",
+        dataCentre: "dc-0",
+        backendServer: "",
+        state: "live",
+        weights: [],
+        manifestVersion,
+        backendBoot: "",
+    };
+}
+
+/** Peers that hold the given documents; the addresses that were asked are recorded. */
+function peersWith(documents: readonly gossip.Document[], asked: string[]): peers.Peers {
+    return {
+        push: async () => outcomes.succeed([]),
+        compare: async address => {
+            asked.push(address);
+            return outcomes.succeed({ equal: true, bucketHashes: [], newer: [], wanted: [], storeAgeMs: 0 });
+        },
+        fetch: async (address, names) => {
+            asked.push(address);
+            return outcomes.succeed(documents.filter(item => names.length === 0 || names.includes(item.name)));
+        },
+        identify: async address => outcomes.refuse("peer-unreachable", address),
+    };
+}
+
+function create(links: peers.Peers, formerVersion = 0) {
+    const clock = new virtualClock.VirtualClock(SEED);
+    const board = boards.createBoard();
+    const documents = new tables.DocumentTable();
+    const store = new memoryStore.MemoryObjectStore();
+    store.fault = "outage";
+    const journal = journals.silentJournal;
+    const common = { address: SELF, board, documents, store, peers: links, clock, journal };
+    const controller = new controllers.ConfigurationController({ ...common, dataCentre: "dc-0", formerVersion });
+    return { ...common, controller };
+}
+
+testing.test("configuration: a version that a member reports is fetched from it when its push was lost", async () => {
+    const asked: string[] = [];
+    const { board, clock, controller } = create(peersWith([manifestDocument(2)], asked));
+    board.write("members", new Map([[PEER, memberOf(PEER, 2)]]));
+    await controller.step(clock.now());
+    await clock.advance(400);
+    assert.equal(board.read("configuration").version, 0);
+    await controller.step(clock.now());
+    await clock.advance(1);
+    assert.equal(board.read("configuration").version, 2);
+    assert.deepEqual(asked, [PEER]);
+});
+
+testing.test("configuration: a restarted process waits for the version it had, for a limited time", async () => {
+    const { board, clock, controller, documents } = create(peersWith([], []), 5);
+    documents.publish(manifestDocument(4));
+    await clock.advance(3999);
+    await controller.step(clock.now());
+    assert.equal(board.read("configuration").version, 0);
+    await clock.advance(1);
+    await controller.step(clock.now());
+    assert.equal(board.read("configuration").version, 4);
+    documents.publish(manifestDocument(6));
+    assert.equal(board.read("configuration").version, 6);
+});
+
+testing.test("startup: reads the version of the earlier run and a newer manifest that a member reports", async () => {
+    const asked: string[] = [];
+    const former = memberDocuments.toDocument(memberOf(SELF, 7), 1);
+    const ahead = memberDocuments.toDocument(memberOf("10.0.0.3:7000", 7), 1);
+    const links = peersWith([manifestDocument(6), former, ahead], asked);
+    const { clock, ...options } = create(links);
+    const report = await clock.complete(startup.start({ ...options, clock, seeds: [PEER] }));
+    assert.equal(report.formerVersion, 7);
+    assert.deepEqual(asked, [PEER, "10.0.0.3:7000"]);
+});
+
+testing.test("gossip: an old proof of the store is renewed from a process that watches the store", async () => {
+    const asked: string[] = [];
+    const { clock, ...options } = create(peersWith([], asked));
+    const contacts = Array.from({ length: 500 }, (_, index) => `10.0.1.${index}:7000`);
+    const controller = new gossipControllers.GossipController({
+        ...options,
+        clock,
+        contacts: () => contacts,
+        watchers: () => [SELF, PEER],
+    });
+    for (let elapsed = 0; elapsed < 4000; elapsed += 1000) {
+        await clock.advance(1000);
+        await controller.step(clock.now());
+        await clock.advance(1);
+    }
+    // The proof of each answer is fresh, so only each second or third round needs a watcher.
+    assert.equal(asked[0], PEER);
+    assert.notEqual(asked[1], PEER);
+});
--- a/test/configuration/propagation.test.ts
+++ b/test/configuration/propagation.test.ts
@@ -5,6 +5,9 @@
 import * as fastCheck from "fast-check";
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
+import * as adoption from "../../src/configuration/adoption.js";
+import * as readers from "../../src/configuration/store-reader.js";
+import * as manifest from "../../src/manifest/types.js";
 import * as simulation from "../support/simulated-system.js";
 
 const SEED = 20;
@@ -138,3 +141,65 @@
     const restarted = await system.clock.complete(system.start(places[0]));
     assert.ok(restarted.readyAfterMs !== undefined && restarted.readyAfterMs <= 1000, String(restarted.readyAfterMs));
 });
+
+testing.test("configuration: a process that reaches the store but no peer follows within 4 s", async () => {
+    await fastCheck.assert(
+        fastCheck.asyncProperty(situation, async given => {
+            const places = placesOf(given.count, given.dataCentres);
+            const system = new simulation.SimulatedSystem(given.seed, places);
+            await accept(system, 0);
+            await system.startAll();
+            await system.clock.advance(5000 + given.pauseMs);
+            places.forEach(place => system.cutFromPeers.add(place.address));
+            await system.clock.advance(given.pauseMs * 2);
+            const version = await accept(system, 1);
+            await system.clock.advance(IN_FORCE_WITHIN_MS);
+            assertInForce(system, version);
+        }),
+        { seed: SEED, numRuns: RUNS },
+    );
+});
+
+testing.test("configuration: in a steady state only two processes per data centre call the store", async () => {
+    const system = new simulation.SimulatedSystem(SEED, placesOf(12, 3));
+    await accept(system, 0);
+    await system.startAll();
+    await system.clock.advance(5000);
+    system.storeCalls.clear();
+    await system.clock.advance(10_000);
+    assert.equal(system.storeCalls.size, 6);
+    assert.ok([...system.storeCalls.values()].every(calls => calls <= 11), [...system.storeCalls.values()].join(" "));
+});
+
+testing.test("configuration: gossip does not hide an outage of the store, and reads in the outage are bounded", async () => {
+    const places = placesOf(12, 3);
+    const system = new simulation.SimulatedSystem(SEED, places);
+    await accept(system, 0);
+    await system.startAll();
+    await system.clock.advance(5000);
+    system.faults = { loss: 0, delayMs: 150 };
+    places.forEach(place => system.cutFromStore.add(place.address));
+    const outageAt = system.clock.now();
+    system.storeCalls.clear();
+    await system.clock.advance(30_000);
+    // A watch that is pending at the beginning of the outage is still answered.
+    const lastProof = outageAt + readers.WATCH_WAIT_MS + 30;
+    for (const process of system.processes.values()) {
+        assert.ok(process.board.read("storeSeenAt") <= lastProof, String(process.board.read("storeSeenAt")));
+    }
+    const others = [...system.storeCalls.values()].sort((left, right) => left - right).slice(0, 6);
+    assert.ok(others.every(calls => calls <= 15), others.join(" "));
+});
+
+testing.test("configuration: a lower or equal version never replaces the one in force", () => {
+    fastCheck.assert(
+        fastCheck.property(fastCheck.nat(9), fastCheck.nat(9), (inForce, offered) => {
+            const judgement = adoption.judge(
+                { ...manifest.emptyConfiguration, version: inForce },
+                { version: offered, text: "" },
+            );
+            assert.equal(judgement.action, offered > inForce ? "adopt" : "ignore");
+        }),
+        { seed: SEED },
+    );
+});
--- a/test/support/simulated-system.ts
+++ b/test/support/simulated-system.ts
@@ -53,6 +53,10 @@
     readonly processes = new Map<string, Process>();
     /** Addresses that cannot reach the object API. */
     readonly cutFromStore = new Set<string>();
+    /** Addresses that reach no other process and that no other process reaches. */
+    readonly cutFromPeers = new Set<string>();
+    /** Calls to the object API by the address of the caller. */
+    readonly storeCalls = new Map<string, number>();
     /** Addresses that accept calls and never answer. */
     readonly hanging = new Set<string>();
     faults: NetworkFaults = { loss: 0, delayMs: 5 };
@@ -170,7 +174,8 @@
         const sentAt = this.clock.now();
         await this.clock.sleep(this.clock.random() * this.faults.delayMs);
         const callee = this.processes.get(to);
-        const lost = this.hanging.has(to) || callee === undefined || this.clock.random() < this.faults.loss;
+        const cut = this.hanging.has(to) || this.cutFromPeers.has(to) || this.cutFromPeers.has(from);
+        const lost = cut || callee === undefined || this.clock.random() < this.faults.loss;
         const value = lost ? undefined : answer(callee.responder);
         await this.clock.sleep(this.clock.random() * this.faults.delayMs);
         const crashed = this.processes.get(from) !== caller;
@@ -185,6 +190,7 @@
         const reach = async <Value>(
             call: () => Promise<outcomes.Outcome<Value>>,
         ): Promise<outcomes.Outcome<Value>> => {
+            this.storeCalls.set(address, (this.storeCalls.get(address) ?? 0) + 1);
             await this.clock.sleep(1 + this.clock.random() * 4);
             return this.cutFromStore.has(address) ? outcomes.refuse("store-unavailable", "cut") : call();
         };
