--- a/src/daemon/agent-role.ts
+++ b/src/daemon/agent-role.ts
@@ -80,7 +80,7 @@
         stack.use(await health.listen(node.settings.health_address, () => isReady(node)));
     }
     stack.use(node.drainOnSignal());
-    node.journal.emit("process-ready", { version: gate.version });
+    stack.use(node.announceReady());
     await node.drain.finished;
     await backend.flush();
 }
--- a/src/daemon/entry-role.ts
+++ b/src/daemon/entry-role.ts
@@ -82,7 +82,7 @@
         }),
     );
     stack.use(node.drainOnSignal());
-    node.journal.emit("process-ready", { version: board.read("configuration").version });
+    stack.use(node.announceReady());
     await node.drain.finished;
 }
 
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -150,6 +150,20 @@
         return holdersSections.followHolders(this.documents, this.board, this.journal);
     }
 
+    /** Emits `process-ready` once a configuration is in force. */
+    announceReady(): Disposable {
+        let announced = false;
+        const announce = () => {
+            const { version } = this.board.read("configuration");
+            if (version > 0 && !announced) {
+                announced = true;
+                this.journal.emit("process-ready", { version });
+            }
+        };
+        announce();
+        return this.board.subscribe("configuration", announce);
+    }
+
     /** Begins the drain on SIGTERM and SIGINT. */
     drainOnSignal(): Disposable {
         return drains.drainOnSignal(this.drain, process);
--- a/tools/support/deployment.ts
+++ b/tools/support/deployment.ts
@@ -126,7 +126,8 @@
                 backend.kind === "engine" ? `models = ["${backend.model}"]` : `service = "${BOOKING_SERVICE}"`,
             ].join("\n")
         );
-        return [...customers, ...models, ...servers, ROUTES, extra].join("\n\n");
+        const routes = this.plan.bookingServices.length > 0 ? [ROUTES] : [];
+        return [...customers, ...models, ...servers, ...routes, extra].join("\n\n");
     }
 
     /** Writes a manifest by conditional update. */
