Add the operator's tool and the pages of events and errors

Cause: a build pipeline applies manifests and must learn when a change is in force, or which processes lag; people on call need the state, the rollouts and the latencies without a UI. Ruled out: counting a process that refuses the connection as lagging; it runs nothing and reads the newest version when it starts. Reporting the failure of the wait with the exit code of its cause, since the change is accepted by then. Change: ibisstep with validate, apply, status, report, histograms, key hash and drain, each loaded on demand, with JSON output and documented exit codes; generated docs/events.md and docs/errors.md with a test that they are current; example manifests of both deployments; an unexpected error of the manifest parser is a rejection. Conclusion: the tool works against simulated processes and the stand-in of the object API; a run against daemons is open.

--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,31 @@
+/** Commands of `ibisstep`; each is loaded when it is called. */
+import type * as types from "./types.js";
+
+interface Entry {
+    readonly summary: string;
+    readonly load: () => Promise<{ readonly command: types.Command; }>;
+}
+
+export const commands: Readonly<Record<string, Entry>> = {
+    "validate": { summary: "check a manifest", load: () => import("./commands/validate.js") },
+    "apply": { summary: "make a manifest the accepted one", load: () => import("./commands/apply.js") },
+    "status": { summary: "show every process", load: () => import("./commands/status.js") },
+    "report": { summary: "show rollouts and harm to callers", load: () => import("./commands/report.js") },
+    "histograms": { summary: "show latencies per customer and class", load: () => import("./commands/histograms.js") },
+    "key hash": { summary: "compute the hash of a key", load: () => import("./commands/key-hash.js") },
+    "drain": { summary: "shut a process down gracefully", load: () => import("./commands/drain.js") },
+};
+
+export interface Selection {
+    readonly name: string;
+    /** Arguments after the name of the command. */
+    readonly parameters: readonly string[];
+}
+
+/** Finds the command that the arguments begin with; its name has one or two words. */
+export function select(parameters: readonly string[]): Selection | undefined {
+    const name = [parameters.slice(0, 2), parameters.slice(0, 1)]
+        .map(words => words.join(" "))
+        .find(candidate => Object.hasOwn(commands, candidate));
+    return name === undefined ? undefined : { name, parameters: parameters.slice(name.split(" ").length) };
+}
--- a/src/configuration/adoption.ts
+++ b/src/configuration/adoption.ts
@@ -28,12 +28,22 @@
     if (candidate.version <= inForce.version) {
         return { action: "ignore" };
     }
-    const compiled = compiler.compile(candidate.text, candidate.version, MANIFEST_OBJECT);
+    const compiled = compileSafely(candidate);
     return compiled.ok
         ? { action: "adopt", configuration: compiled.value }
         : { action: "reject", failure: compiled.failure };
 }
 
+/** An unexpected error of the parser must not stop the exchange of documents that delivered the candidate. */
+function compileSafely(candidate: Candidate): outcomes.Outcome<manifest.Configuration> {
+    try {
+        return compiler.compile(candidate.text, candidate.version, MANIFEST_OBJECT);
+    }
+    catch (error) {
+        return outcomes.refuse("manifest-invalid", `${MANIFEST_OBJECT}: (top level): ${String(error)}`);
+    }
+}
+
 export function toDocument(candidate: Candidate): gossip.Document {
     return { name: MANIFEST_DOCUMENT, version: candidate.version, value: { text: candidate.text } };
 }
