Announce a process only after its start has read its former document

Cause: the daemon creates the membership before it reads the documents of its peers. The new member document has the higher version, so it hid the document of the earlier run, and a restarted process no longer knew which configuration version it had in force. Ruled out: reading the former version from the replies of the seeds directly; a push can bring the document as well. Change: the membership publishes nothing before its first step; the simulated processes start in the order of the daemon. Figures: trial, scratch copy: with the early announcement the new test fails, before the test nothing failed. Conclusion: the lower bound after a restart holds in the daemon too.

--- a/src/membership/controller.ts
+++ b/src/membership/controller.ts
@@ -54,6 +54,7 @@
     private backend: Backend = { weights: [], backendBoot: "" };
     private version: number;
     private published: types.Member | undefined;
+    private started = false;
     private nextListAt = Number.NEGATIVE_INFINITY;
     private nextRemovalAt: number;
 
@@ -70,8 +71,10 @@
         this.refresh();
     }
 
+    /** The first step announces the process, so that the start can read the document of its earlier run before. */
     async step(now: number): Promise<void> {
         const { clock } = this.options;
+        this.started = true;
         if (now >= this.nextListAt) {
             this.nextListAt = now + LIST_INTERVAL_MS * (1 - LIST_JITTER + clock.random() * 2 * LIST_JITTER);
             this.tasks.start("list", () => this.readList());
@@ -176,6 +179,9 @@
     }
 
     private publishSelf(): void {
+        if (!this.started) {
+            return;
+        }
         const leaving = this.options.board.read("draining") || this.isLeaving();
         const self = this.describeSelf(leaving ? "draining" : "live");
         if (this.published !== undefined && JSON.stringify(self) === JSON.stringify(this.published)) {
--- a/test/configuration/controller.test.ts
+++ b/test/configuration/controller.test.ts
@@ -10,6 +10,7 @@
 import * as tables from "../../src/gossip/table.js";
 import type * as gossip from "../../src/gossip/types.js";
 import * as journals from "../../src/logging/journal.js";
+import * as memberships from "../../src/membership/controller.js";
 import * as memberDocuments from "../../src/membership/member-document.js";
 import type * as membership from "../../src/membership/types.js";
 import * as memoryStore from "../support/memory-object-store.js";
@@ -101,6 +102,30 @@
     assert.deepEqual(asked, [PEER, "10.0.0.3:7000"]);
 });
 
+testing.test("membership: announces nothing before its first step, which would hide the document of the earlier run", async () => {
+    const { board, clock, documents, journal } = create(peersWith([], []));
+    const membership = new memberships.MembershipController({
+        self: { address: SELF, boot: "new" },
+        role: "entry",
+        dataCentre: "dc-0",
+        backendServer: "",
+        seeds: [],
+        board,
+        documents,
+        instances: { list: async () => outcomes.succeed([]) },
+        clock,
+        journal,
+    });
+    // The wall clock was set back since the earlier run.
+    const former = memberDocuments.toDocument(memberOf(SELF, 7), Number.MAX_SAFE_INTEGER - 9);
+    documents.publish(former);
+    await clock.advance(100);
+    assert.equal(documents.get(former.name), former);
+    await membership.step(clock.now());
+    assert.equal(board.read("members").get(SELF)?.incarnation.boot, "new");
+    assert.equal(documents.get(former.name)?.version, former.version + 1);
+});
+
 testing.test("gossip: an old proof of the store is renewed from a process that watches the store", async () => {
     const asked: string[] = [];
     const { clock, ...options } = create(peersWith([], asked));
--- a/test/support/simulated-system.ts
+++ b/test/support/simulated-system.ts
@@ -77,7 +77,6 @@
         const journal = journals.silentJournal;
         const startedAt = clock.now();
         const options = { address: place.address, seeds, store, documents, peers: links, clock, journal };
-        const report = await startup.start(options);
         const adopted: number[] = [];
         board.subscribe("configuration", configuration => adopted.push(configuration.version));
         const membership = new memberships.MembershipController({
@@ -92,6 +91,7 @@
             clock,
             journal,
         });
+        const report = await startup.start(options);
         const configuration = new configurations.ConfigurationController({
             ...options,
             dataCentre: place.dataCentre,
