Give each agent a circuit breaker and a retry budget at the entry

Cause: the entry sent retries without limit and kept sending to servers that fail. Change: health of the servers at the entry; the breaker counts by second, so that a request costs the same whatever the length of the window; when no circuit lets a request pass, all servers are tried, because a trial beats a certain refusal. Ruled out: refusing while all circuits are open. Conclusion: resilience is part of both pipelines.

--- a/src/daemon/entry-role.ts
+++ b/src/daemon/entry-role.ts
@@ -11,6 +11,7 @@
 import * as httpServers from "../entry/http-server.js";
 import * as intakes from "../entry/intake.js";
 import * as modelLists from "../entry/model-list.js";
+import * as serverHealths from "../entry/server-health.js";
 import * as serverSelections from "../entry/server-selection.js";
 import * as loops from "./loop.js";
 import type * as nodes from "./node.js";
@@ -40,10 +41,13 @@
         require: node.require,
         refused: incarnation => node.membership.report(incarnation, "refused"),
     });
+    const health = new serverHealths.ServerHealth(() => clock.random());
+    stack.use(board.subscribe("members", members => health.follow(members)));
     const calls = new callPipelines.CallPipeline({
         board,
         intake,
         caller,
+        health,
         now: () => clock.now(),
         random: () => clock.random(),
     });
@@ -51,6 +55,7 @@
         board,
         dataCentre: settings.data_centre,
         random: () => clock.random(),
+        health,
     });
     stack.use(board.subscribe("members", members => servers.retain(members)));
     const chats = new chatPipelines.ChatPipeline({
@@ -62,7 +67,7 @@
         recorder: node.recorder,
         clock,
         journal: node.journal,
-        takeRetry: () => true,
+        health,
     });
     stack.use(await node.listen(() => undefined));
     stack.use(new loops.ControllerLoop(node.schedules(), clock, node.journal));
--- a/src/entry/call-pipeline.ts
+++ b/src/entry/call-pipeline.ts
@@ -10,6 +10,7 @@
 import type * as callers from "./agent-caller.js";
 import type * as intake from "./intake.js";
 import * as routeTable from "./route-table.js";
+import type * as serverHealths from "./server-health.js";
 import type * as types from "./types.js";
 
 const IDEMPOTENCY_HEADER = "idempotency-key";
@@ -22,6 +23,7 @@
     readonly board: boards.Board;
     readonly intake: intake.Intake;
     readonly caller: callers.AgentCaller;
+    readonly health: serverHealths.ServerHealth;
     /** Monotonic time in milliseconds. */
     readonly now: () => number;
     readonly random: () => number;
@@ -102,7 +104,8 @@
         let result: Result = outcomes.refuse("no-backend-server", call.route.service);
         for (const [index, address] of agents.slice(0, MAXIMUM_ATTEMPTS).entries()) {
             result = await this.attempt(call, address, index + 1);
-            if (result.ok || call.signal.aborted || this.options.now() >= call.deadline) {
+            const mayRetry = !call.signal.aborted && this.options.now() < call.deadline;
+            if (result.ok || !mayRetry || !this.options.health.takeRetry(address, this.options.now())) {
                 return result;
             }
         }
@@ -127,7 +130,7 @@
             const step = decisions.decide(history, end, {
                 remainingMs: call.deadline - this.options.now(),
                 otherAgents: agents.length,
-                mayRetry: attempt < MAXIMUM_ATTEMPTS && !call.signal.aborted,
+                mayRetry: attempt < MAXIMUM_ATTEMPTS && !call.signal.aborted && this.takeRetry(address, end),
             });
             history = step.history;
             if (step.decision.kind === "deliver") {
@@ -149,8 +152,16 @@
         }
     }
 
+    /** Only a failed attempt takes a retry out of the budget of its server. */
+    private takeRetry(address: string, end: decisions.AttemptEnd): boolean {
+        const failed = end.kind !== "answered" && end.kind !== "looked-up";
+        return !failed || this.options.health.takeRetry(address, this.options.now());
+    }
+
     private async attempt(call: AdmittedCall, address: string, attempt: number): Promise<Result> {
-        const remainingMs = Math.max(1, Math.round(call.deadline - this.options.now()));
+        const { health, now } = this.options;
+        const remainingMs = Math.max(1, Math.round(call.deadline - now()));
+        health.sent(address, attempt === 1, now());
         const response = await this.options.caller.call(
             address,
             { timeoutMs: remainingMs + ANSWER_MARGIN_MS, signal: call.signal },
@@ -170,7 +181,12 @@
                     fingerprint: fingerprint(call.request),
                 }, callOptions),
         );
-        return response.ok ? outcomes.succeed(response.value) : response;
+        if (!response.ok) {
+            health.ended(address, response.failure, now());
+            return response;
+        }
+        health.succeeded(address, now());
+        return outcomes.succeed(response.value);
     }
 
     private async lookup(
@@ -207,7 +223,8 @@
             const isCandidate = member.state === "live" && server?.service === route.service;
             return isCandidate ? [{ id: member.incarnation.address, weight: server.weight }] : [];
         });
-        return rendezvous.rank(key, nodes).map(node => node.id);
+        const available = this.options.health.available(nodes.map(node => node.id), this.options.now());
+        return rendezvous.rank(key, nodes.filter(node => available.has(node.id))).map(node => node.id);
     }
 }
 
--- a/src/entry/chat-pipeline.ts
+++ b/src/entry/chat-pipeline.ts
@@ -14,6 +14,7 @@
 import type * as callers from "./agent-caller.js";
 import * as attempts from "./generation-attempt.js";
 import type * as intake from "./intake.js";
+import type * as serverHealths from "./server-health.js";
 import type * as serverSelection from "./server-selection.js";
 import type * as types from "./types.js";
 
@@ -38,7 +39,7 @@
     readonly recorder: recorders.Recorder;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
-    readonly takeRetry: (address: string) => boolean;
+    readonly health: serverHealths.ServerHealth;
 }
 
 /** A validated request before its admission. */
@@ -109,7 +110,10 @@
             deadline: clock.now() + settings.timing.request_deadline_ms,
             firstTokenTimeoutMs: FIRST_TOKEN_TIMEOUT_MS,
             tokenTimeoutMs: TOKEN_TIMEOUT_MS,
-            limits: { maximumRetries: MAXIMUM_RETRIES, takeRetry: this.options.takeRetry },
+            limits: {
+                maximumRetries: MAXIMUM_RETRIES,
+                takeRetry: server => this.options.health.takeRetry(server, clock.now()),
+            },
             signal: admitted.signal,
         });
         return relay.run();
@@ -150,6 +154,7 @@
             return attempts.noServer(this.generation.demand);
         }
         this.choice = choice;
+        this.options.health.sent(choice.address, plan.attempt === 1, clock.now());
         if (plan.tokens.length > 0) {
             this.options.recorder.count("continuations", this.generation.customer);
         }
@@ -162,9 +167,10 @@
 
     readonly sink: streams.Sink = {
         started: started => {
-            const { servers, clock, recorder } = this.options;
+            const { servers, clock, recorder, health } = this.options;
             if (this.choice !== undefined) {
                 const { engineBoot, cachedTokens, load } = started;
+                health.succeeded(this.choice.address, clock.now());
                 servers.started(this.choice, this.attemptId, { engineBoot, cachedTokens, load }, clock.now());
             }
             recorder.count("prompt-tokens", this.generation.customer, started.promptTokens);
@@ -172,8 +178,9 @@
         },
         token: token => this.writer.token(token),
         attemptFailed: (server, failure) => {
-            const { servers, clock } = this.options;
+            const { servers, clock, health } = this.options;
             servers.ended(server, this.attemptId);
+            health.ended(server, failure, clock.now());
             if (failure.kind === "peer-connection-lost" || failure.kind === "engine-connection-lost") {
                 servers.lost(server, clock.now());
             }
--- a/src/entry/server-selection.ts
+++ b/src/entry/server-selection.ts
@@ -8,6 +8,7 @@
 import * as selection from "../routing/selection.js";
 import * as serverLoads from "../routing/server-loads.js";
 import type * as routing from "../routing/types.js";
+import type * as serverHealths from "./server-health.js";
 
 /** Round trip to an agent of the own data centre and of another one, in milliseconds. */
 const LOCAL_ROUND_TRIP_MS = 0.5;
@@ -39,6 +40,7 @@
     readonly board: boards.Board;
     readonly dataCentre: string;
     readonly random: () => number;
+    readonly health: serverHealths.ServerHealth;
 }
 
 export class ServerSelection {
@@ -53,7 +55,7 @@
         const prefix = prefixes.prefixOf(scope, demand.prompt, demand.model.pieceTokens);
         const { chain, promptTokens } = prefix;
         const request = { chain, promptTokens, pieceTokens: demand.model.pieceTokens };
-        const candidates = this.candidates(demand);
+        const candidates = this.candidates(demand, now);
         const ranked = selection.choose(request, candidates, this.index, this.loads, now, this.options.random());
         const chosen = ranked.find(server => server.address === demand.preferred) ?? ranked[0];
         if (chosen === undefined) {
@@ -102,11 +104,11 @@
         this.loads.retain(addresses);
     }
 
-    private candidates(demand: Demand): readonly routing.Candidate[] {
+    private candidates(demand: Demand, now: number): readonly routing.Candidate[] {
         const { board, dataCentre } = this.options;
         const { backendServers } = board.read("configuration");
         const weights = states.weightsName(demand.model.name, demand.weightsVersion);
-        return [...board.read("members").values()].flatMap(member => {
+        const candidates = [...board.read("members").values()].flatMap(member => {
             const server = backendServers.get(member.backendServer);
             const address = member.incarnation.address;
             const isCandidate = member.state === "live"
@@ -122,5 +124,7 @@
                 }]
                 : [];
         });
+        const available = this.options.health.available(candidates.map(candidate => candidate.address), now);
+        return candidates.filter(candidate => available.has(candidate.address));
     }
 }
--- a/src/resilience/circuit-breaker.ts
+++ b/src/resilience/circuit-breaker.ts
@@ -9,6 +9,7 @@
 export type CircuitState = "closed" | "open" | "half-open";
 
 const WINDOW_MS = 10_000;
+const SLICE_MS = 1000;
 /** A share of few outcomes says little; consecutive failures open the circuit without it. */
 const LEAST_OUTCOMES = 10;
 const FAILURE_SHARE = 0.5;
@@ -18,14 +19,16 @@
 const TRIAL_TIMEOUT_MS = 30_000;
 const PAUSE: backoff.BackoffPolicy = { firstMs: 500, longestMs: 15_000 };
 
-interface Observation {
-    readonly at: number;
-    readonly failed: boolean;
+/** Outcomes of one second; single outcomes would make each request cost as much as the window is long. */
+interface Slice {
+    readonly start: number;
+    outcomes: number;
+    failures: number;
 }
 
 export class CircuitBreaker {
     private current: CircuitState = "closed";
-    private observations: Observation[] = [];
+    private slices: Slice[] = [];
     private consecutiveFailures = 0;
     private openings = 0;
     private openUntil = Number.NEGATIVE_INFINITY;
@@ -101,10 +104,10 @@
     }
 
     private isFailing(): boolean {
-        const failures = this.observations.filter(observation => observation.failed).length;
-        const share = failures / this.observations.length;
+        const failures = this.slices.reduce((sum, slice) => sum + slice.failures, 0);
+        const outcomes = this.slices.reduce((sum, slice) => sum + slice.outcomes, 0);
         return this.consecutiveFailures >= CONSECUTIVE_FAILURES
-            || (this.observations.length >= LEAST_OUTCOMES && share >= FAILURE_SHARE);
+            || (outcomes >= LEAST_OUTCOMES && failures >= outcomes * FAILURE_SHARE);
     }
 
     private open(now: number, random: number): void {
@@ -112,20 +115,26 @@
         this.openUntil = now + PAUSE.firstMs / 2 + backoff.pause(PAUSE, this.openings, random);
         this.openings++;
         this.trialSince = undefined;
-        this.observations = [];
+        this.slices = [];
     }
 
     private close(): void {
         this.current = "closed";
         this.openings = 0;
         this.consecutiveFailures = 0;
-        this.observations = [];
+        this.slices = [];
         this.trialSince = undefined;
         this.successfulTrials = 0;
     }
 
     private observe(now: number, failed: boolean): void {
-        this.observations = this.observations.filter(observation => observation.at > now - WINDOW_MS);
-        this.observations.push({ at: now, failed });
+        const start = Math.floor(now / SLICE_MS) * SLICE_MS;
+        let slice = this.slices.at(-1);
+        if (slice === undefined || slice.start < start) {
+            slice = { start, outcomes: 0, failures: 0 };
+            this.slices = [...this.slices.filter(other => other.start > now - WINDOW_MS), slice];
+        }
+        slice.outcomes++;
+        slice.failures += failed ? 1 : 0;
     }
 }
