Add the quarantine of requests that crash servers

Cause: a request that crashes each server that runs it must crash at most two, also when its caller sends it again through several entries, and an innocent request that was in flight with it must not be refused.

Ruled out: refusing a request after two crashes with others in flight (a popular innocent request is in flight at many crashes); the count of crashes alone as document version (two agents that report at the same time would have equal versions and one report would be lost); trying a suspect on any idle server (copies through two entries would be tried on two servers at a time); moving a trial away from an agent whose connection broke without proof of a crash, for the same reason.

The continuation rule of the streams remembers lost engines, broken connections and being told of a suspicion.

--- a/src/quarantine/events.ts
+++ b/src/quarantine/events.ts
@@ -1,4 +1,29 @@
 /** Log events of this feature. */
 import type * as event from "../core/event.js";
 
-export const events = {} as const satisfies event.EventCatalogue;
+export const events = {
+    "requests-suspected": {
+        number: 2401,
+        level: "warn",
+        message: fields => `server ${fields.server} crashed with ${fields.requests} requests in flight`,
+        hint: "Each of them runs alone once. Check the engine's log.",
+    },
+    "request-quarantined": {
+        number: 2402,
+        level: "error",
+        message: fields => `request ${fields.fingerprint} crashed server ${fields.server} while it ran alone`,
+        hint: "The request is refused from now on. Report it to the operators of the engine.",
+    },
+    "suspect-cleared": {
+        number: 2403,
+        level: "info",
+        message: fields => `request ${fields.fingerprint} completed alone and is no longer a suspect`,
+        hint: "",
+    },
+    "suspect-document-invalid": {
+        number: 2404,
+        level: "warn",
+        message: fields => `ignored the document ${fields.document}`,
+        hint: "Check that all processes run compatible versions.",
+    },
+} as const satisfies event.EventCatalogue;
--- a/src/streams/continuation.ts
+++ b/src/streams/continuation.ts
@@ -3,7 +3,8 @@
 import type * as failures from "../core/failure.js";
 import type * as types from "./types.js";
 
-export type Reaction = "other-server" | "same-server" | "give-up";
+/** `again` selects a server anew and speaks against none. */
+export type Reaction = "other-server" | "same-server" | "again" | "give-up";
 
 /** How one attempt ended. */
 export type AttemptEnd =
@@ -33,11 +34,13 @@
     readonly retries: number;
     readonly redirected: boolean;
     readonly excluded: ReadonlySet<string>;
+    readonly disconnected: ReadonlySet<string>;
     readonly preferred?: string;
     readonly previous?: failures.Failure;
     /** An attempt may have had an effect, so that no later refusal may say "not run". */
     readonly mayHaveRun: boolean;
     readonly loss: types.Loss;
+    readonly toldSuspect: boolean;
 }
 
 export interface Limits {
@@ -55,8 +58,10 @@
     retries: 0,
     redirected: false,
     excluded: new Set(),
+    disconnected: new Set(),
     mayHaveRun: false,
     loss: "none",
+    toldSuspect: false,
 };
 
 /** Reaction to a failure of one server. */
@@ -92,13 +97,16 @@
     if (reaction === "other-server" && !limits.takeRetry(trace.server)) {
         return interrupted;
     }
+    const loss = LOSSES[end.failure.kind] ?? "none";
     return again({
         ...seen,
         retries: progress.retries + 1,
-        excluded: reaction === "same-server" ? progress.excluded : new Set([...progress.excluded, trace.server]),
+        excluded: reaction === "other-server" ? new Set([...progress.excluded, trace.server]) : progress.excluded,
         preferred: reaction === "same-server" ? trace.server : undefined,
         previous: end.failure,
-        loss: worse(progress.loss, LOSSES[end.failure.kind] ?? "none"),
+        disconnected: loss === "agent" ? new Set([...progress.disconnected, trace.server]) : progress.disconnected,
+        loss: worse(progress.loss, loss),
+        toldSuspect: progress.toldSuspect || SUSPICIONS.has(end.failure.kind),
     });
 }
 
@@ -166,8 +174,13 @@
     "stream-incomplete": "agent",
 };
 
+const SUSPICIONS: ReadonlySet<string> = new Set(["request-suspected", "suspect-withdrawn"]);
+
 const SPECIAL_REACTIONS: Readonly<Record<string, Reaction>> = {
     // The entry adopts the configuration and authorizes the request again before it opens the next attempt.
     "configuration-stale": "same-server",
     "deadline-exceeded": "give-up",
+    // The server is not at fault and may be the one that all entries choose for the trial.
+    "request-suspected": "again",
+    "suspect-withdrawn": "again",
 };
--- a/src/streams/relay.ts
+++ b/src/streams/relay.ts
@@ -125,10 +125,12 @@
             attempt: this.progress.attempt,
             tokens: [...this.tokens],
             excluded: this.progress.excluded,
+            disconnected: this.progress.disconnected,
             preferred: this.progress.preferred,
             mayRedirect: !this.progress.redirected,
             previous: this.progress.previous,
             loss: this.progress.loss,
+            toldSuspect: this.progress.toldSuspect,
             remainingMs: this.options.deadline - this.options.clock.now(),
         };
     }
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -70,12 +70,19 @@
     readonly tokens: readonly string[];
     /** Servers that failed this request. */
     readonly excluded: ReadonlySet<string>;
+    /**
+     * Excluded servers whose connection broke without proof of a crash. The trial of a suspect still goes to them while
+     * they are live: if it moved on, a copy of the request could run at two servers at a time.
+     */
+    readonly disconnected: ReadonlySet<string>;
     /** Server named by a redirect. */
     readonly preferred?: string;
     readonly mayRedirect: boolean;
     /** Failure of the attempt before; its server is in `excluded` unless the failure does not speak against it. */
     readonly previous?: failures.Failure;
     readonly loss: Loss;
+    /** An agent of any earlier attempt said that the request is a suspect; the own table may not know yet. */
+    readonly toldSuspect: boolean;
     /** Remaining time in milliseconds. */
     readonly remainingMs: number;
 }
--- /dev/null
+++ b/test/quarantine/isolation-gate.test.ts
@@ -0,0 +1,86 @@
+/** Guards against a trial that is not alone, which would blame an innocent request, and against endless waits. */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as gates from "../../src/quarantine/isolation-gate.js";
+import type * as types from "../../src/quarantine/types.js";
+
+const SEED = 55;
+
+testing.test("isolation gate: trials run alone, every run starts once, no ordinary run waits for two trials", () => {
+    const step = fastCheck.oneof(
+        fastCheck.record({ kind: fastCheck.constant("submit" as const), alone: fastCheck.boolean() }),
+        fastCheck.record({ kind: fastCheck.constant("finish" as const), alone: fastCheck.constant(false) }),
+    );
+    fastCheck.assert(
+        fastCheck.property(fastCheck.array(step, { maxLength: 60 }), steps => {
+            const gate = new gates.IsolationGate(() => "run");
+            const running: gates.Run[] = [];
+            const trialsWaitedFor = new Map<string, number>();
+            const started = new Set<string>();
+            const take = (actions: gates.Actions) => {
+                for (const run of actions.start) {
+                    assert.equal(started.has(run.id), false);
+                    started.add(run.id);
+                    running.push(run);
+                    assert.ok(!run.alone || running.length === 1, "a trial is not alone");
+                    assert.ok(!running.some(other => other.alone) || running.length === 1, "a run beside a trial");
+                    assert.ok(run.alone || (trialsWaitedFor.get(run.id) ?? 0) <= 1, "waited for two trials");
+                    trialsWaitedFor.delete(run.id);
+                }
+            };
+            const finishOne = () => {
+                const run = running.shift();
+                if (run !== undefined) {
+                    for (const id of run.alone ? trialsWaitedFor.keys() : []) {
+                        trialsWaitedFor.set(id, (trialsWaitedFor.get(id) ?? 0) + 1);
+                    }
+                    take(gate.finish(run.id));
+                }
+            };
+            steps.forEach((item, index) => {
+                if (item.kind === "finish") {
+                    finishOne();
+                    return;
+                }
+                trialsWaitedFor.set(String(index), 0);
+                take(gate.submit({ id: String(index), fingerprint: String(index), alone: item.alone }));
+            });
+            while (running.length > 0) {
+                finishOne();
+            }
+            assert.equal(trialsWaitedFor.size, 0, "a run never started");
+        }),
+        { seed: SEED, numRuns: 1000 },
+    );
+});
+
+testing.test("isolation gate: copies behind a trial follow its outcome and a crash blames only a trial", () => {
+    let verdict: types.Verdict = "run-alone";
+    const gate = new gates.IsolationGate(() => verdict);
+    const copy = (id: string, alone = true) => ({ id, fingerprint: "f", alone });
+    assert.deepEqual(gate.submit(copy("1")).start.map(run => run.id), ["1"]);
+    assert.deepEqual(gate.submit(copy("2")), { start: [], refuse: [], sendBack: [], withdraw: [] });
+    assert.deepEqual(gate.crash(), { inFlight: ["f"], trial: true });
+    verdict = "refuse";
+    assert.deepEqual(gate.proceed().refuse.map(run => run.id), ["2"]);
+    verdict = "run";
+    gate.submit(copy("3", false));
+    assert.deepEqual(gate.exposed("f").map(run => run.id), ["3"]);
+    assert.deepEqual(gate.crash(), { inFlight: ["f"], trial: false });
+});
+
+testing.test("isolation gate: a request that becomes a suspect while it waits is sent back, not tried here", () => {
+    let verdict: types.Verdict = "run";
+    const gate = new gates.IsolationGate(() => verdict);
+    gate.submit({ id: "trial", fingerprint: "other", alone: true });
+    gate.submit({ id: "waiting", fingerprint: "f", alone: false });
+    verdict = "run-alone";
+    const actions = gate.finish("trial");
+    assert.deepEqual([actions.start, actions.sendBack.map(run => run.id)], [[], ["waiting"]]);
+    verdict = "run";
+    gate.submit({ id: "running", fingerprint: "f", alone: false });
+    assert.deepEqual(gate.submit({ id: "flagged", fingerprint: "f", alone: true }).withdraw.map(run => run.id), [
+        "running",
+    ]);
+});
