Remove the second definition of caller-disconnected

Cause: the catalogue test reports that two features define the failure, with different numbers and retry rules; only the later one in the catalogue took effect, and the number 2201 never appeared. Ruled out: keeping both under different names; relay and front end mean the same event. Change: the definition of the front end (2712) remains, which is the one that took effect. Conclusion: each failure has one number; behaviour is unchanged.

--- a/src/streams/failures.ts
+++ b/src/streams/failures.ts
@@ -2,14 +2,6 @@
 import type * as failure from "../core/failure.js";
 
 export const failures = {
-    "caller-disconnected": {
-        number: 2201,
-        status: 499,
-        execution: "unknown",
-        retry: "same-request",
-        message: detail => `the caller closed the connection: ${detail}`,
-        hint: "No action; the engine was told to stop.",
-    },
     "stream-incomplete": {
         number: 2202,
         status: 502,
