Keep the connections of the tool until its command has ended

Cause: a trial against daemons showed that status, report, histograms and drain fail with closed connections: the tool returned the promise of the command without awaiting it, so the disposal ran first. Ruled out: nothing. Change: the tool awaits the command; a test runs it against a process and an instance list. With the await removed, the new test fails. Conclusion: to be repeated against daemons.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -22,7 +22,8 @@
     }
     await using system = new services.SystemServices(clocks.systemClock);
     const flags = { seed: [], json: false, wait: false, ...parsed.flags } as unknown as types.Flags;
-    return command.run({ input: parsed.input, flags, terminal, services: system, clock: clocks.systemClock });
+    // Without await the connections would be closed while the command still uses them.
+    return await command.run({ input: parsed.input, flags, terminal, services: system, clock: clocks.systemClock });
 }
 
 /** Ends the process on `--help` and on unknown flags; returns undefined when the values of flags are wrong. */
--- a/test/cli/main.test.ts
+++ b/test/cli/main.test.ts
@@ -4,15 +4,28 @@
 import * as path from "node:path";
 import * as testing from "node:test";
 import * as commands from "../../src/cli/commands.js";
+import * as messages from "../../src/rpc/gen/ibisstep/v1/operations_pb.js";
+import * as servers from "../../src/rpc/server.js";
+import * as instanceLists from "../../stand-ins/instance-list/instance-list.js";
 
 const ROOT = path.resolve(import.meta.dirname, "../..");
 
-function run(parameters: readonly string[], input = "") {
+interface Result {
+    readonly status: number;
+    readonly text: string;
+}
+
+function run(parameters: readonly string[], input = ""): Promise<Result> {
     const program = ["--import", "tsx", path.join(ROOT, "src/cli/main.ts"), ...parameters];
-    return childProcess.spawnSync(process.execPath, program, { cwd: ROOT, input, encoding: "utf8" });
+    return new Promise(resolve => {
+        const child = childProcess.execFile(process.execPath, program, { cwd: ROOT }, (error, stdout, stderr) => {
+            resolve({ status: Number(error?.code ?? 0), text: stdout + stderr });
+        });
+        child.stdin?.end(input);
+    });
 }
 
-testing.test("ibisstep: help, wrong usage and results have their documented exit codes", () => {
+testing.test("ibisstep: help, wrong usage and results have their documented exit codes", async () => {
     const kremsau = "examples/kremsau/manifest.toml";
     const runs: readonly (readonly [readonly string[], number, RegExp])[] = [
         [["--help"], 0, /Exit codes/],
@@ -25,11 +38,24 @@
         [["validate", "missing.toml"], 3, /ENOENT/],
     ];
     for (const [parameters, status, text] of runs) {
-        const result = run(parameters);
-        assert.equal(result.status, status, `${parameters.join(" ")}: ${result.stderr}`);
-        assert.match(result.stdout + result.stderr, text);
+        const result = await run(parameters);
+        assert.equal(result.status, status, `${parameters.join(" ")}: ${result.text}`);
+        assert.match(result.text, text);
     }
-    assert.equal(run(["key", "hash"], "abc\n").stdout.trim().length, 64);
+    assert.match((await run(["key", "hash"], "abc\n")).text, /^[0-9a-f]{64}\n$/);
+});
+
+testing.test("ibisstep: keeps its connections until the command has ended", async () => {
+    const status = () => ({ manifestVersion: 7n });
+    await using server = await servers.listen("127.0.0.1:0", router => {
+        router.service(messages.OperationsService, { status });
+    });
+    await using list = await instanceLists.createInstanceList();
+    const shown = await run(["status", "--seed", server.address, "--json"]);
+    assert.equal(shown.status, 0, shown.text);
+    assert.match(shown.text, /"version":7/);
+    const listed = await run(["status", "--instance-list", `http://${list.address}`]);
+    assert.equal(listed.status, 8, listed.text);
 });
 
 testing.test("ibisstep: the help of each command has its usage, options and exit codes", async () => {
