--- a/test/quarantine/controller.test.ts
+++ b/test/quarantine/controller.test.ts
@@ -37,8 +37,7 @@
 
 function start(documents: MemoryDocuments, wall = { time: 0 }) {
     const board = boards.createBoard();
-    const clock = new clocks.VirtualClock();
-    clock.wallTime = () => wall.time;
+    const clock = Object.assign(new clocks.VirtualClock(1), { wallTime: () => wall.time });
     const parts = { board, documents, clock, journal: journal.silentJournal };
     return { board, wall, controller: new controllers.QuarantineController(parts) };
 }
--- a/test/quarantine/simulation.test.ts
+++ b/test/quarantine/simulation.test.ts
@@ -81,8 +81,7 @@
     start(documents: Map<string, gossip.Document>): void {
         this.documents = documents;
         this.listeners = [];
-        const clock = new clocks.VirtualClock();
-        clock.wallTime = () => this.world.now;
+        const clock = Object.assign(new clocks.VirtualClock(1), { wallTime: () => this.world.now });
         const { board: sections, onWorse } = this;
         const parts = { board: sections, documents: this, clock, journal: journal.silentJournal, onWorse };
         this.controller = new controllers.QuarantineController(parts);
