Queue jobs by fair share at the agent

Cause: one customer at several times its rate, or with many long prompts, must not slow the others. Change: start-time fair queueing over cost with weights, two priorities as weighted classes, bounds by tokens and count, shedding of the customer furthest over its share, early refusal, correction of the cost, jobs that run alone.

--- a/src/fairness/failures.ts
+++ b/src/fairness/failures.ts
@@ -1,4 +1,37 @@
-/** Failures of this feature. */
+/** Failures of waiting for a backend server. */
 import type * as failure from "../core/failure.js";
 
-export const failures = {} as const satisfies failure.FailureCatalogue;
+export const failures = {
+    "queue-full": {
+        number: 1901,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the queue of the backend server is full: ${detail}`,
+        hint: "The customer has the most work waiting for its share. Retry after the advised delay.",
+    },
+    "queue-deadline": {
+        number: 1902,
+        status: 504,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the request can't start before its deadline: ${detail}`,
+        hint: "Retry with a longer deadline or after the advised delay.",
+    },
+    "queue-cancelled": {
+        number: 1903,
+        status: 499,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the caller gave up before the start: ${detail}`,
+        hint: "",
+    },
+    "queue-closed": {
+        number: 1904,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the process stops: ${detail}`,
+        hint: "Another process serves the request.",
+    },
+} as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/src/fairness/job-queue.ts
@@ -0,0 +1,132 @@
+/** Asynchronous shell around the fair queue: callers wait for a slot and return it. */
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import * as outcomes from "../core/outcome.js";
+import * as fairQueues from "./fair-queue.js";
+import type * as types from "./types.js";
+
+/** Permission to run one job. Disposal without a reported cost counts the expected one. */
+export interface Slot extends Disposable {
+    /** Ends the job with its real cost in tokens. */
+    complete(actualCost: number): void;
+}
+
+type Settle = (outcome: outcomes.Outcome<Slot>) => void;
+
+export class JobQueue implements Disposable {
+    private readonly queue: fairQueues.FairQueue;
+    private readonly waiting = new Map<number, Settle>();
+    private timer: AbortController | undefined;
+    private timerAt = Number.POSITIVE_INFINITY;
+    private lastId = 0;
+    private closed = false;
+
+    constructor(limits: types.Limits, private readonly clock: clocks.Clock, private readonly journal: event.Journal) {
+        this.queue = new fairQueues.FairQueue(limits);
+    }
+
+    setWeights(weights: types.Weights): void {
+        this.queue.setWeights(weights);
+    }
+
+    load(): fairQueues.Load {
+        return this.queue.load();
+    }
+
+    /**
+     * Waits for a slot. Fails, always without having run anything, with `queue-full`, `queue-deadline`,
+     * `queue-cancelled` and `queue-closed`.
+     */
+    acquire(request: types.JobRequest, signal?: AbortSignal): Promise<outcomes.Outcome<Slot>> {
+        if (this.closed) {
+            return Promise.resolve(outcomes.refuse("queue-closed", request.customer));
+        }
+        if (signal?.aborted === true) {
+            return Promise.resolve(outcomes.refuse("queue-cancelled", request.customer));
+        }
+        const job = { ...request, id: ++this.lastId };
+        return new Promise(resolve => {
+            const cancel = () => {
+                if (this.queue.cancel(job.id, this.clock.now())) {
+                    this.settle(job.id, outcomes.refuse("queue-cancelled", job.customer));
+                    this.advance();
+                }
+            };
+            signal?.addEventListener("abort", cancel, { once: true });
+            this.waiting.set(job.id, outcome => {
+                signal?.removeEventListener("abort", cancel);
+                resolve(outcome);
+            });
+            this.refuseAll(this.queue.add(job, this.clock.now()));
+            this.advance();
+        });
+    }
+
+    /** Refuses the waiting jobs. Running ones finish. */
+    [Symbol.dispose](): void {
+        this.closed = true;
+        this.timer?.abort();
+        for (const id of [...this.waiting.keys()]) {
+            this.queue.cancel(id, this.clock.now());
+            this.settle(id, outcomes.refuse("queue-closed", "stopping"));
+        }
+    }
+
+    private advance(): void {
+        const now = this.clock.now();
+        this.refuseAll(this.queue.expire(now));
+        for (let job = this.queue.next(now); job !== undefined; job = this.queue.next(now)) {
+            this.settle(job.id, outcomes.succeed(this.slot(job)));
+        }
+        this.schedule(now);
+    }
+
+    private slot(job: types.Job): Slot {
+        let ended = false;
+        const complete = (actualCost: number) => {
+            if (!ended) {
+                ended = true;
+                this.queue.complete(job.id, actualCost, this.clock.now());
+                this.advance();
+            }
+        };
+        return { complete, [Symbol.dispose]: () => complete(job.cost) };
+    }
+
+    private refuseAll(refused: readonly fairQueues.RefusedJob[]): void {
+        for (const { job, refusal } of refused) {
+            this.journal.emit("queue-shed", { customer: job.customer, reason: refusal.failure.kind });
+            this.settle(job.id, refusal);
+        }
+    }
+
+    /** Wakes for the next deadline, and regularly while jobs wait: a passed-over customer gains its turn with time. */
+    private schedule(now: number): void {
+        const waits = this.waiting.size > 0;
+        const wakeAt = waits ? Math.min(this.queue.wakeAt(), now + REVIEW_INTERVAL_MS) : Number.POSITIVE_INFINITY;
+        if (waits && wakeAt >= this.timerAt && this.timerAt > now) {
+            return;
+        }
+        this.timer?.abort();
+        this.timerAt = wakeAt;
+        if (!waits || this.closed) {
+            return;
+        }
+        const timer = new AbortController();
+        this.timer = timer;
+        void this.clock.sleep(Math.max(1, wakeAt - now), timer.signal).then(() => {
+            if (!timer.signal.aborted) {
+                this.timerAt = Number.POSITIVE_INFINITY;
+                this.advance();
+            }
+        });
+    }
+
+    private settle(id: number, outcome: outcomes.Outcome<Slot>): void {
+        const settle = this.waiting.get(id);
+        this.waiting.delete(id);
+        settle?.(outcome);
+    }
+}
+
+const REVIEW_INTERVAL_MS = 50;
