--- a/test/admission/schedules.test.ts
+++ b/test/admission/schedules.test.ts
@@ -29,6 +29,8 @@
             "pause",
             "pause",
             "isolate",
+            "split",
+            "split",
             "drain",
             "store-outage",
             "store-loses-answers",
--- a/test/admission/virtual-cluster.ts
+++ b/test/admission/virtual-cluster.ts
@@ -6,10 +6,12 @@
 import type * as incarnations from "../../src/core/incarnation.js";
 import type * as manifest from "../../src/manifest/types.js";
 
+/** `split` cuts an agent off from the other agents and the store, but not from the entries. */
 export type FaultKind =
     | "crash"
     | "pause"
     | "isolate"
+    | "split"
     | "drain"
     | "store-outage"
     | "store-loses-answers"
@@ -63,6 +65,7 @@
     alive: boolean;
     pausedUntil: number;
     isolatedUntil: number;
+    splitUntil: number;
     rates: ReadonlyMap<string, manifest.Rate>;
 }
 
@@ -158,6 +161,7 @@
             alive: true,
             pausedUntil: 0,
             isolatedUntil: 0,
+            splitUntil: 0,
             rates: this.scenario.rates,
         };
     }
@@ -206,7 +210,9 @@
     /** A message between two processes; `lost` runs when it can't arrive. */
     private send(from: Process, to: Process, run: () => void, lost: () => void = () => undefined): void {
         const boot = to.boot;
-        const cut = this.now < from.isolatedUntil || this.now < to.isolatedUntil;
+        const betweenAgents = "owner" in from && "owner" in to;
+        const split = betweenAgents && this.now < Math.max(from.splitUntil, to.splitUntil);
+        const cut = split || this.now < from.isolatedUntil || this.now < to.isolatedUntil;
         if (cut || !to.alive) {
             this.after(cut ? 100 : 1, lost);
             return;
@@ -214,6 +220,10 @@
         this.after(this.delay(), () => this.deliver(to, boot, run));
     }
 
+    private cutOff(process: Process): boolean {
+        return this.now < Math.max(process.isolatedUntil, process.splitUntil);
+    }
+
     private delay(): number {
         const slow = this.now < this.slowUntil && this.random() < 0.3;
         return 0.5 + this.random() * (slow ? 400 : 3);
@@ -282,8 +292,7 @@
         const target = this.agents.find(other => other.address === incarnation.address)!;
         this.after(this.delay(), () => {
             const dead = !target.alive || String(target.boot) !== incarnation.boot;
-            const reachable = this.now >= agent.isolatedUntil && this.now >= target.isolatedUntil;
-            if (dead && reachable) {
+            if (dead && !this.cutOff(agent) && !this.cutOff(target)) {
                 this.after(
                     this.delay(),
                     () =>
@@ -307,7 +316,7 @@
                     this.deliver(agent, boot, () =>
                         this.perform(agent, agent.owner.writeFinished(holder, result, this.clock(agent)))),
             );
-        if (this.now < this.outageUntil || this.now < agent.isolatedUntil) {
+        if (this.now < this.outageUntil || this.cutOff(agent)) {
             finish({ kind: "unavailable" });
             return;
         }
@@ -338,7 +347,7 @@
     private announce(process: Agent | Entry): void {
         const boot = process.boot;
         const holder = this.stored;
-        const isolated = Math.max(0, process.isolatedUntil - this.now);
+        const isolated = Math.max(0, Math.max(process.isolatedUntil, process.splitUntil) - this.now);
         this.after(isolated + this.random() * 60, () => this.deliver(process, boot, () => this.learn(process, holder)));
     }
 
@@ -353,7 +362,7 @@
     }
 
     private readStore(process: Agent | Entry): void {
-        if (this.now < this.outageUntil || this.now < process.isolatedUntil) {
+        if (this.now < this.outageUntil || this.cutOff(process)) {
             return;
         }
         const boot = process.boot;
@@ -471,6 +480,9 @@
             case "isolate":
                 target.isolatedUntil = Math.max(target.isolatedUntil, until);
                 return;
+            case "split":
+                target.splitUntil = Math.max(target.splitUntil, until);
+                return;
             case "store-outage":
                 this.outageUntil = Math.max(this.outageUntil, until);
                 return;
