--- a/src/fairness/fair-queue.ts
+++ b/src/fairness/fair-queue.ts
@@ -16,6 +16,9 @@
 /** A job that must run alone waits this long for an idle server before it holds back the others. */
 const ALONE_PATIENCE_MS = 1000;
 
+/** A large job waits this long for room among smaller ones before it holds them back. */
+const HOLD_PATIENCE_MS = 2000;
+
 /** Estimates vary; a request is refused early only when its deadline is missed by this factor. */
 const ESTIMATE_TOLERANCE = 1.25;
 
@@ -46,6 +49,7 @@
     private virtualTime = 0;
     private runningTokens = 0;
     private queuedCost = 0;
+    private earliestDeadline = Number.POSITIVE_INFINITY;
 
     constructor(private readonly limits: types.Limits) {
         const weight = (customer: string) => this.usage.weight(customer);
@@ -74,7 +78,7 @@
      * queue is full, the latest jobs of the customers furthest over their share.
      */
     add(job: types.Job, now: number): readonly RefusedJob[] {
-        this.usage.touch(job.customer, now);
+        this.usage.request(job.customer, job.cost, now);
         this.enqueue(job, now);
         const waitMs = this.expectedWait(job);
         if (now >= job.deadline || waitMs > (job.deadline - now) * ESTIMATE_TOLERANCE) {
@@ -101,20 +105,21 @@
 
     /** Removes the jobs that can't start in time any more. */
     expire(now: number): readonly RefusedJob[] {
+        if (now < this.wakeAt()) {
+            return [];
+        }
         const late = this.waitingJobs().filter(job => now >= job.deadline);
         late.forEach(job => this.dequeue(job.id));
+        this.earliestDeadline = this.waitingJobs()
+            .reduce((earliest, job) => Math.min(earliest, job.deadline), Number.POSITIVE_INFINITY);
         this.noteSaturation(now);
         const retryAfterMs = Math.max(1, Math.ceil(this.load().expectedWaitMs));
         return late.map(job => ({ job, refusal: outcomes.refuse("queue-deadline", job.customer, retryAfterMs) }));
     }
 
-    /** The next deadline of a waiting job; infinite when none waits. */
+    /** No waiting job has an earlier deadline; infinite when none waits. */
     wakeAt(): number {
-        let earliest = Number.POSITIVE_INFINITY;
-        for (const job of this.waitingJobs()) {
-            earliest = Math.min(earliest, job.deadline);
-        }
-        return earliest;
+        return this.arrivals.size === 0 ? Number.POSITIVE_INFINITY : this.earliestDeadline;
     }
 
     /** Starts the next job, if one may start now. Call it until it returns `undefined`. */
@@ -156,7 +161,7 @@
     /**
      * Whether a job starts, is passed over for another, or holds back all others until there is room for it.
      *
-     * A job that waits only for room is not passed over, since smaller ones would then keep it waiting for ever.
+     * A job that waits only for room is not passed over for ever, since smaller ones could then take the room each time.
      */
     private judge(job: types.Job, now: number): "start" | "skip" | "hold" {
         if (job.alone) {
@@ -165,15 +170,21 @@
         if (!this.usage.permits(job.customer, this.fraction(job), now)) {
             return "skip";
         }
-        return this.runningTokens + this.occupied(job) <= this.limits.runningTokens ? "start" : "hold";
+        if (this.runningTokens + this.occupied(job) <= this.limits.runningTokens) {
+            return "start";
+        }
+        return this.hasWaited(job, HOLD_PATIENCE_MS, now) ? "hold" : "skip";
     }
 
     private judgeAlone(job: types.Job, now: number): "start" | "skip" | "hold" {
         if (this.running.size === 0) {
             return "start";
         }
-        const arrivedAt = this.arrivals.get(job.id) ?? now;
-        return now >= arrivedAt + ALONE_PATIENCE_MS ? "hold" : "skip";
+        return this.hasWaited(job, ALONE_PATIENCE_MS, now) ? "hold" : "skip";
+    }
+
+    private hasWaited(job: types.Job, durationMs: number, now: number): boolean {
+        return now >= (this.arrivals.get(job.id) ?? now) + durationMs;
     }
 
     private start(priority: types.Priority, head: flows.Tagged, now: number): types.Job {
@@ -239,6 +250,7 @@
     private enqueue(job: types.Job, now: number): void {
         this.classes[job.priority].flows.add(job);
         this.arrivals.set(job.id, now);
+        this.earliestDeadline = Math.min(this.earliestDeadline, job.deadline);
         this.queuedCost += job.cost;
     }
 
--- a/src/fairness/flows.ts
+++ b/src/fairness/flows.ts
@@ -48,7 +48,7 @@
     heads(): readonly Tagged[] {
         return [...this.flows.entries()]
             .filter(([, flow]) => flow.waiting.length > 0)
-            .map(([customer]) => this.tags(customer)[0])
+            .map(([, flow]) => this.head(flow))
             .sort(byStart);
     }
 
@@ -56,10 +56,10 @@
     tags(customer: string): readonly Tagged[] {
         const flow = this.flow(customer);
         let finish = flow.finish;
-        return flow.waiting.map(({ job, arrivedAt }) => {
-            const start = Math.max(arrivedAt, finish);
-            finish = start + job.cost / this.weight(customer);
-            return { job, start, finish };
+        return flow.waiting.map(waiting => {
+            const tagged = this.tag(waiting, finish);
+            finish = tagged.finish;
+            return tagged;
         });
     }
 
@@ -84,6 +84,15 @@
         }
     }
 
+    private head(flow: Flow): Tagged {
+        return this.tag(flow.waiting[0], flow.finish);
+    }
+
+    private tag({ job, arrivedAt }: Waiting, previousFinish: number): Tagged {
+        const start = Math.max(arrivedAt, previousFinish);
+        return { job, start, finish: start + job.cost / this.weight(job.customer) };
+    }
+
     private flow(customer: string): Flow {
         const known = this.flows.get(customer);
         if (known !== undefined) {
