Add the decisions of version rollouts

Ruled out: random assignment of versions (exceeds 5% in finite samples); a fixed sample size (its error grows when it is read early); a null rate equal to the old version's estimate (too low by chance, so good versions would be proved bad); counting each request that one crash takes (one event would look like a proof); a veto by the name of the rollout alone (a reused name would start vetoed).

--- a/src/rollout/failures.ts
+++ b/src/rollout/failures.ts
@@ -1,4 +1,45 @@
-/** Failures of this feature. */
+/** Failures of version rollouts. */
 import type * as failure from "../core/failure.js";
 
-export const failures = {} as const satisfies failure.FailureCatalogue;
+export const failures = {
+    "version-withdrawn": {
+        number: 2501,
+        status: 503,
+        execution: "not-run",
+        retry: "same-request",
+        message: detail => `the weights version is withdrawn: ${detail}`,
+        hint: "The entry sends the request to the old version. The report of the rollout says why it was rolled back.",
+    },
+    "rollout-order-fenced": {
+        number: 2502,
+        status: 409,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the order has an old fencing number: ${detail}`,
+        hint: "A newer coordinator has given orders; the sender stops by itself.",
+    },
+    "rollout-order-unsafe": {
+        number: 2503,
+        status: 409,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the order would unload weights that serve: ${detail}`,
+        hint: "The coordinator has an older configuration or status than the agent and corrects its plan.",
+    },
+    "rollout-order-malformed": {
+        number: 2504,
+        status: 400,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the order is malformed: ${detail}`,
+        hint: "Check that the versions of the processes match.",
+    },
+    "rollout-status-invalid": {
+        number: 2505,
+        status: 500,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the status of the rollouts is malformed: ${detail}`,
+        hint: "Correct or delete the object rollout/status. No rollout proceeds until then; each ends at its deadline.",
+    },
+} as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/src/rollout/status-object.ts
@@ -0,0 +1,94 @@
+/** The object `rollout/status` and the document `rollouts`, which hold the same JSON. */
+import * as zod from "zod";
+import * as outcomes from "../core/outcome.js";
+import type * as gossip from "../gossip/types.js";
+import * as settledWrites from "../platform/settled-write.js";
+import * as platform from "../platform/types.js";
+import type * as types from "./types.js";
+
+export const STATUS_OBJECT = "rollout/status";
+export const STATUS_DOCUMENT = "rollouts";
+export const VETO_PREFIX = "veto/";
+
+const WRITE_ATTEMPTS = 3;
+
+const status = zod.object({
+    rollout: zod.string(),
+    model: zod.string(),
+    from: zod.string(),
+    to: zod.string(),
+    phase: zod.enum(["loading", "shifting", "done", "rolled-back"]),
+    share: zod.number().min(0).max(1),
+    fencingNumber: zod.int().nonnegative(),
+    reason: zod.string(),
+    changedAt: zod.number(),
+});
+const content = zod.object({ statuses: zod.array(status) });
+
+export interface StoredStatuses {
+    /** Version of the object; 0 when there is none. */
+    readonly version: number;
+    readonly statuses: readonly types.RolloutStatus[];
+}
+
+/** Fails with `rollout-status-invalid`. */
+export function decode(value: unknown, version: number): outcomes.Outcome<StoredStatuses> {
+    const parsed = content.safeParse(value);
+    return parsed.success
+        ? outcomes.succeed({ version, statuses: parsed.data.statuses })
+        : outcomes.refuse("rollout-status-invalid", parsed.error.issues.map(issue => issue.message).join("; "));
+}
+
+/** Fails with `store-unavailable` or `rollout-status-invalid`. */
+export async function read(store: platform.ObjectStore): Promise<outcomes.Outcome<StoredStatuses>> {
+    const found = await store.get(STATUS_OBJECT);
+    if (!found.ok) {
+        return found;
+    }
+    return found.value === undefined
+        ? outcomes.succeed({ version: platform.ABSENT, statuses: [] })
+        : decode(parse(found.value.value), found.value.version);
+}
+
+/**
+ * Replaces the statuses that were read as `base`. Each write of a coordinator carries its fencing number or a new time,
+ * so its value differs from that of any other writer.
+ *
+ * Fails with the failures of `putSettled`, and with `rollout-order-fenced` over a status with a higher fencing number.
+ */
+export async function write(
+    store: platform.ObjectStore,
+    base: StoredStatuses,
+    statuses: readonly types.RolloutStatus[],
+    fencingNumber: number,
+): Promise<outcomes.Outcome<StoredStatuses>> {
+    const highest = highestFencingNumber(base.statuses);
+    if (highest > fencingNumber) {
+        return outcomes.refuse("rollout-order-fenced", `${fencingNumber}, the status has ${highest}`);
+    }
+    const value = JSON.stringify({ statuses });
+    const candidate = { name: STATUS_OBJECT, value, expectedVersion: base.version };
+    const written = await settledWrites.putSettled(store, candidate, WRITE_ATTEMPTS);
+    return written.ok ? outcomes.succeed({ version: written.value, statuses }) : written;
+}
+
+export function toDocument(stored: StoredStatuses): gossip.Document {
+    return { name: STATUS_DOCUMENT, version: stored.version, value: { statuses: stored.statuses } };
+}
+
+export function highestFencingNumber(statuses: readonly types.RolloutStatus[]): number {
+    return statuses.reduce((highest, item) => Math.max(highest, item.fencingNumber), 0);
+}
+
+export function vetoDocument(identity: string, reason: string): gossip.Document {
+    return { name: `${VETO_PREFIX}${identity}`, version: 1, value: { reason } };
+}
+
+function parse(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/src/rollout/types.ts
+++ b/src/rollout/types.ts
@@ -22,8 +22,46 @@
 export interface Rollouts {
     readonly version: number;
     readonly statuses: readonly RolloutStatus[];
-    /** Names of rollouts whose new version is proved bad; never shrinks for a rollout. */
+    /** Identities of rollouts whose new version is proved bad; never shrinks for a rollout. */
     readonly vetoes: ReadonlySet<string>;
 }
 
 export const emptyRollouts: Rollouts = { version: 0, statuses: [], vetoes: new Set() };
+
+/** What distinguishes one rollout from another one of the same name. */
+export interface RolloutIdentity {
+    readonly name: string;
+    readonly model: string;
+    readonly from: string;
+    readonly to: string;
+}
+
+/**
+ * Identity of a rollout in documents and counts. A name that is reused for other versions is another rollout, so an old
+ * veto does not bind it; a change of steps or deadline keeps the identity, so that it cannot lift a veto.
+ */
+export function identityOf(rollout: RolloutIdentity): string {
+    return [rollout.name, rollout.model, rollout.from, rollout.to].join(":");
+}
+
+export function identityOfStatus(status: RolloutStatus): string {
+    return identityOf({ ...status, name: status.rollout });
+}
+
+export function statusOf(rollouts: Rollouts, rollout: RolloutIdentity): RolloutStatus | undefined {
+    const identity = identityOf(rollout);
+    return rollouts.statuses.find(status => identityOfStatus(status) === identity);
+}
+
+export type LoadLevel = "low" | "medium" | "high";
+
+/** Counts of one version on one route at one load level. */
+export interface OutcomeCount {
+    readonly weightsVersion: string;
+    readonly route: string;
+    readonly loadLevel: LoadLevel;
+    /** Requests that ended, the failed and slow ones included. */
+    readonly finished: number;
+    readonly failed: number;
+    readonly slow: number;
+}
--- /dev/null
+++ b/src/rollout/version-choice.ts
@@ -0,0 +1,77 @@
+/** Chooses the weights version of a request at the entry, before a server is selected. */
+import type * as boards from "../daemon/board.js";
+import type * as manifest from "../manifest/types.js";
+import * as effects from "./effect.js";
+import * as shareCounters from "./share-counter.js";
+import * as types from "./types.js";
+
+export interface VersionChoiceOptions {
+    readonly board: boards.Board;
+    /** Milliseconds since the Unix epoch. */
+    readonly wallTime: () => number;
+    /** Whether a live server has the weights. */
+    readonly isServable: (model: manifest.Model, weightsVersion: string) => boolean;
+}
+
+export class VersionChoice {
+    private readonly counters = new Map<string, shareCounters.ShareCounter>();
+
+    constructor(private readonly options: VersionChoiceOptions) {}
+
+    /** Version of a new request; called once per request. */
+    choose(model: manifest.Model): string {
+        const { board, wallTime, isServable } = this.options;
+        const configuration = board.read("configuration");
+        const rollouts = board.read("rollouts");
+        const rollout = effects.rolloutOf(configuration, model.name);
+        const settled = effects.effectiveVersion(configuration, rollouts, model, wallTime());
+        if (rollout === undefined) {
+            this.counters.delete(model.name);
+            return settled;
+        }
+        if (settled === rollout.to) {
+            return isServable(model, rollout.to) ? rollout.to : rollout.from;
+        }
+        const share = effects.effectiveShare(rollout, rollouts, wallTime());
+        const isNew = share > 0 && this.counter(rollout).assign(share, isServable(model, rollout.to));
+        return isNew ? rollout.to : settled;
+    }
+
+    /**
+     * Versions for one attempt of a request that has the given version, best first. A continuation stays on its version
+     * unless that was withdrawn. `refusedAsWithdrawn` says that an agent refused the version; the entry may not know the
+     * veto yet.
+     */
+    versionsFor(model: manifest.Model, chosen: string, refusedAsWithdrawn: boolean): readonly string[] {
+        const { board, wallTime } = this.options;
+        const rollouts = board.read("rollouts");
+        const rollout = effects.rolloutOf(board.read("configuration"), model.name);
+        if (rollout === undefined) {
+            return this.versionsWithoutRollout(model, chosen);
+        }
+        const isDone = types.statusOf(rollouts, rollout)?.phase === "done";
+        const isWithdrawn = refusedAsWithdrawn || effects.isWithdrawn(rollout, rollouts, wallTime());
+        if (chosen === rollout.to) {
+            return isWithdrawn ? [rollout.from] : [rollout.to, rollout.from];
+        }
+        // Once the rollout is done the old weights may be gone.
+        return isDone && !isWithdrawn ? [chosen, rollout.to] : [chosen];
+    }
+
+    /** The rollout of a request in flight has left the manifest; the model may have another version by now. */
+    private versionsWithoutRollout(model: manifest.Model, chosen: string): readonly string[] {
+        const { board, wallTime } = this.options;
+        const configuration = board.read("configuration");
+        const current = configuration.models.get(model.name) ?? model;
+        const mayStay = effects.mayRun(configuration, board.read("rollouts"), current, chosen, wallTime());
+        return mayStay && chosen !== current.weightsVersion
+            ? [chosen, current.weightsVersion]
+            : [current.weightsVersion];
+    }
+
+    private counter(rollout: manifest.Rollout): shareCounters.ShareCounter {
+        const counter = this.counters.get(rollout.model) ?? new shareCounters.ShareCounter();
+        this.counters.set(rollout.model, counter);
+        return counter;
+    }
+}
