Join version rollouts into entries and agents

Cause: requests must be assigned to versions, counted and refused when their version is withdrawn.

Ruled out: excluding a server for the whole request after it refused only the version (it may be the one with the old version); checking the veto on arrival only (a request that waits in the queue could start after it).

Change: the entry chooses the version before the server and falls back to the old one; the agent refuses with version-withdrawn before and after the queue and counts outcomes; both roles follow statuses and vetoes.

--- a/src/agent/generation-service.ts
+++ b/src/agent/generation-service.ts
@@ -6,6 +6,8 @@
 import type * as queues from "../fairness/job-queue.js";
 import type * as manifest from "../manifest/types.js";
 import type * as recorders from "../metrics/recorder.js";
+import * as effects from "../rollout/effect.js";
+import * as outcomeCounters from "../rollout/outcome-counter.js";
 import type * as views from "../routing/cache-view.js";
 import * as prefixes from "../routing/prefix.js";
 import * as redirections from "../routing/redirection.js";
@@ -28,6 +30,9 @@
     readonly queue: queues.JobQueue;
     readonly cache: views.CacheView;
     readonly recorder: recorders.Recorder;
+    readonly outcomes: outcomeCounters.OutcomeCounter;
+    /** Requests that the engine runs at the same time. */
+    readonly slots: number;
     readonly clock: clocks.Clock;
 }
 
@@ -105,6 +110,9 @@
             return outcomes.refuse("engine-unreachable", this.options.engine.address);
         }
         const weights = states.weightsName(request.model, request.weightsVersion);
+        if (!this.mayRun(request)) {
+            return outcomes.refuse("version-withdrawn", weights);
+        }
         if (!backend.weights.includes(weights)) {
             return outcomes.refuse("weights-not-loaded", weights);
         }
@@ -119,6 +127,14 @@
         });
     }
 
+    private mayRun(request: messages.GenerateRequest): boolean {
+        const { board, clock } = this.options;
+        const configuration = board.read("configuration");
+        const model = configuration.models.get(request.model);
+        return model !== undefined
+            && effects.mayRun(configuration, board.read("rollouts"), model, request.weightsVersion, clock.wallTime());
+    }
+
     private decideRedirect(work: Work): redirections.Decision {
         const { request, prefix, cachedTokens } = work;
         const alternative = request.alternativeAddress === ""
@@ -149,6 +165,11 @@
             return;
         }
         using held = slot.value;
+        // A veto may have come while the request waited.
+        if (!this.mayRun(request)) {
+            yield failed({ kind: "version-withdrawn", detail: `${request.model}@${request.weightsVersion}` });
+            return;
+        }
         const startedAt = this.options.clock.now();
         this.options.recorder.record("queue-time", request.customer, request.priority, startedAt - arrivedAt);
         yield* this.run(work, cost => held.complete(cost));
@@ -163,6 +184,7 @@
         const remainingMs = Math.max(0, work.deadline - startedAt);
         const timer = setTimeout(() => stop.abort(), remainingMs);
         const signal = AbortSignal.any([work.signal, stop.signal]);
+        const outcome = this.beginOutcome(request, startedAt);
         try {
             for await (const event of this.options.engine.generate(engineRequest(request, prefix.scope), signal)) {
                 if (event.type === "start") {
@@ -171,6 +193,10 @@
                 if (event.type === "token") {
                     tokens++;
                     this.learnPrefill(tokens, uncachedTokens, startedAt);
+                    outcome?.token(this.options.clock.now());
+                }
+                if (event.type === "end" || event.type === "failed") {
+                    outcome?.end(this.options.clock.now(), event.type === "failed" ? event.failure : undefined);
                 }
                 const expired = event.type === "failed" && stop.signal.aborted;
                 yield expired
@@ -180,10 +206,25 @@
         }
         finally {
             clearTimeout(timer);
+            outcome?.end(this.options.clock.now(), { kind: "engine-cancelled", detail: request.requestId });
             complete(uncachedTokens + tokens);
         }
     }
 
+    private beginOutcome(
+        request: messages.GenerateRequest,
+        now: number,
+    ): outcomeCounters.RequestOutcome | undefined {
+        const { board, queue, slots } = this.options;
+        return this.options.outcomes.begin({
+            model: request.model,
+            weightsVersion: request.weightsVersion,
+            route: request.route,
+            backendBoot: board.read("backend").boot,
+            loadLevel: outcomeCounters.loadLevelOf(queue.load(), slots),
+        }, now);
+    }
+
     private learnPrefill(tokens: number, uncachedTokens: number, startedAt: number): void {
         if (tokens !== 1 || uncachedTokens <= 0) {
             return;
--- a/src/daemon/agent-role.ts
+++ b/src/daemon/agent-role.ts
@@ -15,9 +15,15 @@
 import * as ledgers from "../idempotency/call-ledger.js";
 import * as serviceClients from "../idempotency/service-client.js";
 import type * as manifest from "../manifest/types.js";
+import * as rolloutControllers from "../rollout/controller.js";
+import * as orderGates from "../rollout/order-gate.js";
+import * as outcomeCounters from "../rollout/outcome-counter.js";
+import * as rolloutServices from "../rollout/service.js";
+import * as rolloutTransports from "../rollout/transport.js";
 import * as views from "../routing/cache-view.js";
 import * as agentMessages from "../rpc/gen/ibisstep/v1/agent_pb.js";
 import * as budgetMessages from "../rpc/gen/ibisstep/v1/budget_pb.js";
+import * as rolloutMessages from "../rpc/gen/ibisstep/v1/rollout_pb.js";
 import * as health from "./health-server.js";
 import * as loops from "./loop.js";
 import type * as nodes from "./node.js";
@@ -33,6 +39,7 @@
     readonly schedules: readonly loops.Schedule[];
     readonly calls?: calls.CallService;
     readonly generations?: generations.GenerationService;
+    readonly engine?: engineClients.EngineClient;
     /** Completes what must not be lost at shutdown. */
     readonly flush: () => Promise<void>;
 }
@@ -41,6 +48,7 @@
 export async function run(node: nodes.Node): Promise<void> {
     await using stack = new disposal.DisposalStack();
     stack.use(node);
+    stack.use(node.followRollouts());
     await node.start();
     const budgets = new budgetControllers.BudgetController({
         ...node.shared,
@@ -54,11 +62,14 @@
         checkNewWork: () => node.membership.checkNewWork(),
         require: node.require,
     });
-    const backend = createBackend(node, gate);
+    const counter = new outcomeCounters.OutcomeCounter(node.board, () => node.clock.wallTime());
+    const backend = createBackend(node, gate, counter);
+    const rollouts = createRollouts(node, counter, backend.engine);
     stack.use(followBackend(node));
     stack.use(
         await node.listen(router => {
             router.service(budgetMessages.BudgetService, budgetServices.createBudgetService(budgets));
+            router.service(rolloutMessages.RolloutService, rollouts.service);
             router.service(
                 agentMessages.AgentService,
                 agentServices.createAgentService({
@@ -73,6 +84,7 @@
     const schedules = [
         ...node.schedules(),
         { controller: budgets, intervalMs: budgetControllers.STEP_INTERVAL_MS },
+        { controller: rollouts.controller, intervalMs: rolloutControllers.STEP_INTERVAL_MS },
         ...backend.schedules,
     ];
     stack.use(new loops.ControllerLoop(schedules, node.clock, node.journal));
@@ -89,16 +101,38 @@
     return node.ready() && node.board.read("backend").reachable;
 }
 
-function createBackend(node: nodes.Node, gate: gates.Gate): Backend {
-    return BACKEND_KINDS[node.settings.backend_kind](node, gate);
+/** The part of the agent in version rollouts; each agent can be the coordinator. */
+function createRollouts(
+    node: nodes.Node,
+    counter: outcomeCounters.OutcomeCounter,
+    engine: engineClients.EngineClient | undefined,
+) {
+    const { board, clock } = node;
+    const orders = new orderGates.OrderGate({ board, engine, wallTime: () => clock.wallTime() });
+    return {
+        controller: new rolloutControllers.RolloutController({
+            ...node.shared,
+            self: node.self,
+            store: node.store,
+            liveness: node.liveness,
+            transport: rolloutTransports.createRolloutTransport(node.pool),
+            counter,
+        }),
+        service: rolloutServices.createRolloutService({ self: node.self, counter, orders, now: () => clock.now() }),
+    };
 }
 
-const BACKEND_KINDS: Readonly<Record<manifest.ServerKind, (node: nodes.Node, gate: gates.Gate) => Backend>> = {
+type CreateBackend = (node: nodes.Node, gate: gates.Gate, counter: outcomeCounters.OutcomeCounter) => Backend;
+
+const createBackend: CreateBackend = (node, gate, counter) =>
+    BACKEND_KINDS[node.settings.backend_kind](node, gate, counter);
+
+const BACKEND_KINDS: Readonly<Record<manifest.ServerKind, CreateBackend>> = {
     engine: createEngine,
     service: createService,
 };
 
-function createEngine(node: nodes.Node, gate: gates.Gate): Backend {
+function createEngine(node: nodes.Node, gate: gates.Gate, outcomes: outcomeCounters.OutcomeCounter): Backend {
     const { settings, board, clock, journal, recorder } = node;
     const engine = new engineClients.EngineClient(settings.backend_address ?? "");
     const cache = new views.CacheView();
@@ -119,7 +153,18 @@
             { controller: monitor, intervalMs: ENGINE_POLL_MS },
             { controller: new followers.CacheFollower(engine, cache, clock), intervalMs: 0 },
         ],
-        generations: new generations.GenerationService({ gate, board, engine, queue, cache, recorder, clock }),
+        engine,
+        generations: new generations.GenerationService({
+            gate,
+            board,
+            engine,
+            queue,
+            cache,
+            recorder,
+            outcomes,
+            slots: settings.backend.slots,
+            clock,
+        }),
         flush: async () => queue[Symbol.dispose](),
     };
 }
--- a/src/daemon/entry-role.ts
+++ b/src/daemon/entry-role.ts
@@ -12,6 +12,7 @@
 import * as intakes from "../entry/intake.js";
 import * as modelLists from "../entry/model-list.js";
 import * as serverSelections from "../entry/server-selection.js";
+import * as versionChoices from "../rollout/version-choice.js";
 import * as loops from "./loop.js";
 import type * as nodes from "./node.js";
 
@@ -21,6 +22,7 @@
     stack.use(node);
     const { board, clock, settings } = node;
     stack.use(node.followHolders());
+    stack.use(node.followRollouts());
     await node.start();
     const transport = transports.createTransport(node.pool);
     const admission = stack.use(new admissions.AdmissionClient({ board, transport, clock }));
@@ -53,12 +55,18 @@
         random: () => clock.random(),
     });
     stack.use(board.subscribe("members", members => servers.retain(members)));
+    const versions = new versionChoices.VersionChoice({
+        board,
+        wallTime: () => clock.wallTime(),
+        isServable: (model, weightsVersion) => servers.isServable(model, weightsVersion),
+    });
     const chats = new chatPipelines.ChatPipeline({
         settings,
         board,
         intake,
         caller,
         servers,
+        versions,
         recorder: node.recorder,
         clock,
         journal: node.journal,
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -21,6 +21,7 @@
 import * as recorders from "../metrics/recorder.js";
 import * as instanceLists from "../platform/instance-list-client.js";
 import * as objectApis from "../platform/object-api-client.js";
+import * as rolloutSections from "../rollout/section.js";
 import * as pools from "../rpc/client-pool.js";
 import * as operationsMessages from "../rpc/gen/ibisstep/v1/operations_pb.js";
 import * as peerMessages from "../rpc/gen/ibisstep/v1/peer_pb.js";
@@ -150,6 +151,11 @@
         return holdersSections.followHolders(this.documents, this.board, this.journal);
     }
 
+    /** Follows the status and the vetoes of version rollouts. */
+    followRollouts(): AsyncDisposable {
+        return rolloutSections.followRollouts(this.documents, this.board, this.journal);
+    }
+
     /** Begins the drain on SIGTERM and SIGINT. */
     drainOnSignal(): Disposable {
         return drains.drainOnSignal(this.drain, process);
--- a/src/entry/chat-pipeline.ts
+++ b/src/entry/chat-pipeline.ts
@@ -6,6 +6,7 @@
 import type * as boards from "../daemon/board.js";
 import type * as manifest from "../manifest/types.js";
 import type * as recorders from "../metrics/recorder.js";
+import type * as versionChoices from "../rollout/version-choice.js";
 import type * as settings from "../settings/schema.js";
 import * as chatRequests from "../streams/chat-request.js";
 import * as openai from "../streams/openai.js";
@@ -35,6 +36,7 @@
     readonly intake: intake.Intake;
     readonly caller: callers.AgentCaller;
     readonly servers: serverSelection.ServerSelection;
+    readonly versions: versionChoices.VersionChoice;
     readonly recorder: recorders.Recorder;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
@@ -117,10 +119,11 @@
 
     private generation(request: types.InboundRequest, chat: Chat, customer: string): attempts.Generation {
         const { model, adapter, prompt, priority } = chat;
+        const weightsVersion = this.options.versions.choose(model);
         return {
             requestId: request.id,
             customer,
-            demand: { customer, model, adapter, weightsVersion: model.weightsVersion, prompt },
+            demand: { customer, model, adapter, weightsVersion, prompt },
             priority,
             maxTokens: chat.request.maxTokens,
             fingerprint: hashing.sha256(`${customer}\n${model.name}\n${adapter}\n${chat.request.maxTokens}\n${prompt}`),
@@ -134,18 +137,19 @@
 class Exchange {
     private choice: serverSelection.Choice | undefined;
     private attemptId = "";
+    /** Servers that refused only the version; they can run the request on another one. */
+    private readonly refusedVersion = new Set<string>();
 
     constructor(
-        private readonly generation: attempts.Generation,
+        private generation: attempts.Generation,
         private readonly options: ChatPipelineOptions,
         private readonly writer: AnswerWriter,
     ) {}
 
     readonly open: streams.OpenAttempt = async (plan, signal) => {
-        const { servers, clock, caller, board } = this.options;
+        const { caller, board } = this.options;
         this.attemptId = `${this.generation.requestId}-${plan.attempt}`;
-        const demand = { ...this.generation.demand, excluded: plan.excluded, preferred: plan.preferred };
-        const choice = servers.select(demand, this.attemptId, clock.now());
+        const choice = this.select(plan);
         if (choice === undefined) {
             return attempts.noServer(this.generation.demand);
         }
@@ -160,6 +164,24 @@
         });
     };
 
+    /** Selects a server with the version of the request, or with the next one that it may run on. */
+    private select(plan: streams.AttemptPlan): serverSelection.Choice | undefined {
+        const { servers, versions, clock } = this.options;
+        const { demand } = this.generation;
+        const excluded = new Set([...plan.excluded].filter(server => !this.refusedVersion.has(server)));
+        const isRefused = this.refusedVersion.size > 0;
+        for (const weightsVersion of versions.versionsFor(demand.model, demand.weightsVersion, isRefused)) {
+            const attempted = { ...demand, weightsVersion };
+            const wanted = { ...attempted, excluded, preferred: plan.preferred };
+            const choice = servers.select(wanted, this.attemptId, clock.now());
+            if (choice !== undefined) {
+                this.generation = { ...this.generation, demand: attempted };
+                return choice;
+            }
+        }
+        return undefined;
+    }
+
     readonly sink: streams.Sink = {
         started: started => {
             const { servers, clock, recorder } = this.options;
@@ -174,6 +196,9 @@
         attemptFailed: (server, failure) => {
             const { servers, clock } = this.options;
             servers.ended(server, this.attemptId);
+            if (failure.kind === "version-withdrawn") {
+                this.refusedVersion.add(server);
+            }
             if (failure.kind === "peer-connection-lost" || failure.kind === "engine-connection-lost") {
                 servers.lost(server, clock.now());
             }
--- a/src/entry/server-selection.ts
+++ b/src/entry/server-selection.ts
@@ -67,6 +67,11 @@
         return { address: chosen.address, alternative, prefix, request, sentAt: now };
     }
 
+    /** Whether a live server has the weights. */
+    isServable(model: manifest.Model, weightsVersion: string): boolean {
+        return this.candidates({ model, weightsVersion, excluded: new Set() }).length > 0;
+    }
+
     /** Learns from the first event of a reply. */
     started(
         choice: Choice,
@@ -102,7 +107,7 @@
         this.loads.retain(addresses);
     }
 
-    private candidates(demand: Demand): readonly routing.Candidate[] {
+    private candidates(demand: Pick<Demand, "model" | "weightsVersion" | "excluded">): readonly routing.Candidate[] {
         const { board, dataCentre } = this.options;
         const { backendServers } = board.read("configuration");
         const weights = states.weightsName(demand.model.name, demand.weightsVersion);
