--- /dev/null
+++ b/test/rollout/fleet.ts
@@ -0,0 +1,452 @@
+/** Agents with engines, entries and their traffic in virtual time, with the real decisions and controllers. */
+import type * as engineTypes from "../../src/agent/engine-types.js";
+import * as outcomes from "../../src/core/outcome.js";
+import * as boards from "../../src/daemon/board.js";
+import * as tables from "../../src/gossip/table.js";
+import type * as gossip from "../../src/gossip/types.js";
+import * as journals from "../../src/logging/journal.js";
+import * as manifest from "../../src/manifest/types.js";
+import type * as membership from "../../src/membership/types.js";
+import type * as platform from "../../src/platform/types.js";
+import * as controllers from "../../src/rollout/controller.js";
+import * as effects from "../../src/rollout/effect.js";
+import * as orderGates from "../../src/rollout/order-gate.js";
+import * as outcomeCounters from "../../src/rollout/outcome-counter.js";
+import * as sections from "../../src/rollout/section.js";
+import * as statusObjects from "../../src/rollout/status-object.js";
+import type * as transports from "../../src/rollout/transport.js";
+import type * as types from "../../src/rollout/types.js";
+import * as versionChoices from "../../src/rollout/version-choice.js";
+import * as memoryStores from "../support/memory-object-store.js";
+import * as virtualTime from "../support/virtual-time.js";
+
+export const MODEL = "menu";
+export const FROM = "v1";
+export const TO = "v2";
+export const SLOTS = 4;
+
+const TICK_MS = 50;
+const LOAD_MS = 500;
+const GOSSIP_DELAY_MS = 600;
+const ROUTES = ["chat", "review"];
+const ENTRIES = 4;
+/** Requests per second of the whole fleet in quiet and in busy periods, and the length of a period. */
+const QUIET_RATE = 80;
+const BUSY_RATE = 240;
+const PERIOD_MS = 2000;
+const BASE_FAILURE_RATE = 0.004;
+const BASE_SLOW_RATE = 0.01;
+const HIGH_LOAD_SLOW_RATE = 0.04;
+
+/** Fault of the new version. */
+export interface Fault {
+    readonly effect: "fail" | "slow" | "none";
+    /** Part of the requests that show it, among those to which it applies. */
+    readonly rate: number;
+    readonly afterRequests: number;
+    readonly onlyUnderLoad: boolean;
+    readonly onlyRoute: string;
+}
+
+export const noFault: Fault = { effect: "none", rate: 0, afterRequests: 0, onlyUnderLoad: false, onlyRoute: "" };
+
+export interface FleetOptions {
+    readonly seed: number;
+    readonly agents?: number;
+    readonly fault?: Fault;
+    readonly deadlineMs?: number;
+    readonly stepMs?: number;
+}
+
+interface Process {
+    readonly address: string;
+    readonly board: boards.Board;
+    readonly documents: tables.DocumentTable;
+    readonly shared: gossip.Documents;
+}
+
+export interface Agent extends Process {
+    boot: string;
+    counter: outcomeCounters.OutcomeCounter;
+    orders: orderGates.OrderGate;
+    controller: controllers.RolloutController;
+    paused: boolean;
+    nextStepAt: number;
+    engineBoot: number;
+    readonly weights: Set<string>;
+    /** Fencing numbers of the orders that the engine carried out, which ignores them itself. */
+    readonly orderNumbers: number[];
+    readonly running: Running[];
+}
+
+interface Running {
+    readonly endsAt: number;
+    readonly finish: (now: number) => void;
+}
+
+export class Fleet {
+    readonly time: virtualTime.VirtualTime;
+    readonly store = new memoryStores.MemoryObjectStore();
+    readonly agents: Agent[] = [];
+    readonly entries: (Process & { readonly versions: versionChoices.VersionChoice; })[] = [];
+    /** Statuses of each write of the object, in order. */
+    readonly history: (readonly types.RolloutStatus[])[] = [];
+    requests = 0;
+    newRequests = 0;
+    lastNewRequestAt = Number.NEGATIVE_INFINITY;
+    /** Time at which the first process knew a proof, with the requests until then. */
+    verdict: { readonly at: number; readonly requests: number; readonly newRequests: number; } | undefined;
+    configuration: manifest.Configuration;
+    private stopped = false;
+
+    constructor(readonly options: FleetOptions) {
+        this.time = new virtualTime.VirtualTime(options.seed);
+        const addresses = Array.from({ length: options.agents ?? 8 }, (_, index) => `agent-${index}`);
+        this.configuration = this.declare(addresses);
+        addresses.forEach(address => this.agents.push(this.createAgent(address)));
+        for (let index = 0; index < ENTRIES; index++) {
+            const process = this.createProcess(`entry-${index}`);
+            const versions = new versionChoices.VersionChoice({
+                board: process.board,
+                wallTime: () => this.time.wallTime(),
+                isServable: (_model, version) => this.agents.some(agent => agent.weights.has(`${MODEL}@${version}`)),
+            });
+            this.entries.push({ ...process, versions });
+        }
+        this.configure(this.configuration);
+        void this.drive();
+    }
+
+    get rollout(): manifest.Rollout {
+        return this.configuration.rollouts[0];
+    }
+
+    /** The status as the store has it. */
+    get status(): types.RolloutStatus | undefined {
+        return this.history.at(-1)?.find(status => status.to === this.rollout.to);
+    }
+
+    /** Puts a configuration in force on all processes. */
+    configure(configuration: manifest.Configuration): void {
+        this.configuration = configuration;
+        [...this.agents, ...this.entries].forEach(process => process.board.write("configuration", configuration));
+    }
+
+    async run(durationMs: number, isDone: () => boolean = () => false): Promise<void> {
+        await this.time.run(this.time.now() + durationMs, isDone);
+    }
+
+    async runUntilDeadline(isDone: () => boolean = () => false): Promise<void> {
+        const leftMs = this.rollout.deadline - this.time.wallTime();
+        await this.run(leftMs + 2000, isDone);
+    }
+
+    /** Replaces the process of an agent: its counts and the fencing number it has seen are lost. */
+    restartAgent(agent: Agent): void {
+        void agent.controller[Symbol.asyncDispose]();
+        Object.assign(agent, this.createParts(agent, agent.boot + "'"));
+    }
+
+    /** The engine comes back with the weights of its settings only. */
+    crashEngine(agent: Agent): void {
+        agent.engineBoot++;
+        agent.weights.clear();
+        agent.weights.add(`${MODEL}@${FROM}`);
+        const running = agent.running.splice(0);
+        running.forEach(request => request.finish(Number.NaN));
+    }
+
+    holder(): Agent | undefined {
+        const numbers = this.agents.map(agent => ({ agent, number: holderNumber(agent, this.time.now()) }));
+        return numbers.filter(item => item.number > 0).sort((left, right) => right.number - left.number)[0]?.agent;
+    }
+
+    async stop(): Promise<void> {
+        this.stopped = true;
+        this.agents.forEach(agent => agent.paused = false);
+        const disposal = Promise.all(this.agents.map(agent => agent.controller[Symbol.asyncDispose]()));
+        await this.run(120_000);
+        await disposal;
+    }
+
+    private declare(addresses: readonly string[]): manifest.Configuration {
+        const model: manifest.Model = {
+            name: MODEL,
+            weightsVersion: FROM,
+            adapters: [],
+            pieceTokens: 1024,
+            parallelLoads: 2,
+        };
+        const servers = addresses.map((address): manifest.BackendServer => ({
+            name: address,
+            dataCentre: "dc",
+            kind: "engine",
+            agentAddress: address,
+            models: [MODEL],
+            service: "",
+            weight: 1,
+            checksFencing: false,
+        }));
+        return {
+            ...manifest.emptyConfiguration,
+            version: 1,
+            models: new Map([[MODEL, model]]),
+            backendServers: new Map(servers.map(server => [server.name, server])),
+            rollouts: [{
+                name: "spring",
+                model: MODEL,
+                from: FROM,
+                to: TO,
+                steps: [0.05, 0.25, 0.5, 1],
+                deadline: this.time.wallTime() + (this.options.deadlineMs ?? 60_000),
+                stepMs: this.options.stepMs ?? 3000,
+            }],
+        };
+    }
+
+    private createProcess(address: string): Process {
+        const board = boards.createBoard();
+        const documents = new tables.DocumentTable();
+        sections.followRollouts(documents, board, journals.silentJournal);
+        const shared: gossip.Documents = {
+            get: name => documents.get(name),
+            list: prefix => documents.list(prefix),
+            subscribe: (prefix, listener) => documents.subscribe(prefix, listener),
+            publish: document => {
+                const isNew = documents.publish(document);
+                if (isNew) {
+                    this.spread(document, address);
+                }
+                return isNew;
+            },
+        };
+        return { address, board, documents, shared };
+    }
+
+    private spread(document: gossip.Document, origin: string): void {
+        if (document.name.startsWith(statusObjects.VETO_PREFIX)) {
+            const { requests, newRequests } = this;
+            this.verdict ??= { at: this.time.now(), requests, newRequests };
+        }
+        for (const process of [...this.agents, ...this.entries].filter(other => other.address !== origin)) {
+            const delayMs = this.time.random() * GOSSIP_DELAY_MS;
+            void this.time.sleep(delayMs).then(() => process.documents.offer(document));
+        }
+    }
+
+    private createAgent(address: string): Agent {
+        const process = this.createProcess(address);
+        const agent = {
+            ...process,
+            boot: "",
+            paused: false,
+            nextStepAt: this.time.random() * controllers.STEP_INTERVAL_MS,
+            engineBoot: 1,
+            weights: new Set([`${MODEL}@${FROM}`]),
+            orderNumbers: [],
+            running: [],
+        } as unknown as Agent;
+        return Object.assign(agent, this.createParts(agent, "boot"));
+    }
+
+    private createParts(agent: Agent, boot: string) {
+        const wallTime = () => this.time.wallTime();
+        const counter = new outcomeCounters.OutcomeCounter(agent.board, wallTime);
+        const engine = { order: (order: engineTypes.Order) => this.carryOut(agent, order) };
+        const orders = new orderGates.OrderGate({ board: agent.board, engine, wallTime });
+        const controller = new controllers.RolloutController({
+            self: { address: agent.address, boot },
+            board: agent.board,
+            documents: agent.shared,
+            store: this.storeOf(agent),
+            liveness: { probe: async () => "unknown" },
+            transport: this.transportOf(agent),
+            counter,
+            clock: this.time,
+            journal: journals.silentJournal,
+        });
+        return { boot, counter, orders, controller };
+    }
+
+    private async carryOut(agent: Agent, order: engineTypes.Order): Promise<outcomes.Outcome<readonly string[]>> {
+        agent.orderNumbers.push(order.fencingNumber);
+        const weights = `${order.model}@${order.weightsVersion}`;
+        if (order.kind === "unload-weights") {
+            agent.weights.delete(weights);
+            return outcomes.succeed([...agent.weights]);
+        }
+        const { engineBoot } = agent;
+        await this.time.sleep(LOAD_MS);
+        if (agent.engineBoot !== engineBoot) {
+            return outcomes.refuse("engine-connection-lost", agent.address);
+        }
+        agent.weights.add(weights);
+        return outcomes.succeed([...agent.weights]);
+    }
+
+    private storeOf(agent: Agent): platform.ObjectStore {
+        const reach = async <Value>(call: () => Promise<Value>): Promise<Value> => {
+            await this.whilePaused(agent);
+            await this.time.sleep(1 + this.time.random() * 4);
+            const value = await call();
+            await this.whilePaused(agent);
+            return value;
+        };
+        return {
+            get: name => reach(() => this.store.get(name)),
+            list: prefix => reach(() => this.store.list(prefix)),
+            put: (name, value, version) =>
+                reach(async () => {
+                    const writes = this.store.writes;
+                    const result = await this.store.put(name, value, version);
+                    if (name === statusObjects.STATUS_OBJECT && this.store.writes > writes) {
+                        this.history.push((JSON.parse(value) as { statuses: types.RolloutStatus[]; }).statuses);
+                    }
+                    return result;
+                }),
+            watch: (prefix, after) => reach(() => this.store.watch(prefix, after)),
+        };
+    }
+
+    private transportOf(caller: Agent): transports.RolloutTransport {
+        const reach = async <Value>(address: string, call: (agent: Agent) => Promise<Value>) => {
+            await this.whilePaused(caller);
+            await this.time.sleep(1 + this.time.random() * 10);
+            const agent = this.agents.find(candidate => candidate.address === address) as Agent;
+            return agent.paused ? outcomes.refuse("peer-connection-lost", address) : call(agent);
+        };
+        return {
+            outcomes: (address, identity) =>
+                reach(address, async agent => {
+                    const counts = agent.counter.counts(identity, this.time.now());
+                    return outcomes.succeed({ agent: { address, boot: agent.boot }, counts });
+                }),
+            order: (order, fencingNumber) =>
+                reach(order.address, async agent => {
+                    const { kind, model, weightsVersion } = order;
+                    const result = await agent.orders.give({ kind, model, weightsVersion, fencingNumber });
+                    return result.ok ? outcomes.succeed(undefined) : result;
+                }),
+        };
+    }
+
+    private async whilePaused(agent: Agent): Promise<void> {
+        while (agent.paused) {
+            await this.time.sleep(TICK_MS);
+        }
+    }
+
+    private async drive(): Promise<void> {
+        for (let tick = 0; !this.stopped; tick++) {
+            const now = this.time.now();
+            if (tick % 4 === 0) {
+                this.announceMembers();
+            }
+            for (const agent of this.agents.filter(candidate => !candidate.paused && now >= candidate.nextStepAt)) {
+                agent.nextStepAt = now + controllers.STEP_INTERVAL_MS;
+                void agent.controller.step(now);
+            }
+            this.serve(now);
+            await this.time.sleep(TICK_MS);
+        }
+    }
+
+    private announceMembers(): void {
+        const members: membership.Members = new Map(this.agents.map(agent => [agent.address, {
+            incarnation: { address: agent.address, boot: agent.boot },
+            role: "agent",
+            dataCentre: "dc",
+            backendServer: agent.address,
+            state: "live",
+            weights: [...agent.weights],
+            manifestVersion: 1,
+            backendBoot: String(agent.engineBoot),
+        }]));
+        [...this.agents, ...this.entries].forEach(process => process.board.write("members", members));
+    }
+
+    private serve(now: number): void {
+        for (const agent of this.agents) {
+            const ended = agent.running.filter(request => request.endsAt <= now);
+            const kept = agent.running.filter(request => request.endsAt > now);
+            agent.running.splice(0, agent.running.length, ...kept);
+            ended.forEach(request => request.finish(now));
+        }
+        const rate = Math.floor(now / PERIOD_MS) % 2 === 0 ? QUIET_RATE : BUSY_RATE;
+        const expected = rate * TICK_MS / 1000;
+        const arrivals = Math.floor(expected + this.time.random());
+        for (let index = 0; index < arrivals; index++) {
+            this.request(now);
+        }
+    }
+
+    private request(now: number): void {
+        const entry = this.entries[Math.floor(this.time.random() * this.entries.length)];
+        const model = entry.board.read("configuration").models.get(MODEL) as manifest.Model;
+        const chosen = entry.versions.choose(model);
+        this.requests++;
+        for (let refused = false;; refused = true) {
+            const version = entry.versions.versionsFor(model, chosen, refused)
+                .find(candidate => this.serversOf(candidate).length > 0) ?? FROM;
+            const servers = this.serversOf(version);
+            const agent = servers[Math.floor(this.time.random() * servers.length)];
+            const { board } = agent;
+            const configuration = board.read("configuration");
+            const wallTime = this.time.wallTime();
+            if (refused || effects.mayRun(configuration, board.read("rollouts"), model, version, wallTime)) {
+                this.start(agent, version, now);
+                return;
+            }
+        }
+    }
+
+    private serversOf(version: string): readonly Agent[] {
+        return this.agents.filter(agent => agent.weights.has(`${MODEL}@${version}`));
+    }
+
+    private start(agent: Agent, version: string, now: number): void {
+        const isNew = version === TO;
+        const route = ROUTES[Math.floor(this.time.random() * ROUTES.length)];
+        const loadLevel = outcomeCounters.loadLevelOf({ running: agent.running.length, waiting: 0 }, SLOTS);
+        const fault = this.options.fault ?? noFault;
+        const shows = isNew && this.newRequests >= fault.afterRequests
+            && (!fault.onlyUnderLoad || loadLevel === "high")
+            && (fault.onlyRoute === "" || fault.onlyRoute === route)
+            && this.time.random() < fault.rate;
+        const slowRate = loadLevel === "high" ? HIGH_LOAD_SLOW_RATE : BASE_SLOW_RATE;
+        const fails = this.time.random() < BASE_FAILURE_RATE || (shows && fault.effect === "fail");
+        const slow = this.time.random() < slowRate || (shows && fault.effect === "slow");
+        if (isNew) {
+            this.newRequests++;
+            this.lastNewRequestAt = now;
+        }
+        const request = {
+            model: MODEL,
+            weightsVersion: version,
+            route,
+            loadLevel,
+            backendBoot: String(agent.engineBoot),
+        };
+        const outcome = agent.counter.begin(request, now);
+        const durationMs = slow ? 1500 : 100 + this.time.random() * 300;
+        agent.running.push({
+            endsAt: now + durationMs,
+            finish: endedAt => {
+                if (Number.isNaN(endedAt)) {
+                    outcome?.end(this.time.now(), { kind: "engine-connection-lost", detail: "crash" });
+                    return;
+                }
+                outcome?.token(now + (slow ? 1400 : 50));
+                outcome?.end(now + durationMs, fails ? { kind: "engine-failed", detail: "fault" } : undefined);
+            },
+        });
+    }
+}
+
+/** Fencing number under which an agent acts as coordinator; 0 when it does not. */
+function holderNumber(agent: Agent, now: number): number {
+    const { lease } = agent.controller as unknown as {
+        readonly lease: { fencingNumber(now: number): number | undefined; };
+    };
+    return lease.fencingNumber(now) ?? 0;
+}
--- /dev/null
+++ b/test/rollout/verdicts.test.ts
@@ -0,0 +1,93 @@
+/**
+ * Verdicts over whole rollouts in virtual time, with the real controllers, counters and version choice.
+ *
+ * Guards against a bad version that is not rolled back or gets more than its share before the verdict, and against a
+ * good version that is rolled back or late.
+ */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as fleets from "./fleet.js";
+
+const SEED = 25_012;
+const WITHDRAWAL_LIMIT_MS = 2000;
+const FIRST_SHARE = 0.05;
+
+const effect = fastCheck.constantFrom<fleets.Fault["effect"]>("fail", "slow");
+const rate = fastCheck.double({ min: 0.25, max: 1, noNaN: true });
+const seed = fastCheck.integer({ min: 1, max: 1_000_000 });
+
+const atOnce = fastCheck.record({ effect, rate, seed }).map(fault => ({ ...fleets.noFault, ...fault }));
+const onOneRoute = atOnce.map(fault => ({ ...fault, onlyRoute: "review" }));
+const underLoad = atOnce.map(fault => ({ ...fault, onlyUnderLoad: true }));
+const later = fastCheck.record({ fault: atOnce, afterRequests: fastCheck.integer({ min: 20, max: 1500 }) })
+    .map(({ fault, afterRequests }) => ({ ...fault, afterRequests }));
+
+type SeededFault = fleets.Fault & { readonly seed: number; };
+
+async function runBad(fault: SeededFault): Promise<fleets.Fleet> {
+    const { seed: fleetSeed, ...shown } = fault;
+    const fleet = new fleets.Fleet({ seed: fleetSeed, fault: shown });
+    const rolledBackFor = () => fleet.verdict !== undefined && fleet.time.now() - fleet.verdict.at > 5000;
+    await fleet.runUntilDeadline(rolledBackFor);
+    await fleet.stop();
+    return fleet;
+}
+
+function checkBad(fleet: fleets.Fleet): void {
+    const { verdict, status } = fleet;
+    assert.ok(verdict !== undefined, "no verdict");
+    assert.equal(status?.phase, "rolled-back");
+    assert.ok(status.changedAt < fleet.rollout.deadline, "rolled back after the deadline");
+    assert.match(status.reason, /requests (failed|slow) on route/);
+    assert.ok(fleet.lastNewRequestAt <= verdict.at + WITHDRAWAL_LIMIT_MS, "requests after the verdict");
+}
+
+function testBad(
+    name: string,
+    faults: fastCheck.Arbitrary<SeededFault>,
+    numRuns: number,
+    check: (fleet: fleets.Fleet) => void,
+): void {
+    testing.test(name, async context => {
+        let largest = 0;
+        await fastCheck.assert(
+            fastCheck.asyncProperty(faults, async fault => {
+                const fleet = await runBad(fault);
+                checkBad(fleet);
+                check(fleet);
+                const { newRequests = 0, requests = 1 } = fleet.verdict ?? {};
+                largest = Math.max(largest, newRequests / requests);
+            }),
+            { seed: SEED, numRuns, endOnFailure: true },
+        );
+        context.diagnostic(`largest exposure before a verdict: ${(largest * 100).toFixed(2)}%`);
+    });
+}
+
+function checkFirstShare(fleet: fleets.Fleet): void {
+    const { newRequests = 0, requests = 0 } = fleet.verdict ?? {};
+    assert.ok(newRequests <= FIRST_SHARE * requests, `${newRequests} of ${requests} requests before the verdict`);
+}
+
+testing.describe("verdicts", () => {
+    testBad("40 versions that are bad from the start are rolled back within 5%", atOnce, 40, checkFirstShare);
+    testBad("20 versions that are bad on one route are rolled back within 5%", onOneRoute, 20, checkFirstShare);
+    testBad("20 versions that are bad under load only are rolled back within 5%", underLoad, 20, checkFirstShare);
+    testBad("20 versions that become bad later are rolled back", later, 20, () => undefined);
+
+    testing.test("at least 99 of 100 good versions are done in time and none is vetoed", async context => {
+        let done = 0;
+        let vetoed = 0;
+        for (let run = 0; run < 100; run++) {
+            const fleet = new fleets.Fleet({ seed: SEED + run });
+            await fleet.runUntilDeadline(() => fleet.status?.phase === "done");
+            await fleet.stop();
+            done += Number(fleet.status?.phase === "done" && fleet.status.changedAt < fleet.rollout.deadline);
+            vetoed += Number(fleet.verdict !== undefined);
+        }
+        context.diagnostic(`done in time: ${done} of 100; vetoed: ${vetoed}`);
+        assert.ok(done >= 99, `${done} done in time`);
+        assert.equal(vetoed, 0);
+    });
+});
