--- a/src/entry/server-selection.ts
+++ b/src/entry/server-selection.ts
@@ -55,7 +55,7 @@
         const prefix = prefixes.prefixOf(scope, demand.prompt, demand.model.pieceTokens);
         const { chain, promptTokens } = prefix;
         const request = { chain, promptTokens, pieceTokens: demand.model.pieceTokens };
-        const candidates = this.candidates(demand, now);
+        const candidates = this.available(demand, now);
         const ranked = selection.choose(request, candidates, this.index, this.loads, now, this.options.random());
         const chosen = ranked.find(server => server.address === demand.preferred) ?? ranked[0];
         if (chosen === undefined) {
@@ -69,6 +69,11 @@
         return { address: chosen.address, alternative, prefix, request, sentAt: now };
     }
 
+    /** Whether a live server has the weights. */
+    isServable(model: manifest.Model, weightsVersion: string): boolean {
+        return this.candidates({ model, weightsVersion, excluded: new Set() }).length > 0;
+    }
+
     /** Learns from the first event of a reply. */
     started(
         choice: Choice,
@@ -104,11 +109,18 @@
         this.loads.retain(addresses);
     }
 
-    private candidates(demand: Demand, now: number): readonly routing.Candidate[] {
+    /** Live servers with the weights whose circuit lets a request pass. */
+    private available(demand: Demand, now: number): readonly routing.Candidate[] {
+        const candidates = this.candidates(demand);
+        const available = this.options.health.available(candidates.map(candidate => candidate.address), now);
+        return candidates.filter(candidate => available.has(candidate.address));
+    }
+
+    private candidates(demand: Pick<Demand, "model" | "weightsVersion" | "excluded">): readonly routing.Candidate[] {
         const { board, dataCentre } = this.options;
         const { backendServers } = board.read("configuration");
         const weights = states.weightsName(demand.model.name, demand.weightsVersion);
-        const candidates = [...board.read("members").values()].flatMap(member => {
+        return [...board.read("members").values()].flatMap(member => {
             const server = backendServers.get(member.backendServer);
             const address = member.incarnation.address;
             const isCandidate = member.state === "live"
@@ -124,7 +136,5 @@
                 }]
                 : [];
         });
-        const available = this.options.health.available(candidates.map(candidate => candidate.address), now);
-        return candidates.filter(candidate => available.has(candidate.address));
     }
 }
