Keep a trial at an agent whose engine is down for one round of gossip

Ruled out: holding the trial until the engine is back (an innocent suspect would wait for a whole cold start).

--- a/src/quarantine/decisions.ts
+++ b/src/quarantine/decisions.ts
@@ -4,6 +4,13 @@
 import * as outcome from "../core/outcome.js";
 import type * as types from "./types.js";
 
+/**
+ * Time in milliseconds for which an agent whose engine is down keeps a trial before it answers `engine-unreachable`;
+ * one round of anti-entropy. A restarted agent may have forgotten that this very request crashed its engine; the
+ * documents arrive meanwhile and `onWorse` ends the run with `request-quarantined`.
+ */
+export const TRIAL_HOLD_MS = 1000;
+
 /** What an entry knows beyond the table. */
 export interface EntryEvidence {
     /** See `Loss` of the streams. */
--- a/test/quarantine/simulation.test.ts
+++ b/test/quarantine/simulation.test.ts
@@ -186,7 +186,8 @@
     private begin(run: gates.Run): void {
         const work = this.works.get(run.id) as Work;
         if (!this.engineUp) {
-            this.world.after(0, () => this.end(work, "engine-unreachable"));
+            const hold = work.alone ? GOSSIP_LIMIT : 0;
+            this.world.after(hold, () => this.end(work, "engine-unreachable"));
             return;
         }
         const { boot } = this;
@@ -359,10 +360,24 @@
     assert.ok(seen.bad.every(request => request.outcome === "request-quarantined"));
 }
 
+/** Found with seed 3000: the agent of the trial restarts before its crash report reaches another process. */
+const RESTART_AFTER_TRIAL: Schedule = {
+    servers: 4,
+    entries: 2,
+    innocents: [],
+    badAt: 9,
+    badDuration: 8,
+    copies: [10],
+    copyDuration: 1,
+    agentRestarts: [{ at: 32, server: 0 }, { at: 0, server: 0 }],
+    randomness: [0, 0, 0, 801, 860, 0, 0, 4, 0, 0],
+};
+
 testing.test("quarantine: at most two servers crash and no innocent request is refused when a known suspect returns", () => {
     const copyDelay = fastCheck.integer({ min: GOSSIP_LIMIT, max: GOSSIP_LIMIT + 30 });
     const copyDuration = fastCheck.integer({ min: 1, max: 15 });
-    fastCheck.assert(fastCheck.property(schedules(copyDelay, copyDuration), check), { seed: SEED, numRuns: 2000 });
+    const options = { seed: SEED, numRuns: 2000, examples: [[RESTART_AFTER_TRIAL] as [Schedule]] };
+    fastCheck.assert(fastCheck.property(schedules(copyDelay, copyDuration), check), options);
 });
 
 testing.test("quarantine: copies that start before the suspicion spreads are withdrawn and no third server crashes", () => {
