Close the server of a test also when its assertion fails

Cause: a mutation run hung, since a failing assertion left the server of the test open. Ruled out: none. Change: the server closes after the test; the empty coverage is defined once. Conclusion: a failing test ends. The test of own connections still passes when the pools are merged, so it does not yet guard the separation of the pools.

--- a/test/idempotency/schedules-worker.ts
+++ b/test/idempotency/schedules-worker.ts
@@ -15,14 +15,7 @@
 }
 
 async function check(share: Share): Promise<ShareReport> {
-    const coverage: simulation.Coverage = {
-        runs: 0,
-        notRun: 0,
-        unknown: 0,
-        replayed: 0,
-        settledNotRun: 0,
-        crashes: 0,
-    };
+    const coverage: simulation.Coverage = { ...simulation.NO_COVERAGE };
     const property = fastCheck.asyncProperty(fastCheck.integer({ min: 0, max: 0x7fffffff }), async seed => {
         const report = await simulation.simulate(seed);
         for (const name of Object.keys(coverage) as (keyof simulation.Coverage)[]) {
--- a/test/idempotency/simulation.ts
+++ b/test/idempotency/simulation.ts
@@ -49,6 +49,15 @@
     crashes: number;
 }
 
+export const NO_COVERAGE: Readonly<Coverage> = {
+    runs: 0,
+    notRun: 0,
+    unknown: 0,
+    replayed: 0,
+    settledNotRun: 0,
+    crashes: 0,
+};
+
 export interface Report {
     readonly violations: readonly string[];
     readonly coverage: Coverage;
@@ -96,7 +105,7 @@
 
 class World {
     readonly violations: string[] = [];
-    readonly coverage: Coverage = { runs: 0, notRun: 0, unknown: 0, replayed: 0, settledNotRun: 0, crashes: 0 };
+    readonly coverage: Coverage = { ...NO_COVERAGE };
     readonly time: virtual.VirtualTime;
     private readonly random: () => number;
     private readonly objects = new Map<string, platform.StoredObject>();
--- a/test/platform/clients.test.ts
+++ b/test/platform/clients.test.ts
@@ -94,15 +94,17 @@
     }, time);
 });
 
-testing.test("object API: a server error to a write is unconfirmed, to a read it is a failure", async () => {
+testing.test("object API: a server error to a write is unconfirmed, to a read it is a failure", async context => {
     const server = http.createServer((_request, response) => response.writeHead(503).end());
+    context.after(() => {
+        server.closeAllConnections();
+        server.close();
+    });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as net.AddressInfo;
     await using client = new objectApiClient.ObjectApiClient(`http://127.0.0.1:${port}`, { time: clock.systemClock });
     assert.equal(kind(await client.put("a", "one", 0)), "store-write-unconfirmed");
     assert.equal(kind(await client.get("a")), "store-unavailable");
-    server.closeAllConnections();
-    server.close();
 });
 
 testing.test("settled write: an open write is sent again, so that its delayed copy is excluded", async () => {
