Count in-rate refusals at the entry

Cause: the users' heaviest measure had a name and no counter. Change: a request that was admitted, or whose budget holder did not answer, and that ends as not run for want of capacity counts as an in-rate refusal. Ruled out: counting refusals of the rate itself, which are outside it by the decision of the holder.

--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -1,5 +1,6 @@
 /** What each request passes first: the limit of requests in flight, its key, and the rate of its customer. */
 import type * as admission from "../admission/client.js";
+import * as catalogue from "../catalogue/failures.js";
 import type * as live from "../configuration/live-requests.js";
 import * as failures from "../core/failure.js";
 import * as outcomes from "../core/outcome.js";
@@ -116,11 +117,23 @@
         }
         if (!result.ok) {
             this.options.recorder.count("requests-refused", customer);
+            if (isInRateRefusal(result.failure)) {
+                this.options.recorder.count("in-rate-refusals", customer);
+            }
         }
         return result;
     }
 }
 
+/** Statuses of refusals for want of capacity; a refusal for the request's own fault is not an in-rate refusal. */
+const CAPACITY_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
+/** An admitted request was inside the rate of its customer; a refusal after that is an in-rate refusal. */
+function isInRateRefusal(failure: failures.Failure): boolean {
+    const { execution, status } = catalogue.failures[failure.kind];
+    return execution === "not-run" && CAPACITY_STATUSES.has(status) && failure.kind !== "rate-exceeded";
+}
+
 class Admitted implements AdmittedRequest {
     readonly customer: string;
     readonly signal: AbortSignal;
@@ -150,6 +163,9 @@
         const { recorder, now } = this.options;
         recorder.record("duration", this.label, this.className, now() - this.arrivedAt);
         recorder.count(result.ok ? "requests-finished" : "requests-failed", this.label);
+        if (!result.ok && isInRateRefusal(result.failure)) {
+            recorder.count("in-rate-refusals", this.label);
+        }
         if (!result.ok && result.failure.kind === "outcome-unknown") {
             recorder.count("outcome-unknown", this.label);
         }
