Emit the events of circuits, retry budgets and cache views

Change: the entry emits the circuit events, the agent those of its cache view; the rest is removed; a test compares the catalogues with the source. Ruled out: nothing. Conclusion: the documented events are real.

--- a/src/agent/cache-follower.ts
+++ b/src/agent/cache-follower.ts
@@ -1,6 +1,7 @@
 /** Keeps the cache view of the engine current. One step is one long poll. */
 import type * as clocks from "../clock/clock.js";
 import type * as controllers from "../core/controller.js";
+import type * as event from "../core/event.js";
 import type * as views from "../routing/cache-view.js";
 import type * as engines from "./engine-client.js";
 
@@ -16,10 +17,13 @@
         private readonly engine: engines.EngineClient,
         private readonly view: views.CacheView,
         private readonly clock: clocks.Clock,
+        private readonly journal: event.Journal,
     ) {}
 
     async step(now: number): Promise<void> {
-        const done = this.view.valid ? await this.poll(now) : await this.rebuild(now);
+        const wasValid = this.view.valid;
+        const done = wasValid ? await this.poll(now) : await this.rebuild(now);
+        this.report(wasValid, done);
         if (!done) {
             this.view.invalidate();
             await this.clock.sleep(RETRY_MS, this.abort.signal);
@@ -30,6 +34,17 @@
         this.abort.abort();
     }
 
+    private report(wasValid: boolean, answered: boolean): void {
+        const server = this.engine.address;
+        if (wasValid && (!answered || !this.view.valid)) {
+            const reason = answered ? "a gap in the events or another boot" : "the engine did not answer";
+            this.journal.emit("cache-view-void", { server, reason });
+        }
+        else if (!wasValid && this.view.valid) {
+            this.journal.emit("cache-view-rebuilt", { server, pieces: this.view.size });
+        }
+    }
+
     /** The engine names the last event it sent; the view names the first one that it lacks. */
     private async poll(now: number): Promise<boolean> {
         const after = Math.max(0, this.view.position - 1);
--- a/src/daemon/agent-role.ts
+++ b/src/daemon/agent-role.ts
@@ -151,7 +151,7 @@
     return {
         schedules: [
             { controller: monitor, intervalMs: ENGINE_POLL_MS },
-            { controller: new followers.CacheFollower(engine, cache, clock), intervalMs: 0 },
+            { controller: new followers.CacheFollower(engine, cache, clock, journal), intervalMs: 0 },
         ],
         engine,
         generations: new generations.GenerationService({
--- a/src/entry/server-health.ts
+++ b/src/entry/server-health.ts
@@ -1,4 +1,5 @@
 /** Circuit breaker and retry budget of each agent, as one entry sees it. */
+import type * as event from "../core/event.js";
 import type * as failures from "../core/failure.js";
 import type * as membership from "../membership/types.js";
 import * as breakers from "../resilience/circuit-breaker.js";
@@ -30,7 +31,7 @@
 export class ServerHealth {
     private readonly servers = new Map<string, Health>();
 
-    constructor(private readonly random: () => number) {}
+    constructor(private readonly random: () => number, private readonly journal: event.Journal) {}
 
     /**
      * The addresses that a request may go to. When no circuit lets a request pass, all addresses are returned: a trial
@@ -51,13 +52,22 @@
     }
 
     succeeded(address: string, now: number): void {
-        this.healthOf(address).breaker.succeeded(now);
+        const { breaker } = this.healthOf(address);
+        const before = breaker.state;
+        breaker.succeeded(now);
+        if (before !== "closed" && breaker.state === "closed") {
+            this.journal.emit("circuit-closed", { backendServer: address });
+        }
     }
 
     ended(address: string, failure: failures.Failure, now: number): void {
         const { breaker } = this.healthOf(address);
         if (SERVER_FAILURES.has(failure.kind)) {
+            const before = breaker.state;
             breaker.failed(now, this.random());
+            if (before !== "open" && breaker.state === "open") {
+                this.journal.emit("circuit-opened", { backendServer: address, reason: failure.kind });
+            }
         }
         else {
             breaker.abandoned();
@@ -66,7 +76,11 @@
 
     /** Takes a retry of a request that the server failed out of its budget. */
     takeRetry(address: string, now: number): boolean {
-        return this.healthOf(address).budget.tryRetry(now);
+        const isAllowed = this.healthOf(address).budget.tryRetry(now);
+        if (!isAllowed) {
+            this.journal.emit("retry-budget-exhausted", { backendServer: address });
+        }
+        return isAllowed;
     }
 
     /** Drops former members, and closes the circuit of an agent or server that was started again. */
--- a/src/routing/events.ts
+++ b/src/routing/events.ts
@@ -14,10 +14,4 @@
         message: fields => `the cache view of engine ${fields.server} has ${fields.pieces} pieces`,
         hint: "",
     },
-    "engine-boot-changed": {
-        number: 2103,
-        level: "info",
-        message: fields => `engine ${fields.server} has the new boot ${fields.boot}; knowledge of its cache is void`,
-        hint: "",
-    },
 } as const satisfies event.EventCatalogue;
--- a/test/tools/catalogue.test.ts
+++ b/test/tools/catalogue.test.ts
@@ -57,3 +57,12 @@
         }
     });
 }
+
+testing.test("catalogue: the product uses each event and each failure that it documents", () => {
+    const files = fs.readdirSync(path.join(ROOT, "src"), { recursive: true, encoding: "utf8" })
+        .filter(file => file.endsWith(".ts") && !file.includes("/gen/") && !/(events|failures)\.ts$/.test(file));
+    const source = files.map(file => fs.readFileSync(path.join(ROOT, "src", file), "utf8")).join("\n");
+    const unused = [...Object.keys(events.events), ...Object.keys(failures.failures)]
+        .filter(name => !source.includes(`"${name}"`));
+    assert.deepEqual(unused, []);
+});
