Let a draining entry accept requests until the load balancer has noticed

Cause: an entry refused every request from the moment of the signal, although the balancer still sends some; each would be an in-rate refusal. Change: readiness fails at once and requests are accepted for another 3 s (settings); a draining agent waits until its budgets have another holder. Ruled out: the same wait for agents, because entries learn of the drain through gossip and send elsewhere.

--- a/src/daemon/agent-role.ts
+++ b/src/daemon/agent-role.ts
@@ -33,6 +33,8 @@
 const LEDGER_TICK_MS = 250;
 /** Time in milliseconds that the results of calls may take to reach the store at shutdown. */
 const FLUSH_MS = 5000;
+/** Longest wait in milliseconds until another agent holds the budgets of a draining one. */
+const HANDOVER_MS = 2000;
 
 /** What the kind of the backend server adds to the agent. */
 interface Backend {
@@ -94,9 +96,18 @@
     stack.use(node.drainOnSignal());
     stack.use(node.announceReady());
     await node.drain.finished;
+    await handOver(node, budgets);
     await backend.flush();
 }
 
+/** Waits until another agent holds the budgets of this one, so that no admission waits for a proof of death. */
+async function handOver(node: nodes.Node, budgets: budgetControllers.BudgetController): Promise<void> {
+    const deadline = node.clock.now() + HANDOVER_MS;
+    while (!budgets.idle && node.clock.now() < deadline) {
+        await node.clock.sleep(budgetControllers.STEP_INTERVAL_MS);
+    }
+}
+
 function isReady(node: nodes.Node): boolean {
     return node.ready() && node.board.read("backend").reachable;
 }
--- a/src/daemon/entry-role.ts
+++ b/src/daemon/entry-role.ts
@@ -100,9 +100,6 @@
 }
 
 function openGate(node: nodes.Node): outcomes.Outcome<void> {
-    if (node.board.read("draining")) {
-        return outcomes.refuse("draining", "");
-    }
     return node.board.read("configuration").version === 0
         ? outcomes.refuse("not-ready", "")
         : outcomes.succeed(undefined);
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -80,7 +80,9 @@
             peers: this.peers,
             listingOf: address => this.membership.listingOf(address),
         });
-        this.drain = new drains.Drain({ ...this.shared, limitMs: settings.timing.drain_ms });
+        // An agent refuses at once: entries send elsewhere and know of the drain through gossip.
+        const acceptMs = settings.role === "entry" ? settings.timing.accept_while_draining_ms : 0;
+        this.drain = new drains.Drain({ ...this.shared, limitMs: settings.timing.drain_ms, acceptMs });
     }
 
     /** Fetches the documents of other processes; takes at most 850 ms. The RPC server runs already. */
--- a/src/membership/drain.ts
+++ b/src/membership/drain.ts
@@ -16,6 +16,11 @@
     readonly journal: event.Journal;
     /** Longest wait for requests in flight, in milliseconds. */
     readonly limitMs: number;
+    /**
+     * Time in milliseconds for which new requests are still accepted after the drain has begun. An entry needs it,
+     * because the load balancer sends requests until it has noticed that the process is not ready; default 0.
+     */
+    readonly acceptMs?: number;
 }
 
 export interface DrainReport {
@@ -26,6 +31,7 @@
 export class Drain {
     private inFlightCount = 0;
     private begun = false;
+    private closed = false;
     private readonly idle = new Set<() => void>();
     private resolveReport: (report: DrainReport) => void = () => undefined;
 
@@ -41,9 +47,9 @@
         return this.inFlightCount;
     }
 
-    /** Counts a request until the result is disposed. Fails with `draining` once the drain has begun. */
+    /** Counts a request until the result is disposed. Fails with `draining` once no new request is accepted. */
     enter(): outcomes.Outcome<Disposable> {
-        if (this.begun) {
+        if (this.closed) {
             return outcomes.refuse("draining", "shutting down");
         }
         this.inFlightCount++;
@@ -64,6 +70,7 @@
             return false;
         }
         this.begun = true;
+        this.closed = (this.options.acceptMs ?? 0) <= 0;
         this.options.journal.emit("drain-started", { reason, inFlight: this.inFlightCount });
         this.options.board.write("draining", true);
         void this.run().then(report => this.resolveReport(report));
@@ -71,11 +78,13 @@
     }
 
     private async run(): Promise<DrainReport> {
-        const { clock, limitMs, journal } = this.options;
+        const { clock, limitMs, journal, acceptMs = 0 } = this.options;
         const startedAt = clock.now();
-        await clock.sleep(ANNOUNCEMENT_MS);
+        const announcementMs = Math.max(ANNOUNCEMENT_MS, acceptMs);
+        await clock.sleep(announcementMs);
+        this.closed = true;
         const stop = new AbortController();
-        await Promise.race([this.whenIdle(), clock.sleep(limitMs - ANNOUNCEMENT_MS, stop.signal)]);
+        await Promise.race([this.whenIdle(), clock.sleep(Math.max(0, limitMs - announcementMs), stop.signal)]);
         stop.abort();
         const interrupted = this.inFlightCount;
         const durationMs = Math.round(clock.now() - startedAt);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -16,6 +16,8 @@
 const timing = zod.strictObject({
     admission_wait_ms: zod.int().positive().default(3000).describe("Wait for a rate admission before a refusal."),
     request_deadline_ms: zod.int().positive().default(120_000).describe("Deadline of a model request."),
+    accept_while_draining_ms: zod.int().min(0).default(3000)
+        .describe("Time for which a draining entry still accepts requests, until the balancer has noticed."),
     drain_ms: zod.int().positive().default(120_000).describe("Longest wait for requests in flight at shutdown."),
 });
 
--- a/test/membership/leaving.test.ts
+++ b/test/membership/leaving.test.ts
@@ -92,3 +92,19 @@
     const report = await clock.complete(drain.finished);
     assert.deepEqual([report.interrupted, clock.now()], [1, 5000]);
 });
+
+testing.test("drain: an entry accepts requests until the load balancer has noticed, then waits for them", async () => {
+    const clock = new virtualClock.VirtualClock(SEED);
+    const board = boards.createBoard();
+    const journal = journals.silentJournal;
+    const drain = new drains.Drain({ board, clock, journal, limitMs: 30_000, acceptMs: 3000 });
+    drain.begin("test");
+    assert.ok(board.read("draining"), "readiness fails at once");
+    await clock.advance(2900);
+    const late = drain.enter();
+    assert.ok(late.ok, "a request that the balancer still sends is served");
+    await clock.advance(200);
+    assert.equal(drain.enter().ok, false);
+    void clock.sleep(5000).then(() => late.ok && late.value[Symbol.dispose]());
+    assert.equal((await clock.complete(drain.finished)).interrupted, 0);
+});
