Use asynchronous body parsers

Cause: the callback form needs JSON null. Ruled out: nothing. Change: asynchronous parsers in the front end and the object API stand-in.

--- a/src/entry/http-server.ts
+++ b/src/entry/http-server.ts
@@ -37,9 +37,7 @@
     });
     health.addHealthRoutes(server, front.ready);
     server.removeAllContentTypeParsers();
-    server.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => {
-        done(null, body); // eslint-disable-line no-restricted-syntax -- fastify's callback expects null
-    });
+    server.addContentTypeParser("*", { parseAs: "buffer" }, async (_request: unknown, body: unknown) => body);
     server.setErrorHandler((error: fastify.FastifyError, request, reply) => {
         sendFailure(reply, request.id, parseFailure(error));
     });
--- a/stand-ins/engine/answer.ts
+++ b/stand-ins/engine/answer.ts
@@ -24,5 +24,5 @@
 /** Position at which the marker `[[crash]]` or `[[crash:N]]` in the prompt ends the process; undefined without one. */
 export function crashIndex(prompt: string): number | undefined {
     const match = CRASH_MARKER.exec(prompt);
-    return match === null ? undefined : Number(match[1] ?? 0); // eslint-disable-line no-restricted-syntax
+    return match ? Number(match[1] ?? 0) : undefined;
 }
--- a/stand-ins/object-api/object-api.ts
+++ b/stand-ins/object-api/object-api.ts
@@ -181,9 +181,7 @@
 /** Takes each body as text; values have no content type of their own. */
 function acceptText(server: fastify.FastifyInstance): void {
     server.removeAllContentTypeParsers();
-    server.addContentTypeParser("*", { parseAs: "string" }, (_request, body, done) => {
-        done(null, body); // eslint-disable-line no-restricted-syntax
-    });
+    server.addContentTypeParser("*", { parseAs: "string" }, async (_request: unknown, body: unknown) => body);
 }
 
 function conditionHolds(headers: fastify.FastifyRequest["headers"], current: StoredObject | undefined): boolean {
--- a/tools/support/processes.ts
+++ b/tools/support/processes.ts
@@ -60,12 +60,12 @@
     return ports;
 }
 
-/** Polls until the condition holds. Rejects after the limit, in milliseconds. */
-export async function waitUntil(what: string, limitMs: number, condition: () => Promise<boolean>): Promise<void> {
-    const end = performance.now() + limitMs;
+/** Polls until the condition holds. Rejects after `timeoutMs` milliseconds. */
+export async function waitUntil(what: string, timeoutMs: number, condition: () => Promise<boolean>): Promise<void> {
+    const end = performance.now() + timeoutMs;
     while (!await condition().catch(() => false)) {
         if (performance.now() > end) {
-            throw new Error(`${what} did not happen within ${limitMs} ms`);
+            throw new Error(`${what} did not happen within ${timeoutMs} ms`);
         }
         await new Promise(resolve => setTimeout(resolve, 20));
     }
