Remove a setting that nothing reads

Cause: weight_store was in the schema of the settings and unused. Ruled out: nothing. Change: removed.

--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -40,7 +40,6 @@
     backend_address: address.optional().describe("Address of the backend server; agents only."),
     object_api: zod.url().describe("Base URL of the object API."),
     instance_list: zod.url().describe("Base URL of the instance list."),
-    weight_store: zod.url().optional().describe("Base URL of the weight store; agents of engines only."),
     seeds: zod.array(address).default([]).describe("RPC addresses of processes to ask first."),
     log_level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
     limits: limits.prefault({}),
