--- a/test/rollout/fleet.ts
+++ b/test/rollout/fleet.ts
@@ -91,6 +91,8 @@
     readonly entries: (Process & { readonly versions: versionChoices.VersionChoice; })[] = [];
     /** Statuses of each write of the object, in order. */
     readonly history: (readonly types.RolloutStatus[])[] = [];
+    /** The coordinator gets no counts from other processes. */
+    losesCounts = false;
     requests = 0;
     newRequests = 0;
     lastNewRequestAt = Number.NEGATIVE_INFINITY;
@@ -318,6 +320,9 @@
         return {
             outcomes: (address, identity) =>
                 reach(address, async agent => {
+                    if (this.losesCounts) {
+                        return outcomes.refuse("peer-connection-lost", address);
+                    }
                     const counts = agent.counter.counts(identity, this.time.now());
                     return outcomes.succeed({ agent: { address, boot: agent.boot }, counts });
                 }),
