Test rollouts under faults

Cause: coordinators pause and are replaced, the store goes down, agents and engines restart and operators change the manifest while a rollout runs.

Ruled out: schedules with short network delays alone.

Change: schedules of faults over the fleet, and tests of the lease and of the status object.

--- a/test/rollout/faults.test.ts
+++ b/test/rollout/faults.test.ts
@@ -111,7 +111,7 @@
         let holders = 0;
         await fastCheck.assert(
             fastCheck.asyncProperty(schedule, async ({ seed, events }) => {
-                await withFleet({ seed, deadlineMs: 45_000 }, async fleet => {
+                await withFleet({ seed, deadlineMs: 45_000, orderDelayMs: 9000 }, async fleet => {
                     const setFault = async (fault: memoryStores.Fault, durationMs: number) => {
                         fleet.store.fault = fault;
                         await fleet.time.sleep(durationMs);
@@ -146,6 +146,34 @@
         assert.ok(holders > 2, "the schedules caused no takeover");
     });
 
+    testing.test("an order under way when its sender loses the lease has no effect", async () => {
+        let fenced = 0;
+        for (let run = 0; run < 6; run++) {
+            await withFleet({ seed: SEED + run, orderDelayMs: 20_000, deadlineMs: 120_000 }, async fleet => {
+                await fleet.run(3000, () => fleet.holder() !== undefined && fleet.history.length > 0);
+                await fleet.run(500);
+                const first = fleet.holder();
+                assert.ok(first !== undefined);
+                first.paused = true;
+                await fleet.run(40_000);
+                checkFencing(fleet);
+                fenced += fleet.fencedOrders;
+            });
+        }
+        assert.ok(fenced > 0, "the schedules caused no late order");
+    });
+
+    testing.test("proofs are sought from all agents while the store is down", async () => {
+        await withFleet({ seed: SEED }, async fleet => {
+            await untilShifting(fleet);
+            fleet.store.fault = "outage";
+            await fleet.run(10_000);
+            const calls = fleet.outcomeCalls;
+            await fleet.run(5000);
+            assert.ok(fleet.outcomeCalls > calls + fleet.agents.length);
+        });
+    });
+
     testing.test("a coordinator that wakes up after a takeover gives no order and writes no status", async () => {
         await withFleet({ seed: SEED }, async fleet => {
             await fleet.run(5000, () => fleet.agents.some(agent => agent.orderNumbers.length > 0));
--- a/test/rollout/fleet.ts
+++ b/test/rollout/fleet.ts
@@ -56,6 +56,8 @@
     readonly fault?: Fault;
     readonly deadlineMs?: number;
     readonly stepMs?: number;
+    /** Longest time that an order is under way; a message can outlive the lease of its sender. */
+    readonly orderDelayMs?: number;
 }
 
 interface Process {
@@ -93,6 +95,8 @@
     readonly history: (readonly types.RolloutStatus[])[] = [];
     /** The coordinator gets no counts from other processes. */
     losesCounts = false;
+    fencedOrders = 0;
+    outcomeCalls = 0;
     requests = 0;
     newRequests = 0;
     lastNewRequestAt = Number.NEGATIVE_INFINITY;
@@ -320,6 +324,7 @@
         return {
             outcomes: (address, identity) =>
                 reach(address, async agent => {
+                    this.outcomeCalls++;
                     if (this.losesCounts) {
                         return outcomes.refuse("peer-connection-lost", address);
                     }
@@ -328,8 +333,10 @@
                 }),
             order: (order, fencingNumber) =>
                 reach(order.address, async agent => {
+                    await this.time.sleep(this.time.random() * (this.options.orderDelayMs ?? 0));
                     const { kind, model, weightsVersion } = order;
                     const result = await agent.orders.give({ kind, model, weightsVersion, fencingNumber });
+                    this.fencedOrders += Number(!result.ok && result.failure.kind === "rollout-order-fenced");
                     return result.ok ? outcomes.succeed(undefined) : result;
                 }),
         };
