Test what disabled mechanisms of rollouts left unnoticed

Cause: scratch changes that disabled a mechanism survived: counts of an agent's former run dropped, the null rate taken without its upper bound, a rollback that is not final, no hold on adverse evidence.

Ruled out: longer schedules in virtual time; each of these mechanisms has another one behind it there.

--- a/test/rollout/decisions.test.ts
+++ b/test/rollout/decisions.test.ts
@@ -4,11 +4,13 @@
 import * as testing from "node:test";
 import * as boards from "../../src/daemon/board.js";
 import * as manifest from "../../src/manifest/types.js";
+import * as collections from "../../src/rollout/collection.js";
 import * as effects from "../../src/rollout/effect.js";
 import * as orderGates from "../../src/rollout/order-gate.js";
 import * as orderPlans from "../../src/rollout/order-plan.js";
 import * as outcomeCounters from "../../src/rollout/outcome-counter.js";
 import * as pacing from "../../src/rollout/pacing.js";
+import * as progress from "../../src/rollout/progress.js";
 import * as sequentialTests from "../../src/rollout/sequential-test.js";
 import * as shareCounters from "../../src/rollout/share-counter.js";
 import * as types from "../../src/rollout/types.js";
@@ -232,6 +234,17 @@
         assert.deepEqual([count.finished, count.slow, count.failed], [1, 1, 0]);
     });
 
+    testing.test("the coordinator keeps the counts of an agent over its restart", () => {
+        const collection = new collections.Collection();
+        const count = { weightsVersion: "v2", route: "chat", loadLevel: "low" as const, failed: 1, slow: 0 };
+        const reply = (boot: string, finished: number) => ({
+            agent: { address: "agent", boot },
+            counts: [{ ...count, finished }],
+        });
+        [reply("a", 5), reply("a", 7), reply("b", 2)].forEach(item => collection.add(item));
+        assert.deepEqual(collection.total().map(total => [total.finished, total.failed]), [[9, 2]]);
+    });
+
     testing.test("routes beyond the bound share one cell", () => {
         const counter = counterOn();
         for (let index = 0; index < 1000; index++) {
@@ -325,6 +338,30 @@
     });
 });
 
+testing.describe("progress", () => {
+    const view = { veto: undefined, suspicion: undefined, servers: 8, loaded: 8, isSufficient: false };
+    const beforeEnd = DEADLINE - 4000;
+
+    testing.test("adverse evidence holds a step beyond its part, late evidence does not", () => {
+        const status = statusWith({ share: 0.05 });
+        assert.equal(progress.advance(rollout, status, view, 3, beforeEnd).share, 0.25);
+        const held = { ...view, suspicion: "2 of 9 requests failed" };
+        assert.equal(progress.advance(rollout, status, held, 3, beforeEnd), status);
+        assert.match(progress.advance(rollout, status, held, 3, DEADLINE).reason, /deadline.*2 of 9/);
+    });
+
+    testing.test("a rollback is final, also without a veto and before the deadline", () => {
+        const status = statusWith({ phase: "rolled-back", share: 0, reason: "removed" });
+        assert.equal(progress.advance(rollout, status, view, 3, beforeEnd), status);
+    });
+
+    testing.test("no rollout is completed so late that its status comes into force after the deadline", () => {
+        const status = statusWith({ share: 1, changedAt: 0 });
+        assert.equal(progress.advance(rollout, status, view, 3, beforeEnd + 1500).phase, "done");
+        assert.equal(progress.advance(rollout, status, view, 3, DEADLINE - 1000).phase, "shifting");
+    });
+});
+
 testing.describe("pacing", () => {
     testing.test("steps that wait for their whole part end before the deadline", () => {
         const durations = fastCheck.integer({ min: 20_000, max: 5_000_000 });
