--- a/test/rollout/fleet.ts
+++ b/test/rollout/fleet.ts
@@ -56,6 +56,8 @@
     readonly fault?: Fault;
     readonly deadlineMs?: number;
     readonly stepMs?: number;
+    /** Longest time that an order is under way; a message can outlive the lease of its sender. */
+    readonly orderDelayMs?: number;
 }
 
 interface Process {
@@ -91,6 +93,10 @@
     readonly entries: (Process & { readonly versions: versionChoices.VersionChoice; })[] = [];
     /** Statuses of each write of the object, in order. */
     readonly history: (readonly types.RolloutStatus[])[] = [];
+    /** The coordinator gets no counts from other processes. */
+    losesCounts = false;
+    fencedOrders = 0;
+    outcomeCalls = 0;
     requests = 0;
     newRequests = 0;
     lastNewRequestAt = Number.NEGATIVE_INFINITY;
@@ -318,13 +324,19 @@
         return {
             outcomes: (address, identity) =>
                 reach(address, async agent => {
+                    this.outcomeCalls++;
+                    if (this.losesCounts) {
+                        return outcomes.refuse("peer-connection-lost", address);
+                    }
                     const counts = agent.counter.counts(identity, this.time.now());
                     return outcomes.succeed({ agent: { address, boot: agent.boot }, counts });
                 }),
             order: (order, fencingNumber) =>
                 reach(order.address, async agent => {
+                    await this.time.sleep(this.time.random() * (this.options.orderDelayMs ?? 0));
                     const { kind, model, weightsVersion } = order;
                     const result = await agent.orders.give({ kind, model, weightsVersion, fencingNumber });
+                    this.fencedOrders += Number(!result.ok && result.failure.kind === "rollout-order-fenced");
                     return result.ok ? outcomes.succeed(undefined) : result;
                 }),
         };
@@ -386,7 +398,7 @@
         const chosen = entry.versions.choose(model);
         this.requests++;
         for (let refused = false;; refused = true) {
-            const version = entry.versions.versionsFor(model, chosen, refused)
+            const version = entry.versions.versionsFor(model, chosen, refused ? "refused" : "none")
                 .find(candidate => this.serversOf(candidate).length > 0) ?? FROM;
             const servers = this.serversOf(version);
             const agent = servers[Math.floor(this.time.random() * servers.length)];
