Check again for new work after a configuration was fetched

Cause: the agent checked whether its server takes new work before it fetched the configuration that the call needs. That version can remove the server, and the call ran all the same.

Ruled out: checking only after the fetch; a leaving server would fetch a configuration for a call that it refuses.

Change: Gate.pass checks before and after.

--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -41,6 +41,11 @@
         if (!configuration.ok) {
             return configuration;
         }
+        // The fetched version may have removed the server.
+        const stillOpen = this.options.checkNewWork();
+        if (!stillOpen.ok) {
+            return stillOpen;
+        }
         const isKnown = arrival.customer === "" || configuration.value.customers.has(arrival.customer);
         return isKnown ? configuration : outcomes.refuse("customer-unknown", arrival.customer);
     }
