Keep a waiting trial when the server crashes

Cause: a trial for which the gate was emptying the server was dropped from the gate at a crash of that server. It was in no list any more and waited until its deadline.

Ruled out: returning it with the runs in flight; it did not run, so it must not be reported.

Change: such a trial becomes the first waiting one again.

Conclusion: the new test fails without the change.

--- a/src/quarantine/isolation-gate.ts
+++ b/src/quarantine/isolation-gate.ts
@@ -54,6 +54,10 @@
     crash(): { readonly inFlight: readonly string[]; readonly trial: boolean; } {
         const runs = [...this.running.values()];
         const trial = runs.length === 1 && runs[0] === this.selected;
+        // A trial that was selected but did not run yet waits again.
+        if (this.selected !== undefined && !this.running.has(this.selected.id)) {
+            this.trials.unshift(this.selected);
+        }
         this.running.clear();
         this.selected = undefined;
         return { inFlight: runs.map(run => run.fingerprint), trial };
--- a/test/quarantine/isolation-gate.test.ts
+++ b/test/quarantine/isolation-gate.test.ts
@@ -84,3 +84,12 @@
         "running",
     ]);
 });
+
+testing.test("isolation gate: a trial that waits for an empty server is not lost when the server crashes", () => {
+    const gate = new gates.IsolationGate(() => "run");
+    const trial = { id: "trial", fingerprint: "t", alone: true };
+    gate.submit({ id: "run", fingerprint: "r", alone: false });
+    gate.submit(trial);
+    assert.deepEqual(gate.crash(), { inFlight: ["r"], trial: false });
+    assert.deepEqual(gate.proceed().start, [trial]);
+});
