Run generations of the agent through the isolation gate

Cause: the quarantine was not used; a request that crashes engines went on from server to server.

Ruled out: the flag "alone" of the fair queue for trials (the trial would wait for slots of runs that wait at the gate for another trial; the gate alone keeps the engine free); reporting each broken connection as a crash; letting the gate go on while a broken connection is examined (a trial that starts meanwhile would be counted as alone in flight); counting a cancelled run as ended before the engine confirmed it (its crash would be blamed on the trial behind it).

Change: IsolatedRuns stands between the fair queue and the engine. Outcomes and prefill times of a version are measured from the end of the wait at the gate.

--- a/src/agent/generation-service.ts
+++ b/src/agent/generation-service.ts
@@ -14,9 +14,9 @@
 import * as failureCodec from "../rpc/failure-codec.js";
 import type * as messages from "../rpc/gen/ibisstep/v1/agent_pb.js";
 import * as states from "./backend-state.js";
-import type * as engines from "./engine-client.js";
 import type * as engineTypes from "./engine-types.js";
 import type * as gates from "./gate.js";
+import type * as isolatedRuns from "./isolated-runs.js";
 
 /** Prefill time per token in milliseconds that the redirect decision assumes before requests have been measured. */
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.02;
@@ -26,7 +26,9 @@
 export interface GenerationServiceOptions {
     readonly gate: gates.Gate;
     readonly board: boards.Board;
-    readonly engine: engines.EngineClient;
+    /** Address of the engine. */
+    readonly engineAddress: string;
+    readonly runs: isolatedRuns.IsolatedRuns;
     readonly queue: queues.JobQueue;
     readonly cache: views.CacheView;
     readonly recorder: recorders.Recorder;
@@ -70,6 +72,11 @@
             yield failed(configuration.failure);
             return;
         }
+        const allowed = this.options.runs.check(request);
+        if (!allowed.ok) {
+            yield failed(allowed.failure);
+            return;
+        }
         const work = this.prepare(request, configuration.value, arrivedAt, signal);
         if (!work.ok) {
             yield failed(work.failure);
@@ -106,14 +113,15 @@
         if (model === undefined) {
             return outcomes.refuse("model-unknown", request.model);
         }
-        if (!backend.reachable) {
-            return outcomes.refuse("engine-unreachable", this.options.engine.address);
+        // A trial waits for an engine that is starting, whose weights are unknown until then.
+        if (!backend.reachable && !request.runAlone) {
+            return outcomes.refuse("engine-unreachable", this.options.engineAddress);
         }
         const weights = states.weightsName(request.model, request.weightsVersion);
         if (!this.mayRun(request)) {
             return outcomes.refuse("version-withdrawn", weights);
         }
-        if (!backend.weights.includes(weights)) {
+        if (backend.reachable && !backend.weights.includes(weights)) {
             return outcomes.refuse("weights-not-loaded", weights);
         }
         const prefix = prefixes.prefixOf(request, request.prompt, model.pieceTokens);
@@ -158,7 +166,9 @@
             cost: prefix.promptTokens - cachedTokens + output,
             tokens: prefix.promptTokens + output,
             deadline,
-            alone: request.runAlone,
+            // The isolation gate behind the queue keeps the engine free for a trial. A trial that also kept the queue
+            // empty would wait for slots of runs that wait at the gate for another trial.
+            alone: false,
         }, signal);
         if (!slot.ok) {
             yield failed(slot.failure);
@@ -176,7 +186,7 @@
     }
 
     private async *run(work: Work, complete: (cost: number) => void): AsyncGenerator<OutboundEvent, void, void> {
-        const startedAt = this.options.clock.now();
+        let startedAt = this.options.clock.now();
         const { request, prefix } = work;
         let uncachedTokens = prefix.promptTokens;
         let tokens = 0;
@@ -184,9 +194,16 @@
         const remainingMs = Math.max(0, work.deadline - startedAt);
         const timer = setTimeout(() => stop.abort(), remainingMs);
         const signal = AbortSignal.any([work.signal, stop.signal]);
-        const outcome = this.beginOutcome(request, startedAt);
+        let outcome: outcomeCounters.RequestOutcome | undefined;
+        // The wait at the gate says nothing about the engine.
+        const started = () => {
+            startedAt = this.options.clock.now();
+            outcome = this.beginOutcome(request, startedAt);
+        };
+        const { fingerprint, runAlone } = request;
+        const generation = { request: engineRequest(request, prefix.scope), fingerprint, runAlone, started };
         try {
-            for await (const event of this.options.engine.generate(engineRequest(request, prefix.scope), signal)) {
+            for await (const event of this.options.runs.generate(generation, signal)) {
                 if (event.type === "start") {
                     uncachedTokens = event.promptTokens - event.cachedTokens;
                 }
--- a/src/daemon/agent-role.ts
+++ b/src/daemon/agent-role.ts
@@ -9,12 +9,14 @@
 import * as monitors from "../agent/engine-monitor.js";
 import * as gates from "../agent/gate.js";
 import * as generations from "../agent/generation-service.js";
+import * as isolatedRuns from "../agent/isolated-runs.js";
 import * as serviceMonitors from "../agent/service-monitor.js";
 import * as disposal from "../core/disposal.js";
 import * as jobQueues from "../fairness/job-queue.js";
 import * as ledgers from "../idempotency/call-ledger.js";
 import * as serviceClients from "../idempotency/service-client.js";
 import type * as manifest from "../manifest/types.js";
+import * as quarantines from "../quarantine/controller.js";
 import * as rolloutControllers from "../rollout/controller.js";
 import * as orderGates from "../rollout/order-gate.js";
 import * as outcomeCounters from "../rollout/outcome-counter.js";
@@ -147,17 +149,20 @@
         journal,
     );
     followWeights(node, queue);
+    const suspects = followSuspects(node, engine);
     const monitor = new monitors.EngineMonitor({ engine, board, journal, crashed: () => cache.invalidate() });
     return {
         schedules: [
             { controller: monitor, intervalMs: ENGINE_POLL_MS },
             { controller: new followers.CacheFollower(engine, cache, clock), intervalMs: 0 },
+            { controller: suspects.controller, intervalMs: quarantines.STEP_INTERVAL_MS },
         ],
         engine,
         generations: new generations.GenerationService({
             gate,
             board,
-            engine,
+            engineAddress: engine.address,
+            runs: suspects.runs,
             queue,
             cache,
             recorder,
@@ -169,6 +174,19 @@
     };
 }
 
+/** The part of the agent in the quarantine of requests that crash engines. */
+function followSuspects(node: nodes.Node, engine: engineClients.EngineClient) {
+    let controller!: quarantines.QuarantineController;
+    const runs = new isolatedRuns.IsolatedRuns({
+        server: node.self.address,
+        engine,
+        engineBoot: () => node.board.read("backend").boot,
+        clock: node.clock,
+        quarantine: onWorse => controller = new quarantines.QuarantineController({ ...node.shared, onWorse }),
+    });
+    return { controller, runs };
+}
+
 function createService(node: nodes.Node, gate: gates.Gate): Backend {
     const { settings, board, clock, journal } = node;
     const address = settings.backend_address ?? "";
--- a/src/quarantine/controller.ts
+++ b/src/quarantine/controller.ts
@@ -9,6 +9,8 @@
 import type * as types from "./types.js";
 
 export const DOCUMENT_PREFIX = "suspect/";
+/** Expired suspects have no effect before their removal, so the removal need not be prompt. */
+export const STEP_INTERVAL_MS = 1000;
 
 export interface QuarantineParts {
     readonly board: boards.Board;
