Follow suspicions in the attempts of an entry

Cause: entries chose the server of each attempt without regard to suspects.

Ruled out: load and circuit breakers in the selection of a trial server (they differ between entries, and copies would be tried on two servers); counting a lost connection as a crash without proof that the agent died.

Change: each attempt is decided by the table of suspects and the evidence of the earlier attempts. A trial goes to the first server by rank, also to one whose connection merely broke. The fingerprint is taken over customer and body as the caller sent it.

--- a/src/daemon/entry-role.ts
+++ b/src/daemon/entry-role.ts
@@ -13,6 +13,8 @@
 import * as modelLists from "../entry/model-list.js";
 import * as serverHealths from "../entry/server-health.js";
 import * as serverSelections from "../entry/server-selection.js";
+import * as suspicions from "../entry/suspicion.js";
+import * as quarantines from "../quarantine/controller.js";
 import * as versionChoices from "../rollout/version-choice.js";
 import * as loops from "./loop.js";
 import type * as nodes from "./node.js";
@@ -65,6 +67,12 @@
         wallTime: () => clock.wallTime(),
         isServable: (model, weightsVersion) => servers.isServable(model, weightsVersion),
     });
+    const quarantine = new quarantines.QuarantineController(node.shared);
+    const suspicion = new suspicions.Suspicion({
+        decide: fingerprint => quarantine.decide(fingerprint),
+        members: () => board.read("members"),
+        liveness: node.liveness,
+    });
     const chats = new chatPipelines.ChatPipeline({
         settings,
         board,
@@ -76,9 +84,14 @@
         clock,
         journal: node.journal,
         health,
+        suspicion,
     });
     stack.use(await node.listen(() => undefined));
-    stack.use(new loops.ControllerLoop(node.schedules(), clock, node.journal));
+    const schedules = [
+        ...node.schedules(),
+        { controller: quarantine, intervalMs: quarantines.STEP_INTERVAL_MS },
+    ];
+    stack.use(new loops.ControllerLoop(schedules, clock, node.journal));
     stack.use(
         await httpServers.listen(settings, {
             ready: node.ready,
--- a/src/entry/chat-pipeline.ts
+++ b/src/entry/chat-pipeline.ts
@@ -1,11 +1,11 @@
 /** Pipeline of chat completions. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
-import * as hashing from "../core/hashing.js";
 import * as outcomes from "../core/outcome.js";
 import type * as boards from "../daemon/board.js";
 import type * as manifest from "../manifest/types.js";
 import type * as recorders from "../metrics/recorder.js";
+import * as fingerprints from "../quarantine/fingerprint.js";
 import type * as versionChoices from "../rollout/version-choice.js";
 import type * as settings from "../settings/schema.js";
 import * as chatRequests from "../streams/chat-request.js";
@@ -17,6 +17,7 @@
 import type * as intake from "./intake.js";
 import type * as serverHealths from "./server-health.js";
 import type * as serverSelection from "./server-selection.js";
+import * as suspicions from "./suspicion.js";
 import type * as types from "./types.js";
 
 export const CHAT_ROUTE = "chat";
@@ -42,6 +43,7 @@
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
     readonly health: serverHealths.ServerHealth;
+    readonly suspicion: suspicions.Suspicion;
 }
 
 /** A validated request before its admission. */
@@ -130,7 +132,7 @@
             demand: { customer, model, adapter, weightsVersion, prompt },
             priority,
             maxTokens: chat.request.maxTokens,
-            fingerprint: hashing.sha256(`${customer}\n${model.name}\n${adapter}\n${chat.request.maxTokens}\n${prompt}`),
+            fingerprint: fingerprints.fingerprint(customer, Buffer.from(request.body).toString("utf8")),
             runAlone: false,
             route: CHAT_ROUTE,
         };
@@ -143,21 +145,30 @@
     private attemptId = "";
     /** Servers that refused only the version; they can run the request on another one. */
     private readonly refusedVersion = new Set<string>();
+    private readonly verdict: suspicions.RequestVerdict;
 
     constructor(
         private generation: attempts.Generation,
         private readonly options: ChatPipelineOptions,
         private readonly writer: AnswerWriter,
-    ) {}
+    ) {
+        this.verdict = options.suspicion.of(generation.fingerprint);
+    }
 
     readonly open: streams.OpenAttempt = async (plan, signal) => {
         const { caller, board } = this.options;
         this.attemptId = `${this.generation.requestId}-${plan.attempt}`;
+        const verdict = await this.verdict.decide(plan);
+        if (verdict === "refuse") {
+            return outcomes.refuse("request-quarantined", this.generation.fingerprint);
+        }
+        this.generation = { ...this.generation, runAlone: verdict === "run-alone" };
         const choice = this.select(plan);
         if (choice === undefined) {
             return attempts.noServer(this.generation.demand);
         }
         this.choice = choice;
+        this.verdict.sent(choice.address);
         this.options.health.sent(choice.address, plan.attempt === 1, this.options.clock.now());
         if (plan.tokens.length > 0) {
             this.options.recorder.count("continuations", this.generation.customer);
@@ -172,13 +183,16 @@
     /** Selects a server with the version of the request, or with the next one that it may run on. */
     private select(plan: streams.AttemptPlan): serverSelection.Choice | undefined {
         const { servers, versions, clock } = this.options;
-        const { demand } = this.generation;
-        const excluded = new Set([...plan.excluded].filter(server => !this.refusedVersion.has(server)));
+        const { demand, fingerprint, runAlone } = this.generation;
+        const avoided = [...suspicions.avoided(plan, runAlone)];
+        const excluded = new Set(avoided.filter(server => !this.refusedVersion.has(server)));
         const isRefused = this.refusedVersion.size > 0;
         for (const weightsVersion of versions.versionsFor(demand.model, demand.weightsVersion, isRefused)) {
             const attempted = { ...demand, weightsVersion };
             const wanted = { ...attempted, excluded, preferred: plan.preferred };
-            const choice = servers.select(wanted, this.attemptId, clock.now());
+            const choice = runAlone
+                ? servers.selectForTrial(wanted, fingerprint, this.attemptId, clock.now())
+                : servers.select(wanted, this.attemptId, clock.now());
             if (choice !== undefined) {
                 this.generation = { ...this.generation, demand: attempted };
                 return choice;
--- a/src/entry/server-selection.ts
+++ b/src/entry/server-selection.ts
@@ -3,6 +3,7 @@
 import type * as boards from "../daemon/board.js";
 import type * as manifest from "../manifest/types.js";
 import type * as membership from "../membership/types.js";
+import * as trialServers from "../quarantine/trial-server.js";
 import * as prefixIndexes from "../routing/prefix-index.js";
 import * as prefixes from "../routing/prefix.js";
 import * as selection from "../routing/selection.js";
@@ -51,10 +52,8 @@
 
     /** Returns undefined when no live server has the weights. */
     select(demand: Demand, attemptId: string, now: number): Choice | undefined {
-        const scope = { ...demand, model: demand.model.name };
-        const prefix = prefixes.prefixOf(scope, demand.prompt, demand.model.pieceTokens);
+        const { prefix, request } = routable(demand);
         const { chain, promptTokens } = prefix;
-        const request = { chain, promptTokens, pieceTokens: demand.model.pieceTokens };
         const candidates = this.available(demand, now);
         const ranked = selection.choose(request, candidates, this.index, this.loads, now, this.options.random());
         const chosen = ranked.find(server => server.address === demand.preferred) ?? ranked[0];
@@ -69,6 +68,22 @@
         return { address: chosen.address, alternative, prefix, request, sentAt: now };
     }
 
+    /**
+     * Selects the server that runs a suspect alone; undefined when no live server has the weights. Load and circuits
+     * don't count, since they differ between entries and all entries must select the same server.
+     */
+    selectForTrial(demand: Demand, fingerprint: string, attemptId: string, now: number): Choice | undefined {
+        const suspect = this.options.board.read("suspects").get(fingerprint);
+        const candidates = this.candidates(demand).map(candidate => ({ ...candidate, id: candidate.address }));
+        const chosen = trialServers.rank(fingerprint, suspect, candidates).at(0);
+        if (chosen === undefined) {
+            return undefined;
+        }
+        const { prefix, request } = routable(demand);
+        this.loads.sent(chosen.address, attemptId, prefix.promptTokens, chosen.networkMs, now);
+        return { address: chosen.address, alternative: undefined, prefix, request, sentAt: now };
+    }
+
     /** Whether a live server has the weights. */
     isServable(model: manifest.Model, weightsVersion: string): boolean {
         return this.candidates({ model, weightsVersion, excluded: new Set() }).length > 0;
@@ -138,3 +153,9 @@
         });
     }
 }
+
+function routable(demand: Demand): Pick<Choice, "prefix" | "request"> {
+    const { pieceTokens } = demand.model;
+    const prefix = prefixes.prefixOf({ ...demand, model: demand.model.name }, demand.prompt, pieceTokens);
+    return { prefix, request: { chain: prefix.chain, promptTokens: prefix.promptTokens, pieceTokens } };
+}
