Test the quarantine with real processes

Cause: the promise of at most two crashed servers must hold for entries, agents and engines as processes.

Ruled out: copies that are sent at the same time before the first crash is known; two engines may then crash before the trial (see the window named in test/quarantine/simulation.test.ts).

Change: a crashing request is sent seven times through two entries while ordinary requests run, then again after all entries and agents were killed and restarted one after the other.

--- /dev/null
+++ b/test/daemon/quarantine.test.ts
@@ -0,0 +1,96 @@
+/**
+ * A request that crashes engines, with real daemons and stand-ins on loopback.
+ *
+ * The limits of `waitUntil` only end a test that hangs; no assertion depends on elapsed time.
+ */
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as callers from "../../tools/demo/caller.js";
+import * as deployments from "../../tools/support/deployment.js";
+import * as processes from "../../tools/support/processes.js";
+
+const HANG_LIMIT_MS = 30_000;
+const CUSTOMER = "club";
+const MODEL = "menu";
+const TOKENS = 20;
+
+const plan: deployments.Plan = {
+    models: [MODEL],
+    engines: ["menu-1", "menu-2", "menu-3"].map(name => ({ name, model: MODEL, dataCentre: "dc-a" })),
+    bookingServices: [],
+    entries: ["dc-a", "dc-b"],
+    customers: [{ name: CUSTOMER, requestsPerSecond: 1000, burst: 1000 }],
+};
+
+testing.describe("a request that crashes engines", () => {
+    let deployment: deployments.Deployment;
+    let crashes = 0;
+    let stopped = false;
+
+    testing.before(async () => {
+        deployment = await deployments.Deployment.start(plan);
+        deployment.backends.forEach(backend => void keepRunning(backend.name));
+    });
+
+    testing.after(async () => {
+        stopped = true;
+        await deployment[Symbol.asyncDispose]();
+    });
+
+    /** Starts an engine again after each crash. */
+    async function keepRunning(name: string): Promise<void> {
+        while (!stopped) {
+            await deployment.backend(name).process.exited;
+            if (!stopped) {
+                crashes++;
+                await deployment.restartBackend(name);
+            }
+        }
+    }
+
+    function send(user: string, entry: number): Promise<callers.StreamedAnswer> {
+        const chat = { model: MODEL, system: "rules", user, maxTokens: TOKENS };
+        return callers.streamChat(callers.callerOf(deployment, CUSTOMER, entry), chat);
+    }
+
+    /** Sends the request through both entries in turn and expects each to refuse it. */
+    async function assertRefused(copies: number): Promise<void> {
+        for (let copy = 0; copy < copies; copy++) {
+            const answer = await send("[[crash]]", copy);
+            assert.equal(answer.status, 422, answer.body);
+            assert.match(answer.body, /request-quarantined/);
+        }
+    }
+
+    testing.test("it crashes at most two and is refused, while ordinary requests are answered completely", async () => {
+        let isRefused = false;
+        const ordinary = Promise.all([0, 1].map(async entry => {
+            for (let batch = 0; !isRefused || batch === 0; batch++) {
+                const answers = await Promise.all([0, 1, 2].map(index => send(`ordinary ${batch} ${index}`, entry)));
+                assert.ok(
+                    answers.every(answer => answer.complete && answer.chunks === TOKENS),
+                    JSON.stringify(answers),
+                );
+            }
+        }));
+        await assertRefused(7);
+        isRefused = true;
+        await ordinary;
+        await processes.waitUntil("end of the second engine", HANG_LIMIT_MS, async () => crashes >= 2);
+        assert.equal(crashes, 2);
+    });
+
+    testing.test("it is still refused after all entries and agents were restarted", async () => {
+        for (const node of deployment.nodes) {
+            node.process.signal("SIGKILL");
+            await node.process.exited;
+            await deployment.restart(node);
+        }
+        await processes.waitUntil("service of both entries", HANG_LIMIT_MS, async () => {
+            const answers = await Promise.all([send("ping", 0), send("ping", 1)]);
+            return answers.every(answer => answer.complete);
+        });
+        await assertRefused(4);
+        assert.equal(crashes, 2);
+    });
+});
