End complete streams without cancelling them

Cause: after the terminal event the entry cancelled the call and the agent destroyed the body of the engine, although both were complete. Each request cost a stream reset, several exceptions with stack traces, and a new connection from the agent to its engine.

Ruled out: waiting for the end of the stream before the terminal event is delivered (a peer that hangs after it would delay the answer).

Change: the entry reads the end of a complete stream in the background, bounded by the deadline of the call. The agent reads the rest of a complete body, bounded by 1 s, and its connection serves again. An attempt that is given up is cancelled as before.

An agent now reuses connections for generations, so an engine that closes one while a request is written shows up as a lost connection.

--- a/src/agent/engine-client.ts
+++ b/src/agent/engine-client.ts
@@ -16,6 +16,8 @@
 const ANSWER_TIMEOUT_MS = 5000;
 /** Loading weights takes a second or more while several servers load at once. */
 const ORDER_TIMEOUT_MS = 60_000;
+/** An engine that keeps its stream open for longer after the end event loses the connection. */
+const REST_TIMEOUT_MS = 1000;
 /** Added to the wait of a long poll. */
 const POLL_MARGIN_MS = 2000;
 
@@ -182,18 +184,39 @@
     ): AsyncGenerator<types.EngineEvent, void, void> {
         const boot = String(response.headers["x-engine-boot"] ?? "");
         let nextIndex = resumedTokens;
-        for await (const data of eventStream.dataLines(response.body)) {
-            const parsed = parse(wireEvent, data);
-            const event = parsed.ok ? translate(parsed.value, nextIndex, boot) : failed(parsed.failure);
-            yield event;
-            if (event.type === "end" || event.type === "failed") {
-                return;
+        let isComplete = false;
+        try {
+            // Leaving the iteration does not destroy the body, so that a complete one returns its connection.
+            for await (const data of eventStream.dataLines(response.body.iterator({ destroyOnReturn: false }))) {
+                const parsed = parse(wireEvent, data);
+                const event = parsed.ok ? translate(parsed.value, nextIndex, boot) : failed(parsed.failure);
+                isComplete = event.type === "end";
+                yield event;
+                if (event.type === "end" || event.type === "failed") {
+                    return;
+                }
+                nextIndex += event.type === "token" ? 1 : 0;
             }
-            nextIndex += event.type === "token" ? 1 : 0;
+        }
+        finally {
+            this.release(response.body, isComplete);
         }
         yield failed({ kind: "engine-connection-lost", detail: `${this.address}: no end after token ${nextIndex}` });
     }
 
+    /** Ends with a body: reads the rest of a complete one in the background, so that its connection serves again. */
+    private release(body: undici.Dispatcher.ResponseData["body"], isComplete: boolean): void {
+        // An error after the last event has nobody to report to; without a listener it would end the process.
+        body.on("error", () => undefined);
+        if (!isComplete) {
+            body.destroy();
+            return;
+        }
+        const timer = setTimeout(() => body.destroy(), REST_TIMEOUT_MS);
+        body.once("close", () => clearTimeout(timer));
+        body.resume();
+    }
+
     private read<Value>(path: string, schema: zod.ZodType<Value>): Promise<outcomes.Outcome<Value>> {
         return this.call({ method: "GET", path, timeoutMs: ANSWER_TIMEOUT_MS, schema });
     }
--- a/src/entry/generation-attempt.ts
+++ b/src/entry/generation-attempt.ts
@@ -1,7 +1,9 @@
 /** Opens one attempt of a generation at an agent. */
+import * as connect from "@connectrpc/connect";
 import * as failures from "../core/failure.js";
 import * as outcomes from "../core/outcome.js";
 import * as streamMessages from "../streams/messages.js";
+import * as sequencer from "../streams/sequencer.js";
 import type * as streams from "../streams/types.js";
 import type * as callers from "./agent-caller.js";
 import type * as serverSelection from "./server-selection.js";
@@ -44,6 +46,39 @@
     }
 }
 
+/** Without a reason, each `abort` creates an exception with a stack trace. */
+const GIVEN_UP = new connect.ConnectError("the attempt was given up", connect.Code.Canceled);
+
+/**
+ * Cancels a call when the attempt is given up, but not once its terminal event has come: cancelling costs both
+ * processes more than reading the end of the stream, which the deadline of the call bounds.
+ */
+class Cancellation implements Disposable {
+    private readonly controller = new AbortController();
+    private readonly cancel = () => this.controller.abort(GIVEN_UP);
+
+    constructor(private readonly attempt: AbortSignal) {
+        attempt.addEventListener("abort", this.cancel);
+        if (attempt.aborted) {
+            this.cancel();
+        }
+    }
+
+    get signal(): AbortSignal {
+        return this.controller.signal;
+    }
+
+    /** Reads the end of the stream in the background. */
+    complete(rest: AsyncIterator<unknown>): void {
+        this[Symbol.dispose]();
+        void rest.next().then(end => end.done === true ? undefined : this.cancel(), () => undefined);
+    }
+
+    [Symbol.dispose](): void {
+        this.attempt.removeEventListener("abort", this.cancel);
+    }
+}
+
 /** Returns true when the agent refused because of an older configuration and the newer one is now in force. */
 async function* events(
     caller: callers.AgentCaller,
@@ -52,11 +87,18 @@
     settings: callers.CallSettings,
     mayAgree: boolean,
 ): AsyncGenerator<streams.StreamEvent, boolean, void> {
+    using cancellation = new Cancellation(settings.signal);
+    const options = caller.callOptions({ ...settings, signal: cancellation.signal });
+    const messages = caller.client(address).generate(request, options)[Symbol.asyncIterator]();
     try {
-        for await (const message of caller.client(address).generate(request, caller.callOptions(settings))) {
+        for (let received = await messages.next(); received.done !== true; received = await messages.next()) {
+            const message = received.value;
             const event = streamMessages.fromMessage(message);
             const failure = event?.body.type === "failed" ? event.body.failure : undefined;
             const agreed = await caller.agree(address, Number(message.manifestVersion), failure);
+            if (event !== undefined && sequencer.TERMINAL.has(event.body.type)) {
+                cancellation.complete(messages);
+            }
             if (agreed && mayAgree) {
                 return true;
             }
--- a/src/streams/sequencer.ts
+++ b/src/streams/sequencer.ts
@@ -104,4 +104,5 @@
     return { state: { ...state, early: new Map(), terminated: true }, steps: [{ kind: "violation", detail }] };
 }
 
-const TERMINAL: ReadonlySet<types.Body["type"]> = new Set(["ended", "failed", "redirected"] as const);
+/** Types of the events that end an attempt. */
+export const TERMINAL: ReadonlySet<types.Body["type"]> = new Set(["ended", "failed", "redirected"] as const);
