Stop generations through one signal with a constant reason

Cause: each generation combined two signals, and the abort that the RPC library makes after the end of every call ran through the combined signal into the HTTP client, which made further exceptions.

Ruled out: preventing the abort of the library (it has no setting).

Change: one controller per generation is stopped by the deadline or by the call while the generation runs; its abort has a constant reason.

--- a/src/agent/generation-service.ts
+++ b/src/agent/generation-service.ts
@@ -36,6 +36,9 @@
     readonly clock: clocks.Clock;
 }
 
+/** Without a reason, `abort` creates an exception with a stack trace. */
+const STOPPED = new Error("the generation was stopped");
+
 type Event = Exclude<messages.GenerateEvent["event"], { case: undefined; }>;
 /** An event without the type name that only received messages have. */
 type OutboundEvent = { [Case in Event["case"]]: { readonly case: Case; readonly value: object; }; }[Event["case"]];
@@ -181,12 +184,21 @@
         let uncachedTokens = prefix.promptTokens;
         let tokens = 0;
         const stop = new AbortController();
-        const remainingMs = Math.max(0, work.deadline - startedAt);
-        const timer = setTimeout(() => stop.abort(), remainingMs);
-        const signal = AbortSignal.any([work.signal, stop.signal]);
+        let isExpired = false;
+        const expire = () => {
+            isExpired = !stop.signal.aborted;
+            stop.abort(STOPPED);
+        };
+        const cancel = () => stop.abort(STOPPED);
+        const timer = setTimeout(expire, Math.max(0, work.deadline - startedAt));
+        // The signal of the call is also aborted after its end, when the engine must no longer notice.
+        work.signal.addEventListener("abort", cancel);
+        if (work.signal.aborted) {
+            cancel();
+        }
         const outcome = this.beginOutcome(request, startedAt);
         try {
-            for await (const event of this.options.engine.generate(engineRequest(request, prefix.scope), signal)) {
+            for await (const event of this.options.engine.generate(engineRequest(request, prefix.scope), stop.signal)) {
                 if (event.type === "start") {
                     uncachedTokens = event.promptTokens - event.cachedTokens;
                 }
@@ -198,7 +210,7 @@
                 if (event.type === "end" || event.type === "failed") {
                     outcome?.end(this.options.clock.now(), event.type === "failed" ? event.failure : undefined);
                 }
-                const expired = event.type === "failed" && stop.signal.aborted;
+                const expired = event.type === "failed" && isExpired;
                 yield expired
                     ? failed({ kind: "deadline-exceeded", detail: request.requestId })
                     : this.translate(event);
@@ -206,6 +218,7 @@
         }
         finally {
             clearTimeout(timer);
+            work.signal.removeEventListener("abort", cancel);
             outcome?.end(this.options.clock.now(), { kind: "engine-cancelled", detail: request.requestId });
             complete(uncachedTokens + tokens);
         }
