Add up the weights of active customers once per decision

Cause: the share of each other customer added up the weights of all active ones, for each waiting customer, so the cost of one job was cubic in the number of customers that wait at an agent.

Ruled out: caching the set of active customers between decisions (it depends on the time and on what runs).

Change: one sum per decision, and use that is already settled at a time is not settled again. Shares and decisions stay the same.

The cost is still quadratic in the waiting customers.

--- a/src/fairness/usage.ts
+++ b/src/fairness/usage.ts
@@ -58,9 +58,7 @@
 
     /** Fraction of the capacity that the customer is entitled to among the active ones. */
     share(customer: string, now: number): number {
-        const active = this.active(now);
-        const total = active.reduce((sum, name) => sum + this.weight(name), 0);
-        return this.weight(customer) / Math.max(total, this.weight(customer));
+        return this.shareOf(customer, this.totalWeight(this.active(now)));
     }
 
     /**
@@ -82,10 +80,13 @@
         }
         let running = use.running;
         let reserved = 0;
-        for (const name of this.active(now).filter(other => other !== customer)) {
+        const active = this.active(now);
+        // Added up once: a sum per customer made the cost of one job cubic in the number of waiting customers.
+        const total = this.totalWeight(active);
+        for (const name of active.filter(other => other !== customer)) {
             const other = this.settle(name, now);
             running += other.running;
-            const entitled = this.share(name, now);
+            const entitled = this.shareOf(name, total);
             // Customers within their share on average keep the room of their bursts, the others only their share.
             const kept = other.average <= entitled ? other.peak : Math.min(entitled, other.peak);
             reserved += Math.max(0, kept - other.running);
@@ -100,6 +101,14 @@
         return use.demand > total * share * SURGE_FACTOR;
     }
 
+    private shareOf(customer: string, totalWeight: number): number {
+        return this.weight(customer) / Math.max(totalWeight, this.weight(customer));
+    }
+
+    private totalWeight(customers: readonly string[]): number {
+        return customers.reduce((sum, name) => sum + this.weight(name), 0);
+    }
+
     private active(now: number): readonly string[] {
         const idle = [...this.customers].filter(([, use]) =>
             use.running === 0 && now >= use.lastActiveAt + ACTIVE_WINDOW_MS
@@ -116,6 +125,9 @@
             return use;
         }
         const elapsed = Math.max(0, now - known.updatedAt);
+        if (elapsed === 0) {
+            return known;
+        }
         const remaining = kept(elapsed);
         known.average = known.average * remaining + known.running * (1 - remaining);
         known.demand *= remaining;
