--- a/src/agent/generation-service.ts
+++ b/src/agent/generation-service.ts
@@ -17,6 +17,7 @@
 import type * as engineTypes from "./engine-types.js";
 import type * as gates from "./gate.js";
 import type * as isolatedRuns from "./isolated-runs.js";
+import * as runLimits from "./run-limit.js";
 
 /** Prefill time per token in milliseconds that the redirect decision assumes before requests have been measured. */
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.02;
@@ -190,10 +191,7 @@
         const { request, prefix } = work;
         let uncachedTokens = prefix.promptTokens;
         let tokens = 0;
-        const stop = new AbortController();
-        const remainingMs = Math.max(0, work.deadline - startedAt);
-        const timer = setTimeout(() => stop.abort(), remainingMs);
-        const signal = AbortSignal.any([work.signal, stop.signal]);
+        using limit = new runLimits.RunLimit(work.signal, work.deadline - startedAt);
         let outcome: outcomeCounters.RequestOutcome | undefined;
         // The wait at the gate says nothing about the engine.
         const started = () => {
@@ -203,7 +201,7 @@
         const { fingerprint, runAlone } = request;
         const generation = { request: engineRequest(request, prefix.scope), fingerprint, runAlone, started };
         try {
-            for await (const event of this.options.runs.generate(generation, signal)) {
+            for await (const event of this.options.runs.generate(generation, limit.signal)) {
                 if (event.type === "start") {
                     uncachedTokens = event.promptTokens - event.cachedTokens;
                 }
@@ -215,14 +213,13 @@
                 if (event.type === "end" || event.type === "failed") {
                     outcome?.end(this.options.clock.now(), event.type === "failed" ? event.failure : undefined);
                 }
-                const expired = event.type === "failed" && stop.signal.aborted;
+                const expired = event.type === "failed" && limit.isExpired;
                 yield expired
                     ? failed({ kind: "deadline-exceeded", detail: request.requestId })
                     : this.translate(event);
             }
         }
         finally {
-            clearTimeout(timer);
             outcome?.end(this.options.clock.now(), { kind: "engine-cancelled", detail: request.requestId });
             complete(uncachedTokens + tokens);
         }
--- a/test/entry/suspicion.test.ts
+++ b/test/entry/suspicion.test.ts
@@ -5,6 +5,7 @@
 import * as healths from "../../src/entry/server-health.js";
 import * as selections from "../../src/entry/server-selection.js";
 import * as suspicions from "../../src/entry/suspicion.js";
+import * as journals from "../../src/logging/journal.js";
 import type * as membership from "../../src/membership/types.js";
 import type * as quarantine from "../../src/quarantine/types.js";
 import * as continuation from "../../src/streams/continuation.js";
@@ -53,7 +54,7 @@
     board.write("configuration", { backendServers } as never);
     const fingerprints = Array.from({ length: 20 }, (_, index) => `f${index}`);
     const choices = SERVERS.map(loaded => {
-        const health = new healths.ServerHealth(() => 0);
+        const health = new healths.ServerHealth(() => 0, journals.silentJournal);
         const servers = new selections.ServerSelection({ board, dataCentre: "dc-a", random: () => 0, health });
         servers.reported(loaded, { queuedTokens: 100_000, running: 9, waiting: 9 }, 1);
         const demand = {
