Estimate the load of servers per model

Cause: the time to compute a prompt token was one value per entry, also across models with different costs. Ruled out: one value per server, which few samples make noisy. Change: one estimate per model and entry. Conclusion: a fast model no longer distorts the choice for a slow one.

--- a/src/entry/chat-pipeline.ts
+++ b/src/entry/chat-pipeline.ts
@@ -227,7 +227,7 @@
         token: token => this.writer.token(token),
         attemptFailed: (server, failure) => {
             const { servers, clock, health } = this.options;
-            servers.ended(server, this.attemptId);
+            servers.ended(this.generation.demand.model.name, server, this.attemptId);
             health.ended(server, failure, clock.now());
             if (VERSION_FAILURES.has(failure.kind)) {
                 this.failedVersions.set(server, this.generation.demand.weightsVersion);
@@ -239,8 +239,8 @@
         },
         load: (server, load) => {
             const { servers, clock } = this.options;
-            servers.ended(server, this.attemptId);
-            servers.reported(server, load, clock.now());
+            servers.ended(this.generation.demand.model.name, server, this.attemptId);
+            servers.reported(this.generation.demand.model.name, server, load, clock.now());
         },
     };
 }
--- a/src/entry/server-selection.ts
+++ b/src/entry/server-selection.ts
@@ -31,6 +31,7 @@
 /** One selected server and the best other one. */
 export interface Choice {
     readonly address: string;
+    readonly model: string;
     readonly alternative: routing.RankedServer | undefined;
     readonly prefix: prefixes.Prefix;
     readonly request: routing.RoutableRequest;
@@ -46,7 +47,8 @@
 
 export class ServerSelection {
     private readonly index = new prefixIndexes.PrefixIndex();
-    private readonly loads = new serverLoads.ServerLoads();
+    /** By model, because the time to compute a prompt token differs between models. */
+    private readonly loads = new Map<string, serverLoads.ServerLoads>();
 
     constructor(private readonly options: ServerSelectionOptions) {}
 
@@ -55,17 +57,18 @@
         const { prefix, request } = routable(demand);
         const { chain, promptTokens } = prefix;
         const candidates = this.available(demand, now);
-        const ranked = selection.choose(request, candidates, this.index, this.loads, now, this.options.random());
+        const loads = this.loadsOf(demand.model.name);
+        const ranked = selection.choose(request, candidates, this.index, loads, now, this.options.random());
         const chosen = ranked.find(server => server.address === demand.preferred) ?? ranked[0];
         if (chosen === undefined) {
             return undefined;
         }
         const networkMs = candidates.find(candidate => candidate.address === chosen.address)?.networkMs ?? 0;
         const uncachedTokens = Math.max(0, promptTokens - chosen.expectedCachedTokens);
-        this.loads.sent(chosen.address, attemptId, uncachedTokens, networkMs, now);
+        loads.sent(chosen.address, attemptId, uncachedTokens, networkMs, now);
         this.index.expect(chain, chosen.address, now);
         const alternative = ranked.find(server => server.address !== chosen.address);
-        return { address: chosen.address, alternative, prefix, request, sentAt: now };
+        return { address: chosen.address, model: demand.model.name, alternative, prefix, request, sentAt: now };
     }
 
     /**
@@ -80,8 +83,10 @@
             return undefined;
         }
         const { prefix, request } = routable(demand);
-        this.loads.sent(chosen.address, attemptId, prefix.promptTokens, chosen.networkMs, now);
-        return { address: chosen.address, alternative: undefined, prefix, request, sentAt: now };
+        this.loadsOf(demand.model.name)
+            .sent(chosen.address, attemptId, prefix.promptTokens, chosen.networkMs, now);
+        const model = demand.model.name;
+        return { address: chosen.address, model, alternative: undefined, prefix, request, sentAt: now };
     }
 
     /** Whether a live server has the weights. */
@@ -98,18 +103,18 @@
     ): void {
         const computed = Math.max(0, choice.request.promptTokens - reply.cachedTokens);
         if (reply.load !== undefined) {
-            this.loads.started(choice.address, attemptId, computed, reply.load, now);
+            this.loadsOf(choice.model).started(choice.address, attemptId, computed, reply.load, now);
         }
         this.index.learn(choice.request, choice.address, reply, choice.sentAt, now);
     }
 
-    reported(address: string, load: routing.LoadReport, now: number): void {
-        this.loads.reported(address, load, now);
+    reported(model: string, address: string, load: routing.LoadReport, now: number): void {
+        this.loadsOf(model).reported(address, load, now);
     }
 
     /** Notes the end of an attempt, whether or not it started. */
-    ended(address: string, attemptId: string): void {
-        this.loads.abandoned(address, attemptId);
+    ended(model: string, address: string, attemptId: string): void {
+        this.loadsOf(model).abandoned(address, attemptId);
     }
 
     /** Voids what is known of the cache of a server whose connection broke. */
@@ -121,7 +126,13 @@
     retain(members: membership.Members): void {
         const addresses = new Set(members.keys());
         this.index.retain(addresses);
-        this.loads.retain(addresses);
+        this.loads.forEach(loads => loads.retain(addresses));
+    }
+
+    private loadsOf(model: string): serverLoads.ServerLoads {
+        const loads = this.loads.get(model) ?? new serverLoads.ServerLoads();
+        this.loads.set(model, loads);
+        return loads;
     }
 
     /** Live servers with the weights whose circuit lets a request pass. */
--- a/test/entry/suspicion.test.ts
+++ b/test/entry/suspicion.test.ts
@@ -56,7 +56,7 @@
     const choices = SERVERS.map(loaded => {
         const health = new healths.ServerHealth(() => 0, journals.silentJournal);
         const servers = new selections.ServerSelection({ board, dataCentre: "dc-a", random: () => 0, health });
-        servers.reported(loaded, { queuedTokens: 100_000, running: 9, waiting: 9 }, 1);
+        servers.reported("menu", loaded, { queuedTokens: 100_000, running: 9, waiting: 9 }, 1);
         const demand = {
             model: { name: "menu", pieceTokens: 1024 },
             weightsVersion: "v1",
