Separate the settlement of lost claims from the call ledger

Change: claim-resolver finds out what became of the claims of others and settles them, and states when a call counts as not run; call.ts holds the types that callers see; the check for a passed time limit or a cancelled call stands once. No behaviour is changed on purpose; the tests are unchanged. Conclusion: the ledger shows the path of one call.

--- a/src/idempotency/call-ledger.ts
+++ b/src/idempotency/call-ledger.ts
@@ -1,118 +1,66 @@
-/** Runs calls at most once: claims each call in the store before it runs, and settles the calls of lost claims. */
+/**
+ * Runs calls at most once: claims each call in the store before it runs, and records how it ended.
+ *
+ * A call runs only after the store has confirmed its claim, and only within its deadline: others wait that long before
+ * they settle the claim. `claim-resolver` finds out what became of the claims of others.
+ */
 import type * as clock from "../clock/clock.js";
 import type * as controllers from "../core/controller.js";
 import type * as event from "../core/event.js";
 import * as hashing from "../core/hashing.js";
-import * as incarnations from "../core/incarnation.js";
+import type * as incarnations from "../core/incarnation.js";
 import * as outcomes from "../core/outcome.js";
-import type * as manifest from "../manifest/types.js";
 import type * as membership from "../membership/types.js";
 import type * as httpCalls from "../platform/http-call.js";
 import type * as platform from "../platform/types.js";
+import type * as calls from "./call.js";
+import * as resolvers from "./claim-resolver.js";
 import * as deadlines from "./deadline.js";
 import * as commits from "./group-commit.js";
-import * as observations from "./observation-table.js";
 import * as records from "./record-group.js";
-import * as settlement from "./settlement.js";
 import type * as types from "./types.js";
 
-/** First and longest interval of the reads of a record that a live agent holds; each read may transfer 900 KB. */
-const POLL_INTERVAL_MS = 250;
+export type { Answer, Call, Execute, LookupCall, LookupResult, Permit } from "./call.js";
+
+/** Longest interval of the reads of a record that a live agent holds; each read may transfer 900 KB. */
 const LONGEST_POLL_INTERVAL_MS = 1000;
-/** Interval of the checks of an observed claim whose holder is alive and records the end itself. */
-const LIVE_CHECK_INTERVAL_MS = 5000;
 /** Longest time that an answer waits for the write of its result; the answer is true without the write. */
 const RESULT_WAIT_MS = 1000;
-const LOOKUP_TIMEOUT_MS = 2000;
 /** Operations that may wait for the store; bounds the memory in an outage. */
 const MAXIMUM_PENDING_OPERATIONS = 4096;
 const FLUSH_POLL_MS = 20;
 const REQUEST_ID_DIGITS = 16;
 
-export interface Call {
-    readonly customer: string;
-    readonly route: manifest.Route;
-    readonly key: string;
-    readonly requestId: string;
-    /** Grows with each attempt of the entry for the same request. */
-    readonly attempt: number;
-    /** Hash of method, target and body. */
-    readonly bodyHash: string;
-    /** Monotonic time in milliseconds. */
-    readonly deadline: number;
-    /** Stops a call that has not started; a call that has started runs to its end. */
-    readonly signal?: AbortSignal;
-}
-
-export type LookupCall = Pick<Call, "customer" | "route" | "key" | "requestId" | "deadline">;
-
-export interface Answer {
-    readonly response: types.ServiceResponse;
-    /** The call ran earlier, or by another request. */
-    readonly replayed: boolean;
-}
-
-/** The right to send the call to the service once. */
-export interface Permit {
-    /** Value of `Idempotency-Key` for the service; differs between customers that use the same key. */
-    readonly serviceKey: string;
-    readonly timeoutMs: number;
-    /** Must be asked directly before the first byte is sent; false forbids the call. */
-    mayStart(): boolean;
-}
-
-export type Execute = (permit: Permit) => Promise<httpCalls.HttpResult>;
-
-export type LookupResult =
-    | { readonly state: "none" | "claimed" | "not-run"; }
-    | { readonly state: "unknown"; readonly retryAfterMs?: number; }
-    | { readonly state: "done"; readonly answer: outcomes.Outcome<Answer>; };
-
-export interface ServiceLookup {
-    lookup(
-        route: manifest.Route,
-        serviceKey: string,
-        requestId: string,
-        timeoutMs: number,
-    ): Promise<settlement.ServiceAnswer>;
-}
-
 export interface CallLedgerOptions {
     readonly self: incarnations.Incarnation;
     readonly store: platform.ObjectStore;
     readonly time: clock.Clock;
     readonly journal: event.Journal;
     readonly liveness: membership.LivenessProbe;
-    readonly service: ServiceLookup;
+    readonly service: resolvers.ServiceLookup;
 }
 
 /** The end of a call and the moment from which the store says the same. */
 interface Finished {
-    readonly outcome: outcomes.Outcome<Answer>;
+    readonly outcome: outcomes.Outcome<calls.Answer>;
     readonly recorded: Promise<unknown>;
 }
 
 interface Running {
     readonly bodyHash: string;
-    readonly outcome: Promise<outcomes.Outcome<Answer>>;
-    finished: outcomes.Outcome<Answer> | undefined;
+    readonly outcome: Promise<outcomes.Outcome<calls.Answer>>;
+    finished: outcomes.Outcome<calls.Answer> | undefined;
 }
 
-type Resolution =
-    | { readonly kind: "running"; }
-    | { readonly kind: "done"; readonly answer: outcomes.Outcome<Answer>; }
-    | { readonly kind: "not-run"; }
-    /** `retryAfterMs` is missing when the outcome cannot be found out. */
-    | { readonly kind: "open"; readonly retryAfterMs?: number; };
-
 export class CallLedger implements controllers.Controller {
     readonly name = "idempotency";
     private readonly committer: commits.GroupCommitter;
     private readonly running = new Map<string, Running>();
-    private readonly observed = new observations.ObservationTable();
+    private readonly resolver: resolvers.ClaimResolver;
 
     constructor(private readonly options: CallLedgerOptions) {
         this.committer = new commits.GroupCommitter(options);
+        this.resolver = new resolvers.ClaimResolver(options, this.committer);
     }
 
     /**
@@ -123,7 +71,7 @@
      * and will not), `idempotency-group-full`, `idempotency-group-unreadable`, `outcome-unknown`,
      * `response-not-stored` or `response-too-large`.
      */
-    async run(call: Call, execute: Execute): Promise<outcomes.Outcome<Answer>> {
+    async run(call: calls.Call, execute: calls.Execute): Promise<outcomes.Outcome<calls.Answer>> {
         const id = records.recordId(call.customer, call.route.name, call.key);
         const existing = this.running.get(id);
         if (existing !== undefined) {
@@ -147,7 +95,7 @@
     }
 
     /** Finds out what became of a call without running it. Fails with `store-unavailable` and the like. */
-    async lookup(call: LookupCall): Promise<outcomes.Outcome<LookupResult>> {
+    async lookup(call: calls.LookupCall): Promise<outcomes.Outcome<calls.LookupResult>> {
         const id = records.recordId(call.customer, call.route.name, call.key);
         const finished = this.running.get(id)?.finished;
         if (finished?.ok) {
@@ -164,24 +112,12 @@
         if (record === undefined) {
             return outcomes.succeed({ state: "none" });
         }
-        return outcomes.succeed(lookupResult(await this.resolve(call, id, record)));
+        return outcomes.succeed(lookupResult(await this.resolver.resolve(call, id, record)));
     }
 
     /** Settles the open calls that this process has seen. */
     async step(_now: number): Promise<void> {
-        for (const due of this.observed.due(this.options.time.now())) {
-            const group = await this.committer.read(records.groupName(due.id));
-            if (!group.ok) {
-                return;
-            }
-            const record = group.value.records.get(due.id);
-            if (record?.claim.id !== due.claimId || !isOpen(record)) {
-                this.observed.remove(due.claimId);
-                continue;
-            }
-            const deadline = this.options.time.now() + LOOKUP_TIMEOUT_MS;
-            await this.resolve({ ...due.call, requestId: record.claim.requestId, deadline }, due.id, record);
-        }
+        await this.resolver.settleDue();
     }
 
     /** Waits until the store has the results of all calls, or until the deadline; for a graceful shutdown. */
@@ -196,10 +132,14 @@
     }
 
     /** A repeat in the same process takes the end of the call that is running. */
-    private async join(call: Call, running: Running, execute: Execute): Promise<outcomes.Outcome<Answer>> {
+    private async join(
+        call: calls.Call,
+        running: Running,
+        execute: calls.Execute,
+    ): Promise<outcomes.Outcome<calls.Answer>> {
         const outcome = await deadlines.before(this.options.time, running.outcome, call.deadline, call.signal);
         if (outcome === undefined) {
-            return unknownOutcome("another call with the key is running", POLL_INTERVAL_MS);
+            return unknownOutcome("another call with the key is running", resolvers.POLL_INTERVAL_MS);
         }
         if (running.bodyHash === call.bodyHash) {
             return joined(outcome);
@@ -210,7 +150,7 @@
             : outcomes.refuse("idempotency-key-reused", call.route.name);
     }
 
-    private async perform(call: Call, id: string, execute: Execute): Promise<Finished> {
+    private async perform(call: calls.Call, id: string, execute: calls.Execute): Promise<Finished> {
         const { time } = this.options;
         const preparedAt = time.now();
         const claim: types.Claim = {
@@ -246,10 +186,15 @@
         }
     }
 
-    private async runClaimed(call: Call, id: string, claim: types.Claim, execute: Execute): Promise<Finished> {
+    private async runClaimed(
+        call: calls.Call,
+        id: string,
+        claim: types.Claim,
+        execute: calls.Execute,
+    ): Promise<Finished> {
         const { time } = this.options;
         // Settlement waits out the time limit of the claim, so before it the claim certainly stands.
-        const mayStart = () => time.now() < call.deadline && !call.signal?.aborted;
+        const mayStart = () => !this.hasEnded(call);
         if (!mayStart()) {
             return this.notRun(call, id, claim, "it was cancelled or its time limit passed before it started");
         }
@@ -268,18 +213,18 @@
     }
 
     /** After the time limit another agent may have settled the claim, so that the record alone can prove anything. */
-    private notRun(call: Call, id: string, claim: types.Claim, detail: string): Finished {
+    private notRun(call: calls.Call, id: string, claim: types.Claim, detail: string): Finished {
         const stands = this.options.time.now() < call.deadline;
         const outcome = outcomes.refuse(stands ? "call-not-run" : "call-not-claimed", detail);
         return { outcome, recorded: this.release(call, id, claim) };
     }
 
     private async ran(
-        call: Call,
+        call: calls.Call,
         id: string,
         claim: types.Claim,
         response: types.ServiceResponse,
-        answer: Answer | undefined,
+        answer: calls.Answer | undefined,
     ): Promise<Finished> {
         const { time, journal } = this.options;
         const stored = answer === undefined ? records.digestOf(response) : records.storedResponse(response);
@@ -299,11 +244,11 @@
     }
 
     /** The service may have run the call and may still run it. */
-    private async lost(call: Call, id: string, claim: types.Claim, detail: string): Promise<Finished> {
+    private async lost(call: calls.Call, id: string, claim: types.Claim, detail: string): Promise<Finished> {
         const { journal } = this.options;
         journal.emit("call-outcome-lost", { record: id, reason: detail });
         if (call.route.lookupPath !== "") {
-            const answer = await this.askService(call, id);
+            const answer = await this.resolver.askService(call, id);
             if (answer.kind === "ran") {
                 return this.ran(call, id, claim, answer.response, { response: answer.response, replayed: false });
             }
@@ -313,7 +258,7 @@
             (group, wallTime) => records.markUnknown(group, id, claim, wallTime),
         ).result.then(result => {
             if (result.ok && result.value.record !== undefined) {
-                this.observe(call, id, result.value.record);
+                this.resolver.observe(call, id, result.value.record);
             }
         });
         const retryAfterMs = call.route.lookupPath === "" ? undefined : call.route.settleAfterMs;
@@ -321,27 +266,30 @@
     }
 
     /** Follows a record of another claim. A call that waited never runs: its caller may have been told `not-run`. */
-    private async follow(call: Call, id: string, first: types.CallRecord, execute: Execute): Promise<Finished> {
+    private async follow(
+        call: calls.Call,
+        id: string,
+        first: types.CallRecord,
+        execute: calls.Execute,
+    ): Promise<Finished> {
         const { time } = this.options;
         let record = first;
-        let pollMs = POLL_INTERVAL_MS;
+        let pollMs = resolvers.POLL_INTERVAL_MS;
         while (true) {
-            const resolution = await this.resolve(call, id, record);
+            const resolution = await this.resolver.resolve(call, id, record);
             if (resolution.kind === "done") {
                 return ended(resolution.answer);
             }
             if (resolution.kind === "not-run") {
-                const isEarlierAttempt = record.claim.requestId === recordedRequestId(call)
-                    && record.claim.attempt < call.attempt;
-                return isEarlierAttempt && time.now() < call.deadline && !call.signal?.aborted
+                return this.mayRunAfter(record, call)
                     ? this.perform(call, id, execute)
                     : ended(outcomes.refuse("earlier-call-not-run", call.route.name));
             }
             if (resolution.kind === "open") {
                 return ended(unknownOutcome("the earlier call with the key is not settled", resolution.retryAfterMs));
             }
-            if (time.now() >= call.deadline || call.signal?.aborted) {
-                return ended(unknownOutcome("another call with the key is running", POLL_INTERVAL_MS));
+            if (this.hasEnded(call)) {
+                return ended(unknownOutcome("another call with the key is running", resolvers.POLL_INTERVAL_MS));
             }
             await time.sleep(Math.min(pollMs, call.deadline - time.now()), call.signal);
             pollMs = Math.min(pollMs * 2, LONGEST_POLL_INTERVAL_MS);
@@ -350,116 +298,31 @@
         }
     }
 
-    /** Finds out what became of a recorded call, and records it. */
-    private async resolve(call: LookupCall, id: string, record: types.CallRecord): Promise<Resolution> {
-        if (record.state === "done") {
-            return { kind: "done", answer: restored(record.response) };
-        }
-        if (record.state === "not-run") {
-            return { kind: "not-run" };
-        }
-        const observation = this.observe(call, id, record);
-        if (record.state === "claimed" && observation.deadSince === undefined) {
-            if (await this.liveness(record.claim.incarnation) !== "dead") {
-                this.observed.postpone(record.claim.id, this.options.time.now() + LIVE_CHECK_INTERVAL_MS);
-                return { kind: "running" };
-            }
-            this.observed.markDead(record.claim.id, this.options.time.now());
-        }
-        return this.settleOpen(call, id, record);
+    /** The record was not run; only a later attempt of the same request may run the call in its place. */
+    private mayRunAfter(record: types.CallRecord, call: calls.Call): boolean {
+        const sameRequest = record.claim.requestId === recordedRequestId(call);
+        return sameRequest && record.claim.attempt < call.attempt && !this.hasEnded(call);
     }
 
-    private async settleOpen(call: LookupCall, id: string, record: types.CallRecord): Promise<Resolution> {
-        const { time } = this.options;
-        if (call.route.lookupPath === "") {
-            this.observed.remove(record.claim.id);
-            return { kind: "open" };
-        }
-        const observation = this.observe(call, id, record);
-        const from = settlement.settleAt(record, observation, call.route.settleAfterMs);
-        const askedAt = time.now();
-        const conclusion = settlement.conclude(await this.askService(call, id), askedAt, from);
-        if (conclusion.kind === "done") {
-            const response = records.storedResponse(conclusion.response);
-            void this.settle(id, record, { state: "done", response });
-            return { kind: "done", answer: outcomes.succeed({ response: conclusion.response, replayed: true }) };
-        }
-        if (conclusion.kind === "not-run") {
-            return this.settleNotRun(call, id, record);
-        }
-        const retryAfterMs = Math.max(POLL_INTERVAL_MS, Math.ceil((from ?? askedAt) - time.now()));
-        this.observed.postpone(record.claim.id, time.now() + retryAfterMs);
-        return { kind: "open", retryAfterMs };
-    }
-
-    /** Others act on the record, so `not-run` counts only when the store has confirmed it. */
-    private async settleNotRun(call: LookupCall, id: string, record: types.CallRecord): Promise<Resolution> {
-        const { time } = this.options;
-        const result = await deadlines.before(time, this.settle(id, record, { state: "not-run" }), call.deadline);
-        if (!result?.ok) {
-            return { kind: "open", retryAfterMs: POLL_INTERVAL_MS };
-        }
-        const current = result.value.record;
-        if (result.value.applied) {
-            return { kind: "not-run" };
-        }
-        return current?.state === "done"
-            ? { kind: "done", answer: restored(current.response) }
-            : { kind: "open", retryAfterMs: POLL_INTERVAL_MS };
+    /** The time limit of the call has passed or its caller has cancelled it. */
+    private hasEnded(call: calls.Call): boolean {
+        return this.options.time.now() >= call.deadline || call.signal?.aborted === true;
     }
 
-    private async settle(
-        id: string,
-        record: types.CallRecord,
-        verdict: records.Verdict,
-    ): Promise<outcomes.Outcome<records.UpdateResult>> {
-        const result = await this.committer.submit(
-            records.groupName(id),
-            (group, wallTime) => records.settle(group, id, record.claim.id, verdict, wallTime),
-        ).result;
-        if (result.ok) {
-            this.observed.remove(record.claim.id);
-            this.options.journal.emit("call-settled", { record: id, state: result.value.record?.state });
-        }
-        return result;
-    }
-
-    private release(call: Call, id: string, claim: types.Claim): Promise<unknown> {
+    private release(call: calls.Call, id: string, claim: types.Claim): Promise<unknown> {
         return this.committer.submit(
             records.groupName(id),
             (group, wallTime) => records.release(group, id, claim, call.bodyHash, wallTime),
         ).result;
     }
-
-    private async askService(call: LookupCall, id: string): Promise<settlement.ServiceAnswer> {
-        const remainingMs = call.deadline - this.options.time.now();
-        if (remainingMs <= 0) {
-            return { kind: "no-answer", detail: "the deadline has passed" };
-        }
-        const timeoutMs = Math.min(LOOKUP_TIMEOUT_MS, remainingMs);
-        return this.options.service.lookup(call.route, id, call.requestId, timeoutMs);
-    }
-
-    /** A second incarnation at the own address cannot run beside this one. */
-    private async liveness(incarnation: incarnations.Incarnation): Promise<membership.Liveness> {
-        if (incarnations.sameIncarnation(incarnation, this.options.self)) {
-            return "alive";
-        }
-        return incarnation.address === this.options.self.address ? "dead" : this.options.liveness.probe(incarnation);
-    }
-
-    private observe(call: LookupCall, id: string, record: types.CallRecord): settlement.Observation {
-        const { customer, route, key } = call;
-        return this.observed.observe(id, record, { customer, route, key }, this.options.time.now());
-    }
 }
 
 /** Request identifiers can come from callers; a hash bounds the size of the record. */
-function recordedRequestId(call: Call): string {
+function recordedRequestId(call: calls.Call): string {
     return hashing.sha256(call.requestId).slice(0, REQUEST_ID_DIGITS);
 }
 
-function ended(outcome: outcomes.Outcome<Answer>): Finished {
+function ended(outcome: outcomes.Outcome<calls.Answer>): Finished {
     return { outcome, recorded: Promise.resolve() };
 }
 
@@ -468,40 +331,22 @@
     return { kind: "lost", detail: String(error) };
 }
 
-function isOpen(record: types.CallRecord): boolean {
-    return record.state === "claimed" || record.state === "unknown";
-}
-
 function unknownOutcome(detail: string, retryAfterMs: number | undefined): outcomes.Refusal {
     return outcomes.refuse("outcome-unknown", detail, retryAfterMs);
 }
 
-function replay(outcome: outcomes.Outcome<Answer>): outcomes.Outcome<Answer> {
+function replay(outcome: outcomes.Outcome<calls.Answer>): outcomes.Outcome<calls.Answer> {
     return outcome.ok ? outcomes.succeed({ ...outcome.value, replayed: true }) : outcome;
 }
 
 /** The record of a call that was not run excludes late attempts of its own request only. */
-function joined(outcome: outcomes.Outcome<Answer>): outcomes.Outcome<Answer> {
+function joined(outcome: outcomes.Outcome<calls.Answer>): outcomes.Outcome<calls.Answer> {
     return !outcome.ok && outcome.failure.kind === "call-not-run"
         ? outcomes.refuse("earlier-call-not-run", outcome.failure.detail)
         : replay(outcome);
 }
 
-function restored(stored: types.StoredResponse): outcomes.Outcome<Answer> {
-    if (stored.kind === "digest") {
-        return outcomes.refuse(
-            "response-not-stored",
-            `status ${stored.status}, ${stored.bytes} bytes, SHA-256 ${stored.sha256}`,
-        );
-    }
-    const { status, headers } = stored;
-    return outcomes.succeed({
-        response: { status, headers, body: Buffer.from(stored.body, "base64") },
-        replayed: true,
-    });
-}
-
-function lookupResult(resolution: Resolution): LookupResult {
+function lookupResult(resolution: resolvers.Resolution): calls.LookupResult {
     switch (resolution.kind) {
         case "running":
             return { state: "claimed" };
--- /dev/null
+++ b/src/idempotency/claim-resolver.ts
@@ -0,0 +1,191 @@
+/**
+ * Finds out what became of the calls of other claims, and settles those whose holder is lost.
+ *
+ * A call counts as not run only when the store has confirmed that verdict, since others act on the record. A claim of a
+ * live holder is never settled here: the holder records the end itself.
+ */
+import type * as clock from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import * as incarnations from "../core/incarnation.js";
+import * as outcomes from "../core/outcome.js";
+import type * as manifest from "../manifest/types.js";
+import type * as membership from "../membership/types.js";
+import type * as calls from "./call.js";
+import * as deadlines from "./deadline.js";
+import type * as commits from "./group-commit.js";
+import * as observations from "./observation-table.js";
+import * as records from "./record-group.js";
+import * as settlement from "./settlement.js";
+import type * as types from "./types.js";
+
+/** First interval of the reads of a record that is not settled. */
+export const POLL_INTERVAL_MS = 250;
+/** Interval of the checks of an observed claim whose holder is alive and records the end itself. */
+const LIVE_CHECK_INTERVAL_MS = 5000;
+const LOOKUP_TIMEOUT_MS = 2000;
+
+export interface ServiceLookup {
+    lookup(
+        route: manifest.Route,
+        serviceKey: string,
+        requestId: string,
+        timeoutMs: number,
+    ): Promise<settlement.ServiceAnswer>;
+}
+
+export interface ClaimResolverOptions {
+    readonly self: incarnations.Incarnation;
+    readonly time: clock.Clock;
+    readonly journal: event.Journal;
+    readonly liveness: membership.LivenessProbe;
+    readonly service: ServiceLookup;
+}
+
+export type Resolution =
+    | { readonly kind: "running"; }
+    | { readonly kind: "done"; readonly answer: outcomes.Outcome<calls.Answer>; }
+    | { readonly kind: "not-run"; }
+    /** `retryAfterMs` is missing when the outcome cannot be found out. */
+    | { readonly kind: "open"; readonly retryAfterMs?: number; };
+
+export class ClaimResolver {
+    private readonly observed = new observations.ObservationTable();
+
+    constructor(
+        private readonly options: ClaimResolverOptions,
+        private readonly committer: commits.GroupCommitter,
+    ) {}
+
+    /** Finds out what became of a recorded call, and records it. */
+    async resolve(call: calls.LookupCall, id: string, record: types.CallRecord): Promise<Resolution> {
+        if (record.state === "done") {
+            return { kind: "done", answer: restored(record.response) };
+        }
+        if (record.state === "not-run") {
+            return { kind: "not-run" };
+        }
+        const observation = this.observe(call, id, record);
+        if (record.state === "claimed" && observation.deadSince === undefined) {
+            if (await this.liveness(record.claim.incarnation) !== "dead") {
+                this.observed.postpone(record.claim.id, this.options.time.now() + LIVE_CHECK_INTERVAL_MS);
+                return { kind: "running" };
+            }
+            this.observed.markDead(record.claim.id, this.options.time.now());
+        }
+        return this.settleOpen(call, id, record);
+    }
+
+    private async settleOpen(call: calls.LookupCall, id: string, record: types.CallRecord): Promise<Resolution> {
+        const { time } = this.options;
+        if (call.route.lookupPath === "") {
+            this.observed.remove(record.claim.id);
+            return { kind: "open" };
+        }
+        const observation = this.observe(call, id, record);
+        const from = settlement.settleAt(record, observation, call.route.settleAfterMs);
+        const askedAt = time.now();
+        const conclusion = settlement.conclude(await this.askService(call, id), askedAt, from);
+        if (conclusion.kind === "done") {
+            const response = records.storedResponse(conclusion.response);
+            void this.settle(id, record, { state: "done", response });
+            return { kind: "done", answer: outcomes.succeed({ response: conclusion.response, replayed: true }) };
+        }
+        if (conclusion.kind === "not-run") {
+            return this.settleNotRun(call, id, record);
+        }
+        const retryAfterMs = Math.max(POLL_INTERVAL_MS, Math.ceil((from ?? askedAt) - time.now()));
+        this.observed.postpone(record.claim.id, time.now() + retryAfterMs);
+        return { kind: "open", retryAfterMs };
+    }
+
+    /** Others act on the record, so `not-run` counts only when the store has confirmed it. */
+    private async settleNotRun(call: calls.LookupCall, id: string, record: types.CallRecord): Promise<Resolution> {
+        const { time } = this.options;
+        const result = await deadlines.before(time, this.settle(id, record, { state: "not-run" }), call.deadline);
+        if (!result?.ok) {
+            return { kind: "open", retryAfterMs: POLL_INTERVAL_MS };
+        }
+        const current = result.value.record;
+        if (result.value.applied) {
+            return { kind: "not-run" };
+        }
+        return current?.state === "done"
+            ? { kind: "done", answer: restored(current.response) }
+            : { kind: "open", retryAfterMs: POLL_INTERVAL_MS };
+    }
+
+    private async settle(
+        id: string,
+        record: types.CallRecord,
+        verdict: records.Verdict,
+    ): Promise<outcomes.Outcome<records.UpdateResult>> {
+        const result = await this.committer.submit(
+            records.groupName(id),
+            (group, wallTime) => records.settle(group, id, record.claim.id, verdict, wallTime),
+        ).result;
+        if (result.ok) {
+            this.observed.remove(record.claim.id);
+            this.options.journal.emit("call-settled", { record: id, state: result.value.record?.state });
+        }
+        return result;
+    }
+
+    /** Settles the open calls that this process has seen. */
+    async settleDue(): Promise<void> {
+        for (const due of this.observed.due(this.options.time.now())) {
+            const group = await this.committer.read(records.groupName(due.id));
+            if (!group.ok) {
+                return;
+            }
+            const record = group.value.records.get(due.id);
+            if (record?.claim.id !== due.claimId || !isOpen(record)) {
+                this.observed.remove(due.claimId);
+                continue;
+            }
+            const deadline = this.options.time.now() + LOOKUP_TIMEOUT_MS;
+            await this.resolve({ ...due.call, requestId: record.claim.requestId, deadline }, due.id, record);
+        }
+    }
+
+    /** Asks the service whether it ran the call, within the deadline of `call`. */
+    async askService(call: calls.LookupCall, id: string): Promise<settlement.ServiceAnswer> {
+        const remainingMs = call.deadline - this.options.time.now();
+        if (remainingMs <= 0) {
+            return { kind: "no-answer", detail: "the deadline has passed" };
+        }
+        const timeoutMs = Math.min(LOOKUP_TIMEOUT_MS, remainingMs);
+        return this.options.service.lookup(call.route, id, call.requestId, timeoutMs);
+    }
+
+    /** A second incarnation at the own address cannot run beside this one. */
+    private async liveness(incarnation: incarnations.Incarnation): Promise<membership.Liveness> {
+        if (incarnations.sameIncarnation(incarnation, this.options.self)) {
+            return "alive";
+        }
+        return incarnation.address === this.options.self.address ? "dead" : this.options.liveness.probe(incarnation);
+    }
+
+    /** Notes an open record, so that `settleDue` settles it when no repeat of the call does. */
+    observe(call: calls.LookupCall, id: string, record: types.CallRecord): settlement.Observation {
+        const { customer, route, key } = call;
+        return this.observed.observe(id, record, { customer, route, key }, this.options.time.now());
+    }
+}
+
+function isOpen(record: types.CallRecord): boolean {
+    return record.state === "claimed" || record.state === "unknown";
+}
+
+function restored(stored: types.StoredResponse): outcomes.Outcome<calls.Answer> {
+    if (stored.kind === "digest") {
+        return outcomes.refuse(
+            "response-not-stored",
+            `status ${stored.status}, ${stored.bytes} bytes, SHA-256 ${stored.sha256}`,
+        );
+    }
+    const { status, headers } = stored;
+    return outcomes.succeed({
+        response: { status, headers, body: Buffer.from(stored.body, "base64") },
+        replayed: true,
+    });
+}
