--- a/src/admission/candidate.ts
+++ b/src/admission/candidate.ts
@@ -34,7 +34,7 @@
             return this.proposeSelf(position, now);
         }
         this.vacantSince = undefined;
-        return alive.flatMap(holder => view.probe(holder, constants.OUTSIDER_PROBE_INTERVAL_MS, now));
+        return alive.flatMap(holder => view.probe(holder, constants.CANDIDATE_PROBE_INTERVAL_MS, now));
     }
 
     private proposeSelf(position: number, now: number): readonly messages.Action[] {
--- a/src/admission/constants.ts
+++ b/src/admission/constants.ts
@@ -23,7 +23,7 @@
 export const PROBE_INTERVAL_MS = 200;
 
 /** Interval at which agents that hold nothing probe the holders of a group. */
-export const OUTSIDER_PROBE_INTERVAL_MS = 1000;
+export const CANDIDATE_PROBE_INTERVAL_MS = 1000;
 
 /** A new standby that has never answered is exchanged after this time; the primary grants alone meanwhile. */
 export const NEW_STANDBY_PATIENCE_MS = 3000;
