--- a/test/routing/knowledge.test.ts
+++ b/test/routing/knowledge.test.ts
@@ -85,6 +85,23 @@
     assert.equal(index.matches(request.chain, 13).get("s")?.boot, "new");
 });
 
+testing.test("index: a reply that proves nothing about the current boot leaves no pieces", () => {
+    const index = new prefixIndex.PrefixIndex();
+    const learn = (engineBoot: string, chain: readonly string[], sentAt: number, now: number) =>
+        index.learn(
+            { chain, promptTokens: 10, pieceTokens: PIECE_TOKENS },
+            "s",
+            { engineBoot, cachedTokens: 0 },
+            sentAt,
+            now,
+        );
+    learn("old", [], 0, 10);
+    learn("new", ["a"], 5, 11);
+    assert.equal(index.size, 0, "the boots overlap");
+    learn("new", ["a"], 6, 12);
+    assert.equal(index.size, 0, "the request was sent before the conflict");
+});
+
 testing.test("boots: a request sent before the last reply of the known boot leaves the order of boots open", () => {
     const tracker = new bootTracker.BootTracker();
     assert.equal(tracker.observe("old", 0, 1), "changed");
