--- /dev/null
+++ b/tools/capacity/measure.ts
@@ -0,0 +1,74 @@
+/** Processor time and memory of one operation, and the line through measurements at several sizes. */
+
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const BATCHES = 5;
+/** Processor time is counted by the kernel in steps, so a batch must last for many of them. */
+const BATCH_SECONDS = 0.1;
+
+export interface Point {
+    readonly size: number;
+    readonly value: number;
+}
+
+/** `value = fixed + perUnit x size`, by least squares over the points. */
+export interface Slope {
+    readonly name: string;
+    /** Unit of the values and of the sizes. */
+    readonly unit: string;
+    readonly points: readonly Point[];
+    readonly fixed: number;
+    readonly perUnit: number;
+}
+
+export function slope(name: string, unit: string, points: readonly Point[]): Slope {
+    const mean = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
+    const meanSize = mean(points.map(point => point.size));
+    const meanValue = mean(points.map(point => point.value));
+    const covariance = points.reduce((sum, { size, value }) => sum + (size - meanSize) * (value - meanValue), 0);
+    const variance = points.reduce((sum, { size }) => sum + (size - meanSize) ** 2, 0);
+    const perUnit = covariance / variance;
+    return { name, unit, points, fixed: meanValue - perUnit * meanSize, perUnit };
+}
+
+/** Microseconds of processor time of one call: the least of several batches, since other work only adds. */
+export async function processorTime(run: () => unknown): Promise<number> {
+    let best = Number.POSITIVE_INFINITY;
+    let calls = 1;
+    for (let batch = 0; batch < BATCHES;) {
+        const before = process.cpuUsage();
+        for (let call = 0; call < calls; call++) {
+            const result = run();
+            if (result instanceof Promise) {
+                await result;
+            }
+        }
+        const used = process.cpuUsage(before);
+        const seconds = (used.user + used.system) / MICROSECONDS_PER_SECOND;
+        if (seconds < BATCH_SECONDS) {
+            calls *= 2;
+            continue;
+        }
+        best = Math.min(best, seconds * MICROSECONDS_PER_SECOND / calls);
+        batch++;
+    }
+    return best;
+}
+
+/** Bytes that stay allocated for the result. Needs `--expose-gc`. */
+export function memory(build: () => unknown): number {
+    const collect = globalThis.gc;
+    if (collect === undefined) {
+        throw new Error("run with --expose-gc");
+    }
+    const used = () => {
+        collect();
+        collect();
+        const { heapUsed, external } = process.memoryUsage();
+        return heapUsed + external;
+    };
+    const before = used();
+    const kept = [build()];
+    const after = used();
+    // Reading the result afterwards keeps it alive until the second reading.
+    return kept.length === 1 ? after - before : Number.NaN;
+}
