Reserve ports per deployment, find duplicates of a manifest in linear time, pause between cache polls

Cause: a run of all tests failed because a port of the ephemeral range was taken between its choice and its use. Compiling a manifest of 3,000 customers took 657 ms, because duplicates were searched for each value in all values. Polls for cache events had no pause. Ruled out: retrying a start on another port, since the address stands in the manifest. Change: blocks of ports below the ephemeral range, each reserved by a socket; sets; 50 ms between polls.

--- a/src/daemon/agent-role.ts
+++ b/src/daemon/agent-role.ts
@@ -31,6 +31,8 @@
 import type * as nodes from "./node.js";
 
 const ENGINE_POLL_MS = 100;
+/** Without a pause a busy engine answers each poll at once, and the polls would take up to half a core. */
+const CACHE_POLL_PAUSE_MS = 50;
 const SERVICE_PROBE_MS = 500;
 const LEDGER_TICK_MS = 250;
 /** Time in milliseconds that the results of calls may take to reach the store at shutdown. */
@@ -165,7 +167,7 @@
     return {
         schedules: [
             { controller: monitor, intervalMs: ENGINE_POLL_MS },
-            { controller: new followers.CacheFollower(engine, cache, clock, journal), intervalMs: 0 },
+            { controller: new followers.CacheFollower(engine, cache, clock, journal), intervalMs: CACHE_POLL_PAUSE_MS },
             { controller: suspects.controller, intervalMs: quarantines.STEP_INTERVAL_MS },
         ],
         engine,
--- a/src/manifest/checks.ts
+++ b/src/manifest/checks.ts
@@ -31,7 +31,11 @@
 ];
 
 function duplicates(path: string, values: readonly string[]): readonly Finding[] {
-    const repeated = new Set(values.filter((value, index) => values.indexOf(value) !== index));
+    const seen = new Set<string>();
+    const repeated = new Set<string>();
+    for (const value of values) {
+        (seen.has(value) ? repeated : seen).add(value);
+    }
     return [...repeated].map(value => ({ path, message: `found "${value}" twice; each value is allowed once` }));
 }
 
--- a/tools/support/deployment.ts
+++ b/tools/support/deployment.ts
@@ -3,6 +3,7 @@
 import * as fs from "node:fs/promises";
 import * as os from "node:os";
 import * as path from "node:path";
+import * as portBlocks from "./ports.js";
 import * as processes from "./processes.js";
 
 const START_LIMIT_MS = 20_000;
@@ -71,7 +72,7 @@
     private folder = "";
     private readonly platform: processes.Launched[] = [];
 
-    private constructor(private readonly plan: Plan) {
+    private constructor(private readonly plan: Plan, private readonly ports: portBlocks.PortBlock) {
         for (const customer of plan.customers) {
             this.keys.set(customer.name, `sk-${crypto.randomBytes(16).toString("hex")}`);
         }
@@ -79,7 +80,7 @@
 
     /** Starts everything and resolves when each entry and agent is ready. */
     static async start(plan: Plan): Promise<Deployment> {
-        const deployment = new Deployment(plan);
+        const deployment = new Deployment(plan, await portBlocks.PortBlock.reserve());
         try {
             deployment.folder = await fs.mkdtemp(path.join(os.tmpdir(), "ibisstep-"));
             await deployment.startPlatform();
@@ -180,11 +181,12 @@
         await Promise.all(this.nodes.map(node => node.process[Symbol.asyncDispose]()));
         await Promise.all(this.backends.map(backend => backend.process[Symbol.asyncDispose]()));
         await Promise.all(this.platform.map(process => process[Symbol.asyncDispose]()));
+        await this.ports[Symbol.asyncDispose]();
         await fs.rm(this.folder, { recursive: true, force: true });
     }
 
     private async startPlatform(): Promise<void> {
-        const [objectPort, listPort] = await processes.freePorts(2);
+        const [objectPort, listPort] = this.ports.take(2);
         this.objectApi = `http://${HOST}:${objectPort}`;
         this.instanceList = `http://${HOST}:${listPort}`;
         this.platform.push(
@@ -201,7 +203,7 @@
 
     private async startBackends(): Promise<void> {
         const count = this.plan.engines.length + this.plan.bookingServices.length;
-        const ports = await processes.freePorts(count * 3);
+        const ports = this.ports.take(count * 3);
         const address = () => `${HOST}:${ports[this.backends.length * 3]}`;
         for (const engine of this.plan.engines) {
             const settings = { weights: [`${engine.model}@${WEIGHTS_VERSION}`], ...engine.settings };
@@ -245,7 +247,7 @@
     }
 
     private async startNodes(): Promise<void> {
-        const ports = await processes.freePorts(this.plan.entries.length * 2);
+        const ports = this.ports.take(this.plan.entries.length * 2);
         const plans = [
             ...this.plan.entries.map((dataCentre, index) => ({
                 name: `entry-${index + 1}`,
--- a/tools/support/processes.ts
+++ b/tools/support/processes.ts
@@ -1,6 +1,5 @@
 /** Starts the processes of a demo or a test on loopback and ends exactly those. */
 import * as childProcess from "node:child_process";
-import * as net from "node:net";
 import * as path from "node:path";
 
 const ROOT = path.resolve(import.meta.dirname, "../..");
@@ -52,14 +51,6 @@
     };
 }
 
-/** Returns free ports of the loopback interface. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, () => listenOnFreePort()));
-    const ports = servers.map(server => (server.address() as net.AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
-
 /** Polls until the condition holds. Rejects after `timeoutMs` milliseconds. */
 export async function waitUntil(what: string, timeoutMs: number, condition: () => Promise<boolean>): Promise<void> {
     const end = performance.now() + timeoutMs;
@@ -70,10 +61,3 @@
         await new Promise(resolve => setTimeout(resolve, 20));
     }
 }
-
-function listenOnFreePort(): Promise<net.Server> {
-    return new Promise(resolve => {
-        const server = net.createServer();
-        server.listen(0, "127.0.0.1", () => resolve(server));
-    });
-}
