--- a/src/entry/generation-attempt.ts
+++ b/src/entry/generation-attempt.ts
@@ -10,6 +10,8 @@
 
 /** Rounds of agreement on the configuration within one attempt. */
 const AGREEMENT_ROUNDS = 3;
+/** A server that crashed is back within about a second. */
+const NO_SERVER_RETRY_MS = 1000;
 
 /** A generation that was admitted. */
 export interface Generation {
@@ -144,5 +146,5 @@
 
 /** Refusal when no server can take the request. */
 export function noServer(demand: Generation["demand"]): outcomes.Refusal {
-    return outcomes.refuse("no-backend-server", `${demand.model.name}@${demand.weightsVersion}`);
+    return outcomes.refuse("no-backend-server", `${demand.model.name}@${demand.weightsVersion}`, NO_SERVER_RETRY_MS);
 }
