Decode failures in one place

Cause: two functions turned the RPC message of a failure into a failure, and two types described a cache event. Ruled out: nothing. Change: the codec of src/rpc and the type of src/routing serve both. Conclusion: one definition each.

--- a/src/agent/engine-types.ts
+++ b/src/agent/engine-types.ts
@@ -1,5 +1,6 @@
 /** Types of the engine's protocol as the agent uses them. */
 import type * as failures from "../core/failure.js";
+import type * as views from "../routing/cache-view.js";
 
 export interface EngineRequest {
     /** Unique per attempt: the engine refuses an identifier that is in flight. */
@@ -42,18 +43,11 @@
     readonly weights: readonly string[];
 }
 
-export interface CacheEvent {
-    /** Grows by one with each event; a larger step means that events were lost. */
-    readonly sequence: number;
-    readonly kind: "stored" | "evicted" | "cleared";
-    readonly hash: string;
-}
-
 export interface CacheEventPage {
     readonly boot: string;
     /** Value of `after` for the next call. */
     readonly next: number;
-    readonly events: readonly CacheEvent[];
+    readonly events: readonly views.CacheEvent[];
 }
 
 export interface CacheSnapshot {
--- a/src/rpc/failure-codec.ts
+++ b/src/rpc/failure-codec.ts
@@ -15,7 +15,9 @@
 
 /** A kind that this version does not know becomes `internal-error`, whose outcome is unknown. */
 export function decode(message: messages.Failure): failures.Failure {
-    const kind = message.kind in catalogue.failures ? message.kind as failures.FailureKind : "internal-error";
+    const kind = Object.hasOwn(catalogue.failures, message.kind)
+        ? message.kind as failures.FailureKind
+        : "internal-error";
     const detail = kind === message.kind ? message.detail : `${message.kind}: ${message.detail}`;
     return message.retryAfterMs === 0 ? { kind, detail } : { kind, detail, retryAfterMs: message.retryAfterMs };
 }
--- a/src/streams/messages.ts
+++ b/src/streams/messages.ts
@@ -1,9 +1,7 @@
 /** Conversion between the events of a stream and their messages. */
 import * as protobuf from "@bufbuild/protobuf";
-import * as catalogue from "../catalogue/failures.js";
-import type * as failures from "../core/failure.js";
+import * as failureCodec from "../rpc/failure-codec.js";
 import * as agent from "../rpc/gen/ibisstep/v1/agent_pb.js";
-import type * as common from "../rpc/gen/ibisstep/v1/common_pb.js";
 import type * as types from "./types.js";
 
 /** Returns undefined for a message without a known event; the stream is then not complete. */
@@ -23,15 +21,6 @@
     });
 }
 
-/** A kind that this version does not know becomes `internal-error`, whose execution is unknown. */
-export function failureFromMessage(message: common.Failure): failures.Failure {
-    const known = Object.hasOwn(catalogue.failures, message.kind);
-    const failure: failures.Failure = known
-        ? { kind: message.kind as failures.FailureKind, detail: message.detail }
-        : { kind: "internal-error", detail: `${message.kind}: ${message.detail}` };
-    return message.retryAfterMs === 0 ? failure : { ...failure, retryAfterMs: message.retryAfterMs };
-}
-
 function bodyOf(message: agent.GenerateEvent): types.Body | undefined {
     const { event } = message;
     switch (event.case) {
@@ -48,7 +37,7 @@
                 : undefined;
         }
         case "failed":
-            return { type: "failed", failure: failureFromMessage(event.value) };
+            return { type: "failed", failure: failureCodec.decode(event.value) };
         case "redirected":
             return {
                 type: "redirected",
@@ -79,10 +68,8 @@
             return { case: "token", value: { index: body.index, text: body.text } };
         case "ended":
             return { case: "ended", value: { count: body.count, reason: body.reason, load: loadMessage(body.load) } };
-        case "failed": {
-            const { kind, detail, retryAfterMs } = body.failure;
-            return { case: "failed", value: { kind, detail, retryAfterMs: Math.ceil(retryAfterMs ?? 0) } };
-        }
+        case "failed":
+            return { case: "failed", value: failureCodec.encode(body.failure) };
         case "redirected":
             return {
                 case: "redirected",
--- a/test/streams/openai.test.ts
+++ b/test/streams/openai.test.ts
@@ -3,6 +3,7 @@
 import * as fastCheck from "fast-check";
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
+import * as failureCodec from "../../src/rpc/failure-codec.js";
 import * as agent from "../../src/rpc/gen/ibisstep/v1/agent_pb.js";
 import * as chat from "../../src/streams/chat-request.js";
 import * as messages from "../../src/streams/messages.js";
@@ -121,7 +122,7 @@
         const event: types.StreamEvent = { requestId: "r", attempt: 2, sequence: 9, body };
         assert.deepEqual(roundTrip(messages.toMessage(event, 7)), event);
     }
-    const unknown = messages.failureFromMessage(
+    const unknown = failureCodec.decode(
         protobuf.create(agent.GenerateEventSchema, { event: { case: "failed", value: { kind: "new", detail: "d" } } })
             .event.value as never,
     );
