Test the two rules of the handover that no test guarded

Cause: in scratch trials the replacement of a silent standby during a handover and the missing note of the successor's epoch made no test fail. Ruled out: the schedules as guards; the sequences are too rare. Change: two exact sequences.

--- a/test/admission/ownership.test.ts
+++ b/test/admission/ownership.test.ts
@@ -137,6 +137,20 @@
     assert.equal(first.roleName, "none");
     first.adopt(record, 310);
     assert.equal(first.mayGrant(310), false, "the store still names the former primary");
+    assert.equal(first.roleName, "none", "the former record does not make it the primary again");
+    const [refusal] = first.acquire(1, 1, [{ customer: "c", count: 1, waitedMs: 0 }], 310);
+    assert.equal(refusal.kind === "reply" && refusal.reply.primaryAddress, "standby", "entries learn the successor");
+});
+
+testing.test("ownership: guards against the replacement of a silent standby that a late handover makes the holder", () => {
+    const { first, second } = pair([0, 200]);
+    const [handover] = first.drain(300).filter(action => action.kind === "send-renewal");
+    for (let now = 400; now <= 6000; now += 200) {
+        assert.equal(written(first.tick(now)), undefined, `replaced at ${now} ms`);
+        assert.equal(first.mayGrant(now), false);
+    }
+    exchange(first, second, [handover], 6000);
+    assert.equal(second.mayGrant(6000), true, "the handover that arrives late still takes effect");
 });
 
 testing.test("ownership: guards against a restarted process that takes the place of its former incarnation", () => {
