Serve within a second after a restart

Cause: a killed process took 1.85 to 2.13 s to serve again with the object API down: about 0.8 s went into reading modules one by one, and the start waited for the store until its limit of 700 ms. Ruled out: a compile cache, which Node.js 20 lacks; a longer limit.

--- a/src/gossip/bootstrap.ts
+++ b/src/gossip/bootstrap.ts
@@ -11,6 +11,11 @@
 const WAVE_SIZE = 3;
 /** Wait for the answers of one wave before the next seeds are asked as well. */
 const WAVE_INTERVAL_MS = 150;
+/**
+ * Wait for a source after the seeds have answered. A source that is down would otherwise delay each restart to the
+ * deadline; its answer is still stored when it comes later.
+ */
+const SOURCE_GRACE_MS = 100;
 /** A process must serve within 1 s of its start; the remainder is for starting its servers. */
 const DEADLINE_MS = 700;
 
@@ -35,8 +40,9 @@
 /**
  * Stores the highest version of each document that the sources know.
  *
- * Ends when each source has answered or failed and three seeds have answered or every seed has failed, at the latest
- * after 700 ms. An answer that comes later is still stored.
+ * Ends when three seeds have answered or every seed has answered or failed, and each source has answered or failed or
+ * had 100 ms more; without an answer of a seed it waits for the sources; at the latest after 700 ms. An answer that
+ * comes later is still stored.
  */
 export async function bootstrap(options: BootstrapOptions): Promise<BootstrapReport> {
     const run = new Run(options);
@@ -56,8 +62,10 @@
     constructor(private readonly options: BootstrapOptions) {}
 
     async complete(stop: AbortSignal): Promise<void> {
-        const sources = this.options.sources.map(source => this.ask(source));
-        await Promise.all([...sources, this.askSeeds(stop)]);
+        const sources = Promise.all(this.options.sources.map(source => this.ask(source)));
+        await this.askSeeds(stop);
+        const grace = this.options.clock.sleep(SOURCE_GRACE_MS, stop);
+        await (this.answeredSeeds > 0 ? Promise.race([sources, grace]) : sources);
     }
 
     private async askSeeds(stop: AbortSignal): Promise<void> {
--- a/tools/support/deployment.ts
+++ b/tools/support/deployment.ts
@@ -310,7 +310,7 @@
             `seeds = [${addresses.filter(address => address !== node.rpcAddress).map(text => `"${text}"`).join(", ")}]`,
         ];
         await fs.writeFile(file, `${lines.join("\n")}\n`);
-        return processes.launch(node.name, "src/daemon/main", ["--settings", file]);
+        return processes.launch(node.name, processes.DAEMON, ["--settings", file]);
     }
 
     private async ready(node: Node): Promise<void> {
--- a/tools/support/processes.ts
+++ b/tools/support/processes.ts
@@ -5,6 +5,8 @@
 const ROOT = path.resolve(import.meta.dirname, "../..");
 /** Programs run from source when this module does, for tests, and compiled otherwise. */
 const FROM_SOURCE = import.meta.filename.endsWith(".ts");
+/** The daemon; its compiled form is a bundle. */
+export const DAEMON = FROM_SOURCE ? "src/daemon/main" : "bin/ibisstepd";
 const EXIT_WAIT_MS = 5000;
 const RECENT_LINES = 40;
 
