Refuse large headers with a typed error

Cause: a header over the limit got the library's own error body, and a large body was refused without naming the limit. Ruled out: nothing. Conclusion: each limit has a clear error.

--- a/src/entry/failures.ts
+++ b/src/entry/failures.ts
@@ -90,6 +90,14 @@
         message: detail => `the request is malformed: ${detail}`,
         hint: "Correct the request.",
     },
+    "headers-too-large": {
+        number: 2713,
+        status: 431,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the headers are too large: ${detail}`,
+        hint: "Shorten the headers; the limit is limits.header_bytes in the settings.",
+    },
     "caller-disconnected": {
         number: 2712,
         status: 499,
--- a/src/entry/http-server.ts
+++ b/src/entry/http-server.ts
@@ -1,5 +1,7 @@
 /** HTTP front end of an entry. */
 import * as fastify from "fastify";
+import * as http from "node:http";
+import type * as net from "node:net";
 import type * as failure from "../core/failure.js";
 import type * as outcomes from "../core/outcome.js";
 import * as health from "../daemon/health-server.js";
@@ -34,12 +36,14 @@
         genReqId: () => front.identifier(),
         forceCloseConnections: true,
         logger: false,
+        clientErrorHandler: (error, socket) =>
+            refuseUnparsed(error, socket, source.limits.header_bytes, front.identifier()),
     });
     health.addHealthRoutes(server, front.ready);
     server.removeAllContentTypeParsers();
     server.addContentTypeParser("*", { parseAs: "buffer" }, async (_request: unknown, body: unknown) => body);
     server.setErrorHandler((error: fastify.FastifyError, request, reply) => {
-        sendFailure(reply, request.id, parseFailure(error));
+        sendFailure(reply, request.id, parseFailure(error, source.limits.body_bytes));
     });
     server.addHook("onRequest", async (request, reply) => {
         const open = front.gate();
@@ -156,10 +160,34 @@
     return reply.status(response.status).headers(response.headers).send(response.body);
 }
 
-function parseFailure(error: fastify.FastifyError): failure.Failure {
-    const failures: Readonly<Record<string, failure.FailureKind>> = {
-        FST_ERR_CTP_BODY_TOO_LARGE: "body-too-large",
-        FST_ERR_CTP_INVALID_CONTENT_LENGTH: "request-malformed",
-    };
-    return { kind: failures[error.code] ?? "request-malformed", detail: error.message };
+/** Answers a request that the HTTP parser gave up on; there is no reply object yet. */
+function refuseUnparsed(error: ConnectionError, socket: net.Socket, headerBytes: number, requestId: string): void {
+    if (!socket.writable) {
+        return;
+    }
+    const isOverflow = error.code === "HPE_HEADER_OVERFLOW";
+    const reason: failure.Failure = isOverflow
+        ? { kind: "headers-too-large", detail: `allowed are ${headerBytes} bytes` }
+        : { kind: "request-malformed", detail: error.code ?? "unreadable HTTP" };
+    const response = errors.errorResponse(reason, requestId);
+    const body = JSON.stringify(response.body);
+    const head = [
+        `HTTP/1.1 ${response.status} ${http.STATUS_CODES[response.status]}`,
+        "content-type: application/json",
+        `content-length: ${Buffer.byteLength(body)}`,
+        "connection: close",
+        ...Object.entries(response.headers).map(([name, value]) => `${name}: ${value}`),
+    ];
+    socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
+}
+
+interface ConnectionError {
+    readonly code?: string;
+}
+
+function parseFailure(error: fastify.FastifyError, bodyBytes: number): failure.Failure {
+    if (error.code === "FST_ERR_CTP_BODY_TOO_LARGE") {
+        return { kind: "body-too-large", detail: `allowed are ${bodyBytes} bytes` };
+    }
+    return { kind: "request-malformed", detail: error.message };
 }
