--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -7,7 +7,7 @@
 import type * as gossip from "../gossip/types.js";
 import type * as manifest from "../manifest/types.js";
 import type * as membership from "../membership/types.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as assignment from "./assignment.js";
 import * as constants from "./constants.js";
 import * as holdersObjects from "./holders-object.js";
@@ -20,7 +20,7 @@
 export interface Dependencies {
     readonly self: incarnations.Incarnation;
     readonly board: boards.Board;
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly documents: gossip.Documents;
     readonly liveness: membership.LivenessProbe;
     readonly transport: transports.Transport;
--- a/src/admission/holders-object.ts
+++ b/src/admission/holders-object.ts
@@ -1,7 +1,7 @@
 /** The object `budgets/holders`: its encoding, and changes of single groups by conditional update. */
 import * as zod from "zod";
 import * as outcomes from "../core/outcome.js";
-import * as platform from "../platform/types.js";
+import * as objectApi from "../object-api/types.js";
 import * as constants from "./constants.js";
 import type * as messages from "./messages.js";
 import * as ownerships from "./ownership.js";
@@ -48,13 +48,13 @@
 }
 
 /** Fails with `store-unavailable` or `budget-holders-invalid`. */
-export async function read(store: platform.ObjectStore): Promise<outcomes.Outcome<types.Holders>> {
+export async function read(store: objectApi.ObjectStore): Promise<outcomes.Outcome<types.Holders>> {
     const found = await store.get(constants.HOLDERS_OBJECT);
     if (!found.ok) {
         return found;
     }
     if (found.value === undefined) {
-        return outcomes.succeed({ version: platform.ABSENT, groups: [] });
+        return outcomes.succeed({ version: objectApi.ABSENT, groups: [] });
     }
     return decode(parse(found.value.value), found.value.version);
 }
@@ -66,7 +66,7 @@
  * still have the expected epoch are then repeated on the new version. A lost answer is resolved by reading.
  */
 export async function change(
-    store: platform.ObjectStore,
+    store: objectApi.ObjectStore,
     changes: readonly HolderChange[],
 ): Promise<WriteOutcome> {
     let unconfirmed = false;
--- a/src/agent/call-service.ts
+++ b/src/agent/call-service.ts
@@ -4,7 +4,7 @@
 import type * as services from "../idempotency/service-client.js";
 import type * as types from "../idempotency/types.js";
 import type * as manifest from "../manifest/types.js";
-import type * as httpCalls from "../platform/http-call.js";
+import type * as httpCalls from "../object-api/http-call.js";
 import type * as messages from "../rpc/gen/ibisstep/v1/agent_pb.js";
 import type * as gates from "./gate.js";
 
--- a/src/catalogue/events.ts
+++ b/src/catalogue/events.ts
@@ -12,7 +12,7 @@
 import * as manifest from "../manifest/events.js";
 import * as membership from "../membership/events.js";
 import * as metrics from "../metrics/events.js";
-import * as platform from "../platform/events.js";
+import * as objectApi from "../object-api/events.js";
 import * as quarantine from "../quarantine/events.js";
 import * as resilience from "../resilience/events.js";
 import * as rollout from "../rollout/events.js";
@@ -25,7 +25,7 @@
     ...core.events,
     ...settings.events,
     ...manifest.events,
-    ...platform.events,
+    ...objectApi.events,
     ...rpc.events,
     ...gossip.events,
     ...configuration.events,
--- a/src/catalogue/failures.ts
+++ b/src/catalogue/failures.ts
@@ -12,7 +12,7 @@
 import * as manifest from "../manifest/failures.js";
 import * as membership from "../membership/failures.js";
 import * as metrics from "../metrics/failures.js";
-import * as platform from "../platform/failures.js";
+import * as objectApi from "../object-api/failures.js";
 import * as quarantine from "../quarantine/failures.js";
 import * as resilience from "../resilience/failures.js";
 import * as rollout from "../rollout/failures.js";
@@ -25,7 +25,7 @@
     ...core.failures,
     ...settings.failures,
     ...manifest.failures,
-    ...platform.failures,
+    ...objectApi.failures,
     ...rpc.failures,
     ...gossip.failures,
     ...configuration.failures,
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -1,8 +1,8 @@
 /** `ibisstep apply`: makes a manifest the accepted one and waits until it is in force everywhere. */
 import * as adoption from "../../configuration/adoption.js";
 import * as outcomes from "../../core/outcome.js";
-import * as settledWrites from "../../platform/settled-write.js";
-import * as platform from "../../platform/types.js";
+import * as settledWrites from "../../object-api/settled-write.js";
+import * as objectApi from "../../object-api/types.js";
 import * as exitCodes from "../exit-codes.js";
 import * as flags from "../flags.js";
 import * as manifestFile from "../manifest-file.js";
@@ -93,7 +93,7 @@
 }
 
 async function writeText(
-    store: platform.ObjectStore,
+    store: objectApi.ObjectStore,
     text: string,
     expect: number | undefined,
 ): Promise<outcomes.Outcome<Written>> {
@@ -101,7 +101,7 @@
     if (!current.ok) {
         return current;
     }
-    const accepted = current.value?.version ?? platform.ABSENT;
+    const accepted = current.value?.version ?? objectApi.ABSENT;
     if (expect !== undefined && expect !== accepted) {
         return outcomes.refuse("store-conflict", `expected version ${expect}, accepted is ${accepted}`);
     }
--- a/src/cli/commands/report.ts
+++ b/src/cli/commands/report.ts
@@ -5,7 +5,7 @@
 import * as compiler from "../../manifest/compile.js";
 import type * as manifest from "../../manifest/types.js";
 import type * as metrics from "../../metrics/types.js";
-import type * as platform from "../../platform/types.js";
+import type * as objectApi from "../../object-api/types.js";
 import type * as rollouts from "../../rollout/types.js";
 import * as exitCodes from "../exit-codes.js";
 import * as flags from "../flags.js";
@@ -76,7 +76,7 @@
 };
 
 async function readRollouts(
-    store: platform.ObjectStore,
+    store: objectApi.ObjectStore,
     wallTime: number,
 ): Promise<outcomes.Outcome<readonly rolloutReport.RolloutReport[]>> {
     const status = await store.get(STATUS_OBJECT);
--- a/src/cli/services.ts
+++ b/src/cli/services.ts
@@ -2,8 +2,8 @@
 import * as connect from "@connectrpc/connect";
 import type * as clocks from "../clock/clock.js";
 import * as outcomes from "../core/outcome.js";
-import * as instanceListClients from "../platform/instance-list-client.js";
-import * as objectApiClients from "../platform/object-api-client.js";
+import * as instanceListClients from "../object-api/instance-list-client.js";
+import * as objectApiClients from "../object-api/object-api-client.js";
 import * as pools from "../rpc/client-pool.js";
 import * as messages from "../rpc/gen/ibisstep/v1/operations_pb.js";
 import type * as types from "./types.js";
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -2,7 +2,7 @@
 import type * as meow from "meow";
 import type * as clocks from "../clock/clock.js";
 import type * as outcomes from "../core/outcome.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import type * as operations from "../rpc/gen/ibisstep/v1/operations_pb.js";
 
 export interface Terminal {
@@ -24,8 +24,8 @@
 /** Connections to the system and the platform; opened on first use. */
 export interface Services {
     readonly operations: OperationsClient;
-    objectStore(url: string): platform.ObjectStore;
-    instanceList(url: string): platform.InstanceList;
+    objectStore(url: string): objectApi.ObjectStore;
+    instanceList(url: string): objectApi.InstanceList;
 }
 
 /** Flags of all commands; a command declares the ones that it accepts. */
--- a/src/configuration/controller.ts
+++ b/src/configuration/controller.ts
@@ -10,7 +10,7 @@
 import * as storeProof from "../gossip/store-proof.js";
 import type * as gossip from "../gossip/types.js";
 import type * as manifest from "../manifest/types.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as adoption from "./adoption.js";
 import * as readers from "./store-reader.js";
 import * as watchers from "./watchers.js";
@@ -34,7 +34,7 @@
     readonly dataCentre: string;
     readonly board: boards.Board;
     readonly documents: gossip.Documents;
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly peers: Pick<peers.Peers, "fetch">;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
--- a/src/configuration/startup.ts
+++ b/src/configuration/startup.ts
@@ -6,7 +6,7 @@
 import type * as peers from "../gossip/peers.js";
 import type * as tables from "../gossip/table.js";
 import * as memberDocuments from "../membership/member-document.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as adoption from "./adoption.js";
 import * as readers from "./store-reader.js";
 
@@ -18,7 +18,7 @@
     readonly address: string;
     /** RPC addresses of other processes. */
     readonly seeds: readonly string[];
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly documents: tables.DocumentTable;
     readonly peers: peers.Peers;
     readonly clock: clocks.Clock;
--- a/src/configuration/store-reader.ts
+++ b/src/configuration/store-reader.ts
@@ -2,7 +2,7 @@
 import type * as clocks from "../clock/clock.js";
 import * as outcomes from "../core/outcome.js";
 import type * as gossip from "../gossip/types.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as adoption from "./adoption.js";
 
 /** Keeps watchers from calling a store in a loop that answers watches at once. */
@@ -15,7 +15,7 @@
 const START_JITTER_MS = 200;
 
 export class StoreReader {
-    constructor(private readonly store: platform.ObjectStore, private readonly clock: clocks.Clock) {}
+    constructor(private readonly store: objectApi.ObjectStore, private readonly clock: clocks.Clock) {}
 
     /** Reads the manifest; undefined when there is none. Fails with `store-unavailable`. */
     async read(): Promise<outcomes.Outcome<adoption.Candidate | undefined>> {
@@ -71,6 +71,6 @@
     }
 }
 
-function candidateOf(object: platform.StoredObject): adoption.Candidate {
+function candidateOf(object: objectApi.StoredObject): adoption.Candidate {
     return { version: object.version, text: object.value };
 }
--- a/src/idempotency/call-ledger.ts
+++ b/src/idempotency/call-ledger.ts
@@ -11,8 +11,8 @@
 import type * as incarnations from "../core/incarnation.js";
 import * as outcomes from "../core/outcome.js";
 import type * as membership from "../membership/types.js";
-import type * as httpCalls from "../platform/http-call.js";
-import type * as platform from "../platform/types.js";
+import type * as httpCalls from "../object-api/http-call.js";
+import type * as objectApi from "../object-api/types.js";
 import type * as calls from "./call.js";
 import * as resolvers from "./claim-resolver.js";
 import * as deadlines from "./deadline.js";
@@ -33,7 +33,7 @@
 
 export interface CallLedgerOptions {
     readonly self: incarnations.Incarnation;
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly time: clock.Clock;
     readonly journal: event.Journal;
     readonly liveness: membership.LivenessProbe;
--- a/src/idempotency/call.ts
+++ b/src/idempotency/call.ts
@@ -1,7 +1,7 @@
 /** Calls that run at most once, as their callers and the service see them. */
 import type * as outcomes from "../core/outcome.js";
 import type * as manifest from "../manifest/types.js";
-import type * as httpCalls from "../platform/http-call.js";
+import type * as httpCalls from "../object-api/http-call.js";
 import type * as types from "./types.js";
 
 export interface Call {
--- a/src/idempotency/group-commit.ts
+++ b/src/idempotency/group-commit.ts
@@ -2,7 +2,7 @@
 import type * as clock from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import * as outcomes from "../core/outcome.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as codec from "./group-codec.js";
 import * as records from "./record-group.js";
 import type * as types from "./types.js";
@@ -45,7 +45,7 @@
 }
 
 export interface CommitterOptions {
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly time: clock.Clock;
     readonly journal: event.Journal;
 }
--- a/src/idempotency/service-client.ts
+++ b/src/idempotency/service-client.ts
@@ -1,7 +1,7 @@
 /** Client of the plain service beside an agent. */
 import type * as clock from "../clock/clock.js";
 import type * as manifest from "../manifest/types.js";
-import * as httpCalls from "../platform/http-call.js";
+import * as httpCalls from "../object-api/http-call.js";
 import type * as settlement from "./settlement.js";
 
 const MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
--- a/src/membership/controller.ts
+++ b/src/membership/controller.ts
@@ -8,7 +8,7 @@
 import type * as boards from "../daemon/board.js";
 import type * as tables from "../gossip/table.js";
 import type * as gossip from "../gossip/types.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as assessment from "./assessment.js";
 import * as evidences from "./evidence.js";
 import * as listings from "./listing.js";
@@ -31,7 +31,7 @@
     readonly seeds: readonly string[];
     readonly board: boards.Board;
     readonly documents: tables.DocumentTable;
-    readonly instances: platform.InstanceList;
+    readonly instances: objectApi.InstanceList;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
 }
--- a/src/membership/listing.ts
+++ b/src/membership/listing.ts
@@ -1,9 +1,9 @@
 /** What the lagging instance list has said about each address over time. */
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 
 /** The present word of the list about one address. */
 export interface Listing {
-    readonly state: platform.ListedInstance["state"] | "absent";
+    readonly state: objectApi.ListedInstance["state"] | "absent";
     /** Monotonic time in milliseconds at which the list first gave this state without a break. */
     readonly since: number;
     /** Monotonic time in milliseconds of the last answer of the list. */
@@ -25,7 +25,7 @@
  */
 export function merge(
     listings: Listings,
-    answer: readonly platform.ListedInstance[],
+    answer: readonly objectApi.ListedInstance[],
     askedAt: number,
 ): Listings {
     const listed = new Map(answer.map(instance => [instance.address, instance.state]));
--- a/src/rollout/controller.ts
+++ b/src/rollout/controller.ts
@@ -9,7 +9,7 @@
 import type * as gossip from "../gossip/types.js";
 import type * as manifest from "../manifest/types.js";
 import type * as membership from "../membership/types.js";
-import type * as platform from "../platform/types.js";
+import type * as objectApi from "../object-api/types.js";
 import * as collections from "./collection.js";
 import * as effects from "./effect.js";
 import * as evidence from "./evidence.js";
@@ -34,7 +34,7 @@
     readonly self: incarnations.Incarnation;
     readonly board: boards.Board;
     readonly documents: gossip.Documents;
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly liveness: membership.LivenessProbe;
     readonly transport: transports.RolloutTransport;
     readonly counter: outcomeCounters.OutcomeCounter;
--- a/src/rollout/lease.ts
+++ b/src/rollout/lease.ts
@@ -4,8 +4,8 @@
 import type * as event from "../core/event.js";
 import * as incarnations from "../core/incarnation.js";
 import type * as membership from "../membership/types.js";
-import * as settledWrites from "../platform/settled-write.js";
-import * as platform from "../platform/types.js";
+import * as settledWrites from "../object-api/settled-write.js";
+import * as objectApi from "../object-api/types.js";
 
 export const LEASE_OBJECT = "rollout/lease";
 
@@ -37,7 +37,7 @@
 
 export interface LeaseOptions {
     readonly self: incarnations.Incarnation;
-    readonly store: platform.ObjectStore;
+    readonly store: objectApi.ObjectStore;
     readonly liveness: membership.LivenessProbe;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
@@ -121,7 +121,7 @@
         if (!found.ok) {
             return;
         }
-        const version = found.value?.version ?? platform.ABSENT;
+        const version = found.value?.version ?? objectApi.ABSENT;
         if (version !== this.observation?.version) {
             const lease = found.value === undefined ? undefined : decode(found.value.value);
             this.observation = { version, lease, since: this.options.clock.now() };
@@ -130,7 +130,7 @@
 
     private async write(lease: Lease, reason: string): Promise<void> {
         const { clock, store, journal } = this.options;
-        const expectedVersion = this.observation?.version ?? platform.ABSENT;
+        const expectedVersion = this.observation?.version ?? objectApi.ABSENT;
         const sentAt = clock.now();
         const candidate = { name: LEASE_OBJECT, value: JSON.stringify(lease), expectedVersion };
         const written = await settledWrites.putSettled(store, candidate, WRITE_ATTEMPTS);
--- a/src/rollout/status-object.ts
+++ b/src/rollout/status-object.ts
@@ -2,8 +2,8 @@
 import * as zod from "zod";
 import * as outcomes from "../core/outcome.js";
 import type * as gossip from "../gossip/types.js";
-import * as settledWrites from "../platform/settled-write.js";
-import * as platform from "../platform/types.js";
+import * as settledWrites from "../object-api/settled-write.js";
+import * as objectApi from "../object-api/types.js";
 import type * as types from "./types.js";
 
 export const STATUS_OBJECT = "rollout/status";
@@ -40,13 +40,13 @@
 }
 
 /** Fails with `store-unavailable` or `rollout-status-invalid`. */
-export async function read(store: platform.ObjectStore): Promise<outcomes.Outcome<StoredStatuses>> {
+export async function read(store: objectApi.ObjectStore): Promise<outcomes.Outcome<StoredStatuses>> {
     const found = await store.get(STATUS_OBJECT);
     if (!found.ok) {
         return found;
     }
     return found.value === undefined
-        ? outcomes.succeed({ version: platform.ABSENT, statuses: [] })
+        ? outcomes.succeed({ version: objectApi.ABSENT, statuses: [] })
         : decode(parse(found.value.value), found.value.version);
 }
 
@@ -57,7 +57,7 @@
  * Fails with the failures of `putSettled`, and with `rollout-order-fenced` over a status with a higher fencing number.
  */
 export async function write(
-    store: platform.ObjectStore,
+    store: objectApi.ObjectStore,
     base: StoredStatuses,
     statuses: readonly types.RolloutStatus[],
     fencingNumber: number,
--- a/test/idempotency/call-ledger.test.ts
+++ b/test/idempotency/call-ledger.test.ts
@@ -9,7 +9,7 @@
 import * as journals from "../../src/logging/journal.js";
 import type * as manifest from "../../src/manifest/types.js";
 import type * as membership from "../../src/membership/types.js";
-import type * as httpCalls from "../../src/platform/http-call.js";
+import type * as httpCalls from "../../src/object-api/http-call.js";
 import * as memoryStores from "../support/memory-object-store.js";
 import * as virtual from "../support/virtual-time.js";
 
--- a/test/idempotency/simulation.ts
+++ b/test/idempotency/simulation.ts
@@ -9,8 +9,8 @@
 import * as journals from "../../src/logging/journal.js";
 import type * as manifest from "../../src/manifest/types.js";
 import type * as membership from "../../src/membership/types.js";
-import type * as httpCalls from "../../src/platform/http-call.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as httpCalls from "../../src/object-api/http-call.js";
+import type * as objectApi from "../../src/object-api/types.js";
 import * as virtual from "../support/virtual-time.js";
 
 const AGENTS = 3;
@@ -108,7 +108,7 @@
     readonly coverage: Coverage = { ...NO_COVERAGE };
     readonly time: virtual.VirtualTime;
     private readonly random: () => number;
-    private readonly objects = new Map<string, platform.StoredObject>();
+    private readonly objects = new Map<string, objectApi.StoredObject>();
     private revision = 0;
     private storeDownUntil = 0;
     private serviceDownUntil = 0;
@@ -250,7 +250,7 @@
         return this.fault(0.1) ? "unknown" : "alive";
     }
 
-    private store(process: Process): platform.ObjectStore {
+    private store(process: Process): objectApi.ObjectStore {
         return {
             get: name => process.gate(this.get(name)),
             put: (name, value, version) =>
@@ -269,7 +269,7 @@
         return this.time.now() < this.storeDownUntil;
     }
 
-    private async get(name: string): Promise<outcomes.Outcome<platform.StoredObject | undefined>> {
+    private async get(name: string): Promise<outcomes.Outcome<objectApi.StoredObject | undefined>> {
         await this.time.sleep(this.between(0.5, 3));
         if (this.storeIsDown || this.fault(0.03)) {
             await this.time.sleep(this.between(0, 200));
--- a/test/rollout/fleet.ts
+++ b/test/rollout/fleet.ts
@@ -7,7 +7,7 @@
 import * as journals from "../../src/logging/journal.js";
 import * as manifest from "../../src/manifest/types.js";
 import type * as membership from "../../src/membership/types.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as objectApi from "../../src/object-api/types.js";
 import * as controllers from "../../src/rollout/controller.js";
 import * as effects from "../../src/rollout/effect.js";
 import * as orderGates from "../../src/rollout/order-gate.js";
@@ -290,7 +290,7 @@
         return outcomes.succeed([...agent.weights]);
     }
 
-    private storeOf(agent: Agent): platform.ObjectStore {
+    private storeOf(agent: Agent): objectApi.ObjectStore {
         const reach = async <Value>(call: () => Promise<Value>): Promise<Value> => {
             await this.whilePaused(agent);
             await this.time.sleep(1 + this.time.random() * 4);
--- a/test/support/memory-object-store.ts
+++ b/test/support/memory-object-store.ts
@@ -1,6 +1,6 @@
 /** Object store in memory with switchable faults, for tests of the features that use the object API. */
 import * as outcomes from "../../src/core/outcome.js";
-import type * as types from "../../src/platform/types.js";
+import type * as types from "../../src/object-api/types.js";
 
 export type Fault = "none" | "outage" | "lose-answers";
 
--- a/test/support/simulated-system.ts
+++ b/test/support/simulated-system.ts
@@ -11,7 +11,7 @@
 import * as tables from "../../src/gossip/table.js";
 import * as journals from "../../src/logging/journal.js";
 import * as memberships from "../../src/membership/controller.js";
-import type * as platform from "../../src/platform/types.js";
+import type * as objectApi from "../../src/object-api/types.js";
 import * as memoryStore from "./memory-object-store.js";
 import * as virtualClock from "./virtual-clock.js";
 
@@ -60,7 +60,7 @@
     /** Addresses that accept calls and never answer. */
     readonly hanging = new Set<string>();
     faults: NetworkFaults = { loss: 0, delayMs: 5 };
-    listed: readonly platform.ListedInstance[] = [];
+    listed: readonly objectApi.ListedInstance[] = [];
 
     constructor(seed: number, readonly places: readonly Place[]) {
         this.clock = new virtualClock.VirtualClock(seed);
@@ -186,7 +186,7 @@
         return outcomes.succeed(value);
     }
 
-    private storeOf(address: string): platform.ObjectStore {
+    private storeOf(address: string): objectApi.ObjectStore {
         const reach = async <Value>(
             call: () => Promise<outcomes.Outcome<Value>>,
         ): Promise<outcomes.Outcome<Value>> => {
@@ -202,7 +202,7 @@
         };
     }
 
-    private async watch(prefix: string, after: number, waitMs: number): Promise<outcomes.Outcome<platform.Change>> {
+    private async watch(prefix: string, after: number, waitMs: number): Promise<outcomes.Outcome<objectApi.Change>> {
         const until = this.clock.now() + waitMs;
         for (;;) {
             const change = await this.store.watch(prefix, after);
