--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,7 +71,7 @@
         },
     },
     {
-        files: ["src/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts"],
         rules: {
             "no-restricted-imports": ["error", {
                 patterns: [{
--- a/src/catalogue/failures.ts
+++ b/src/catalogue/failures.ts
@@ -7,6 +7,7 @@
 import * as daemon from "../daemon/failures.js";
 import * as entry from "../entry/failures.js";
 import * as fairness from "../fairness/failures.js";
+import * as forwarding from "../forwarding/failures.js";
 import * as gossip from "../gossip/failures.js";
 import * as idempotency from "../idempotency/failures.js";
 import * as manifest from "../manifest/failures.js";
@@ -19,6 +20,7 @@
 import * as routing from "../routing/failures.js";
 import * as rpc from "../rpc/failures.js";
 import * as settings from "../settings/failures.js";
+import * as storeAccess from "../store-access/failures.js";
 import * as streams from "../streams/failures.js";
 
 export const failures = {
@@ -43,4 +45,6 @@
     ...agent.failures,
     ...daemon.failures,
     ...cli.failures,
+    ...storeAccess.failures,
+    ...forwarding.failures,
 } as const;
--- /dev/null
+++ b/src/forwarding/fleet-view.ts
@@ -0,0 +1,154 @@
+/** What an entry knows of the deployment at a moment: configuration, servers, weights, reports and beats. */
+import * as routingTables from "../fleet/routing-table.js";
+import type * as fleet from "../fleet/types.js";
+import type * as members from "../peering/member-table.js";
+import type * as peering from "../peering/types.js";
+import type * as uses from "../placement/server-use.js";
+import type * as trusts from "../placement/trust.js";
+import type * as placement from "../placement/types.js";
+
+/** Age in milliseconds up to which a beat tells the state of a server or the use by a peer. */
+const BEAT_FRESH_MS = 800;
+/** Age in milliseconds that weights are taken to have when the entry finds them at its start. */
+const AGE_AT_START_MS = 3000;
+
+interface SeenWeights extends fleet.NamedWeights {
+    readonly seenAt: number;
+}
+
+export interface ViewPorts {
+    readonly members: members.MemberTable;
+    readonly use: uses.ServerUse;
+    readonly trust: trusts.ServerTrust;
+}
+
+export class FleetView {
+    private routing: routingTables.RoutingTable | undefined;
+    private servers: readonly fleet.BackendServer[] = [];
+    private serversKnown = false;
+    private readonly weights = new Map<string, SeenWeights>();
+    /** Weights versions that answers showed, by server id. */
+    private readonly answeredVersions = new Map<string, number>();
+    /** Servers that turned a call away because of its weights, with the end of the time in which they are avoided. */
+    private readonly mismatched = new Map<string, number>();
+
+    constructor(private readonly ports: ViewPorts) {}
+
+    get table(): routingTables.RoutingTable | undefined {
+        return this.routing;
+    }
+
+    /** The view suffices to serve. */
+    get isComplete(): boolean {
+        return this.routing !== undefined && this.serversKnown;
+    }
+
+    /** Adopts a configuration; a lower version never replaces a higher one. */
+    adoptConfiguration(configuration: fleet.Configuration): boolean {
+        if (this.routing !== undefined && this.routing.configuration.version >= configuration.version) {
+            return false;
+        }
+        this.routing = routingTables.compile(configuration);
+        return true;
+    }
+
+    adoptServers(servers: readonly fleet.BackendServer[]): void {
+        this.servers = servers;
+        this.serversKnown = true;
+        const ids = new Set(servers.map(server => server.id));
+        this.ports.trust.retain(ids);
+        for (const id of this.answeredVersions.keys()) {
+            if (!ids.has(id)) {
+                this.answeredVersions.delete(id);
+            }
+        }
+    }
+
+    /** Takes over weights that were named. True when they are newer than what was known. */
+    nameWeights(named: fleet.NamedWeights, now: number): boolean {
+        const known = this.weights.get(named.model);
+        if (known !== undefined && known.version >= named.version) {
+            return false;
+        }
+        const isStart = known === undefined;
+        this.weights.set(named.model, { ...named, seenAt: isStart ? now - AGE_AT_START_MS : now });
+        return true;
+    }
+
+    namedWeights(): readonly fleet.NamedWeights[] {
+        return [...this.weights.values()].map(({ model, version, revision }) => ({ model, version, revision }));
+    }
+
+    newestWeights(model: string, now: number): { readonly version: number; readonly ageMs: number; } | undefined {
+        const seen = this.weights.get(model);
+        return seen === undefined ? undefined : { version: seen.version, ageMs: now - seen.seenAt };
+    }
+
+    listed(): readonly fleet.BackendServer[] {
+        return this.servers;
+    }
+
+    /** An answer showed the version of a server's weights. */
+    sawVersion(server: string, version: number): void {
+        this.answeredVersions.set(server, version);
+    }
+
+    /** The server has other weights than the call asked for. */
+    sawMismatch(server: string, untilMs: number): void {
+        this.mismatched.set(server, untilMs);
+    }
+
+    candidates(service: string, model: string | undefined, now: number): readonly placement.Candidate[] {
+        const heard = this.ports.members.recent(now, BEAT_FRESH_MS).map(entry => entry.beat);
+        const reports = new Map(
+            heard.filter(beat => beat.report !== undefined).map(beat => [beat.report!.address, beat.report!]),
+        );
+        const entryBeats = heard.filter(beat => beat.member.role === "entry");
+        return this.servers.filter(server => server.service === service).map(server => {
+            const report = reports.get(server.address);
+            return this.candidate(server, isSameRun(server, report) ? report : undefined, model, entryBeats, now);
+        });
+    }
+
+    private candidate(
+        server: fleet.BackendServer,
+        report: peering.ServerReport | undefined,
+        model: string | undefined,
+        entryBeats: readonly peering.Beat[],
+        now: number,
+    ): placement.Candidate {
+        const use = this.ports.use.total(server.id, entryBeats);
+        const isDead = report !== undefined && !report.isAlive;
+        return {
+            server,
+            calls: use.calls,
+            unreadTokens: use.unreadTokens,
+            weightsVersion: model === undefined ? undefined : this.versionOf(server, report, model),
+            isMoving: report?.isMoving === true || now < (this.mismatched.get(server.id) ?? 0),
+            isSuspected: isDead || this.ports.trust.isSuspected(server.id, now),
+            failureShare: this.ports.trust.failureShare(server.id, now),
+        };
+    }
+
+    /** The agent beside the server knows best; otherwise the newest that registry or answers have shown. */
+    private versionOf(
+        server: fleet.BackendServer,
+        report: peering.ServerReport | undefined,
+        model: string,
+    ): number | undefined {
+        const reported = report?.isAlive === true
+            ? report.weights.find(weights => weights.model === model)?.version
+            : undefined;
+        if (reported !== undefined) {
+            return reported;
+        }
+        const known = [server.weights.get(model), this.answeredVersions.get(server.id)];
+        const versions = known.filter(version => version !== undefined);
+        return versions.length === 0 ? undefined : Math.max(...versions);
+    }
+}
+
+/** A report of another run of the server says nothing of this one. */
+function isSameRun(server: fleet.BackendServer, report: peering.ServerReport | undefined): boolean {
+    return report?.startedAt === undefined || server.startedAt === undefined || report.startedAt === server.startedAt;
+}
--- /dev/null
+++ b/src/peering/beat-exchange.ts
@@ -0,0 +1,98 @@
+/** Sends and receives beats over UDP. A lost beat is made up for by the next one, since totals are cumulative. */
+import * as dgram from "node:dgram";
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import * as codec from "./codec.js";
+import type * as members from "./member-table.js";
+import type * as types from "./types.js";
+
+/** Period of beats in milliseconds; the quota's slack covers what is spent in between. */
+const PERIOD_MS = 150;
+/** Number of peers up to which the shortest period is kept; beyond it the cost of a process stays the same. */
+const PEERS_AT_SHORTEST_PERIOD = 16;
+/** Silence in milliseconds that is logged, as a multiple of several periods. */
+const SILENCE_MS = 1500;
+
+export interface BeatPorts {
+    readonly clock: clocks.Clock;
+    readonly journal: event.Journal;
+    readonly members: members.MemberTable;
+    /** Content of the next beat. */
+    readonly compose: (sequence: number, now: number) => types.Beat;
+    readonly received: (beat: types.Beat, now: number) => void;
+    /** Peers that this process sends to. */
+    readonly isReceiver: (member: types.Member) => boolean;
+}
+
+export class BeatExchange implements AsyncDisposable {
+    private readonly socket = dgram.createSocket("udp4");
+    private readonly silent = new Set<string>();
+    private timer: NodeJS.Timeout | undefined;
+    private sequence = 0;
+
+    constructor(private readonly ports: BeatPorts) {}
+
+    /** Binds IP:PORT and starts sending. */
+    start(address: string): void {
+        const [host, port] = address.split(":");
+        this.socket.on("message", datagram => this.receive(datagram));
+        this.socket.on("error", error => {
+            this.ports.journal.emit("peer-send-failed", { peer: "(socket)", reason: error.message });
+        });
+        this.socket.bind(Number(port), host, () => this.tick());
+    }
+
+    /** Sends a beat at once, for news that should not wait for the period. */
+    send(): void {
+        const now = this.ports.clock.now();
+        const datagram = codec.encode(this.ports.compose(this.sequence++, now));
+        for (const member of this.ports.members.others().filter(this.ports.isReceiver)) {
+            const [host, port] = member.beatAddress.split(":");
+            this.socket.send(datagram, Number(port), host, error => {
+                if (error) {
+                    this.ports.journal.emit("peer-send-failed", { peer: member.name, reason: error.message });
+                }
+            });
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        clearTimeout(this.timer);
+        this.send();
+        await new Promise<void>(resolve => this.socket.close(resolve));
+    }
+
+    private tick(): void {
+        this.send();
+        this.noteSilence(this.ports.clock.now());
+        const receivers = this.ports.members.others().filter(this.ports.isReceiver).length;
+        const period = PERIOD_MS * Math.max(1, receivers / PEERS_AT_SHORTEST_PERIOD);
+        this.timer = setTimeout(() => this.tick(), period);
+    }
+
+    private receive(datagram: Buffer): void {
+        const beat = codec.decode(datagram);
+        const now = this.ports.clock.now();
+        if (beat === undefined) {
+            return;
+        }
+        const before = this.ports.members.last(beat.member.name);
+        if (!this.ports.members.hear(beat, now)) {
+            return;
+        }
+        if (before?.beat.incarnation !== beat.incarnation || this.silent.delete(beat.member.name)) {
+            this.ports.journal.emit("peer-heard", { peer: beat.member.name, incarnation: beat.incarnation });
+        }
+        this.ports.received(beat, now);
+    }
+
+    private noteSilence(now: number): void {
+        for (const member of this.ports.members.others()) {
+            const heard = this.ports.members.last(member.name);
+            if (heard !== undefined && now - heard.at > SILENCE_MS && !this.silent.has(member.name)) {
+                this.silent.add(member.name);
+                this.ports.journal.emit("peer-silent", { peer: member.name, silentMs: Math.round(now - heard.at) });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/peering/documents.ts
@@ -0,0 +1,86 @@
+/** Hands copies of the store's kinds to peers, and fetches them when a peer has a newer one. */
+import * as http from "node:http";
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import * as controlCalls from "../http/control-call.js";
+import type * as watches from "../store-access/kind-watch.js";
+import type * as storeAccess from "../store-access/types.js";
+import type * as types from "./types.js";
+
+const FETCH_TIMEOUT_MS = 600;
+/** Time in milliseconds for which the own watch may catch up before a peer is asked. */
+const CATCH_UP_MS = 250;
+const PATH = "/copies/";
+
+export interface DocumentPorts {
+    readonly clock: clocks.Clock;
+    readonly journal: event.Journal;
+    readonly watches: readonly watches.KindWatch[];
+}
+
+export class DocumentExchange implements AsyncDisposable {
+    private readonly server: http.Server;
+    /** Since when a peer is known to have a newer copy, by kind. */
+    private readonly behindSince = new Map<string, number>();
+    private readonly fetching = new Set<string>();
+
+    constructor(private readonly ports: DocumentPorts) {
+        this.server = http.createServer((request, response) => this.serve(request, response));
+    }
+
+    start(address: string): void {
+        const [host, port] = address.split(":");
+        this.server.listen(Number(port), host);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.server.closeAllConnections();
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+
+    /** Compares a peer's newest changes with the own copies and fetches what stays behind. */
+    compare(beat: types.Beat, now: number): void {
+        for (const watch of this.ports.watches) {
+            const theirs = beat.changes[watch.kind] ?? -1;
+            if (theirs <= watch.copy.revision) {
+                this.behindSince.delete(watch.kind);
+                continue;
+            }
+            const since = this.behindSince.get(watch.kind) ?? now;
+            this.behindSince.set(watch.kind, since);
+            if ((now - since >= CATCH_UP_MS || !watch.copy.isLoaded) && !this.fetching.has(watch.kind)) {
+                void this.fetch(watch, beat.member);
+            }
+        }
+    }
+
+    private async fetch(watch: watches.KindWatch, peer: types.Member): Promise<void> {
+        this.fetching.add(watch.kind);
+        const answer = await controlCalls.send({
+            method: "GET",
+            address: peer.documentAddress,
+            path: PATH + watch.kind,
+            timeoutMs: FETCH_TIMEOUT_MS,
+        });
+        this.fetching.delete(watch.kind);
+        if (answer.kind === "answer" && answer.status === 200 && answer.body !== undefined) {
+            watch.adopt(answer.body as storeAccess.Listing, peer.name);
+            return;
+        }
+        const reason = answer.kind === "answer" ? `status ${answer.status}` : answer.reason;
+        this.ports.journal.emit("document-fetch-failed", { kind: watch.kind, peer: peer.name, reason });
+    }
+
+    private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const kind = request.url?.startsWith(PATH) === true ? request.url.slice(PATH.length) : undefined;
+        const watch = this.ports.watches.find(candidate => candidate.kind === kind);
+        if (watch === undefined || !watch.copy.isLoaded) {
+            response.writeHead(404).end();
+            return;
+        }
+        const records = watch.copy.records(this.ports.clock.now());
+        const body = JSON.stringify({ revision: watch.copy.revision, records });
+        response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
+        response.end(body);
+    }
+}
--- a/src/resilience/retry-budget.ts
+++ b/src/resilience/retry-budget.ts
@@ -5,8 +5,17 @@
  * lets entries with little traffic retry at all.
  */
 
-const RETRY_SHARE = 0.1;
-const FLOOR_PER_SECOND = 3;
+/** How many retries are allowed. */
+export interface RetryPolicy {
+    /** Retries per request over the window. */
+    readonly share: number;
+    /** Retries that are allowed in each second whatever the share says. */
+    readonly floorPerSecond: number;
+    /** Retries of the window beyond the share. */
+    readonly extraPerWindow: number;
+}
+
+const DEFAULT_POLICY: RetryPolicy = { share: 0.1, floorPerSecond: 3, extraPerWindow: 0 };
 const WINDOW_MS = 10_000;
 const SLICE_MS = 1000;
 
@@ -19,6 +28,12 @@
 export class RetryBudget {
     private slices: Slice[] = [];
 
+    constructor(private policy: RetryPolicy = DEFAULT_POLICY) {}
+
+    setPolicy(policy: RetryPolicy): void {
+        this.policy = policy;
+    }
+
     /** Counts a first attempt. */
     request(now: number): void {
         this.slice(now).requests++;
@@ -26,17 +41,21 @@
 
     /** Takes one retry out of the budget; false when it is used up. */
     tryRetry(now: number): boolean {
-        const current = this.slice(now);
-        const floorUsed = current.retries < FLOOR_PER_SECOND;
-        const requests = this.slices.reduce((sum, slice) => sum + slice.requests, 0);
-        const retries = this.slices.reduce((sum, slice) => sum + slice.retries, 0);
-        if (!floorUsed && retries + 1 > requests * RETRY_SHARE) {
+        if (!this.hasRetry(now)) {
             return false;
         }
-        current.retries++;
+        this.slice(now).retries++;
         return true;
     }
 
+    /** Whether a retry would be allowed. */
+    hasRetry(now: number): boolean {
+        const isWithinFloor = this.slice(now).retries < this.policy.floorPerSecond;
+        const requests = this.slices.reduce((sum, slice) => sum + slice.requests, 0);
+        const retries = this.slices.reduce((sum, slice) => sum + slice.retries, 0);
+        return isWithinFloor || retries + 1 <= requests * this.policy.share + this.policy.extraPerWindow;
+    }
+
     private slice(now: number): Slice {
         const start = Math.floor(now / SLICE_MS) * SLICE_MS;
         this.slices = this.slices.filter(slice => slice.start > start - WINDOW_MS);
--- /dev/null
+++ b/src/runtime/agent.ts
@@ -0,0 +1,121 @@
+/** Assembles an agent: it follows the backend server beside it and moves it to new weights. */
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import * as beats from "../peering/beat-exchange.js";
+import * as memberTables from "../peering/member-table.js";
+import type * as peering from "../peering/types.js";
+import type * as copies from "../store-access/kind-copy.js";
+import * as watches from "../store-access/kind-watch.js";
+import * as movers from "../weights/mover.js";
+import * as directories from "./member-directory.js";
+import type * as types from "./types.js";
+
+/** Wait of the watch in milliseconds; the entries' beats name new weights as well. */
+const WEIGHTS_WAIT_MS = 20_000;
+
+export class Agent implements AsyncDisposable {
+    private readonly members: memberTables.MemberTable;
+    private readonly mover: movers.Mover;
+    private readonly watch: watches.KindWatch;
+    private readonly beats: beats.BeatExchange;
+    private readonly stop = new AbortController();
+    private readonly incarnation: string;
+    private isLeaving = false;
+
+    constructor(
+        private readonly settings: types.ProcessSettings,
+        private readonly deployment: types.Deployment,
+        private readonly clock: clocks.Clock,
+        private readonly journal: event.Journal,
+    ) {
+        this.incarnation = clock.identifier();
+        this.members = new memberTables.MemberTable(settings.name);
+        const address = settings.serverAddress!;
+        this.mover = new movers.Mover({
+            clock,
+            journal,
+            engine: deployment.engine(address),
+            address,
+            servers: () => this.serverAddresses(),
+            announce: () => this.beats.send(),
+        });
+        this.watch = new watches.KindWatch(
+            { kind: deployment.kinds.weights, waitMs: WEIGHTS_WAIT_MS, collectMs: 0, ownersWriteAgain: false },
+            { store: deployment.store, clock, journal, changed: copy => this.adoptWeights(copy) },
+        );
+        this.beats = new beats.BeatExchange({
+            clock,
+            journal,
+            members: this.members,
+            compose: sequence => this.composeBeat(sequence),
+            received: beat => beat.weights.forEach(weights => this.mover.name(weights)),
+            isReceiver: member => member.role === "entry",
+        });
+    }
+
+    start(): void {
+        const { settings } = this;
+        this.beats.start(settings.beatAddress);
+        this.mover.start();
+        this.watch.start();
+        void directories.register(
+            this.member,
+            {
+                clock: this.clock,
+                journal: this.journal,
+                store: this.deployment.store,
+                kind: this.deployment.kinds.members,
+                members: this.members,
+            },
+            this.stop.signal,
+        );
+    }
+
+    /** An agent holds no calls; it only tells its end. */
+    async drain(signal: string): Promise<void> {
+        this.isLeaving = true;
+        this.journal.emit("process-stopping", { signal, calls: 0 });
+        return Promise.resolve();
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stop.abort();
+        await Promise.all([
+            this.mover[Symbol.asyncDispose](),
+            this.watch[Symbol.asyncDispose](),
+            this.beats[Symbol.asyncDispose](),
+        ]);
+    }
+
+    private get member(): peering.Member {
+        const { name, role, beatAddress, documentAddress, serverAddress } = this.settings;
+        return { name, role, beatAddress, documentAddress, serverAddress };
+    }
+
+    private serverAddresses(): readonly string[] {
+        const others = this.members.others().map(member => member.serverAddress);
+        return [this.settings.serverAddress, ...others].filter(address => address !== undefined);
+    }
+
+    private adoptWeights(copy: copies.KindCopy): void {
+        const decoded = this.deployment.decodeWeights(copy.records(this.clock.now()));
+        for (const { name, reason } of decoded.invalid) {
+            this.journal.emit("record-invalid", { kind: this.deployment.kinds.weights, record: name, reason });
+        }
+        decoded.values.forEach(weights => this.mover.name(weights));
+    }
+
+    private composeBeat(sequence: number): peering.Beat {
+        return {
+            member: this.member,
+            incarnation: this.incarnation,
+            sequence,
+            isLeaving: this.isLeaving,
+            changes: {},
+            spending: {},
+            use: {},
+            weights: this.mover.namedWeights(),
+            report: this.mover.report(),
+        };
+    }
+}
--- /dev/null
+++ b/src/runtime/entry.ts
@@ -0,0 +1,314 @@
+/** Assembles an entry: callers on one side, backend servers on the other, peers and store beside. */
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import type * as fleet from "../fleet/types.js";
+import * as connections from "../forwarding/connections.js";
+import * as entryServers from "../forwarding/entry-server.js";
+import * as views from "../forwarding/fleet-view.js";
+import * as budgets from "../forwarding/service-budgets.js";
+import type * as calls from "../forwarding/types.js";
+import * as rooms from "../forwarding/waiting-rooms.js";
+import * as textServers from "../http/text-server.js";
+import * as beats from "../peering/beat-exchange.js";
+import * as documents from "../peering/documents.js";
+import * as memberTables from "../peering/member-table.js";
+import type * as peering from "../peering/types.js";
+import * as paces from "../placement/pace.js";
+import * as uses from "../placement/server-use.js";
+import * as trusts from "../placement/trust.js";
+import * as ledgers from "../quota/ledger.js";
+import type * as copies from "../store-access/kind-copy.js";
+import * as watches from "../store-access/kind-watch.js";
+import * as directories from "./member-directory.js";
+import * as meters from "./meter.js";
+import type * as types from "./types.js";
+
+/**
+ * Waits of the watches in milliseconds. A silent connection is noticed after this time, and peers' beats show a newer
+ * copy before; a longer wait takes fewer calls.
+ */
+const CONFIGURATION_WAIT_MS = 6000;
+const SERVERS_WAIT_MS = 6000;
+const WEIGHTS_WAIT_MS = 6000;
+/** Pause in milliseconds that collects changes of servers; a leaving server is known long before its bound. */
+const SERVERS_COLLECT_MS = 300;
+/** Silence in milliseconds from which a peer's spending is unknown, and after which the peer is taken to have gone. */
+const PEER_SILENCE_MS = 700;
+const PEER_FORGOTTEN_MS = 15_000;
+/** Part of the quota's slack that may be spent beyond an empty bucket; the rest covers spending not heard of yet. */
+const OVERDRAFT_SHARE = 0.3;
+/** Age in milliseconds of newer weights from which calls on older ones are worth less. */
+const OUTDATED_COSTS_FROM_MS = 1200;
+/** Margin in milliseconds before the bound on older weights, for calls that are under way to the server. */
+const OUTDATED_MARGIN_MS = 2000;
+/** Price of a call that crosses data centres, as milliseconds. */
+const CROSSING_MS = 6;
+/** Time in milliseconds after the request to stop in which the balancer still sends new connections. */
+const KEEP_ACCEPTING_MS = 3500;
+/** Margin in milliseconds before the end of the grace time, for the last lines and connections. */
+const END_MARGIN_MS = 400;
+const DRAIN_POLL_MS = 50;
+
+export class Entry implements AsyncDisposable {
+    private readonly members: memberTables.MemberTable;
+    private readonly use = new uses.ServerUse();
+    private readonly view: views.FleetView;
+    private readonly quotas: ledgers.QuotaLedger;
+    private readonly rooms: rooms.WaitingRooms;
+    private readonly pool = new connections.ConnectionPool();
+    private readonly meter = new meters.Meter();
+    private readonly server: entryServers.EntryServer;
+    private readonly readiness: textServers.TextServer;
+    private readonly metrics: textServers.TextServer;
+    private readonly watches: Readonly<Record<"configuration" | "servers" | "weights", watches.KindWatch>>;
+    private readonly documents: documents.DocumentExchange;
+    private readonly beats: beats.BeatExchange;
+    private readonly stop = new AbortController();
+    private readonly startedAt: number;
+    private readonly incarnation: string;
+    private isDraining = false;
+    private wasReady = false;
+
+    constructor(
+        private readonly settings: types.ProcessSettings,
+        private readonly deployment: types.Deployment,
+        private readonly clock: clocks.Clock,
+        private readonly journal: event.Journal,
+    ) {
+        this.startedAt = clock.now();
+        this.incarnation = clock.identifier();
+        this.members = new memberTables.MemberTable(settings.name);
+        const trust = new trusts.ServerTrust();
+        this.view = new views.FleetView({ members: this.members, use: this.use, trust });
+        this.quotas = new ledgers.QuotaLedger({
+            overdraftTokens: settings.quotaSlackTokens * OVERDRAFT_SHARE,
+            silenceMs: PEER_SILENCE_MS,
+            forgetMs: PEER_FORGOTTEN_MS,
+        });
+        this.rooms = new rooms.WaitingRooms(clock);
+        const budgetSettings = { share: settings.retryShare, slackPerWindow: settings.retrySlack };
+        const ports: calls.CallPorts = {
+            clock,
+            journal,
+            meter: this.meter,
+            dialect: deployment.dialect,
+            view: this.view,
+            use: this.use,
+            trust,
+            paces: new paces.PaceTable(),
+            quotas: this.quotas,
+            budgets: new budgets.ServiceBudgets(budgetSettings, now => this.quotas.entryCount(now)),
+            rooms: this.rooms,
+            pool: this.pool,
+            settings: {
+                dataCentre: settings.dataCentre,
+                selection: {
+                    outdatedCostsFromMs: OUTDATED_COSTS_FROM_MS,
+                    outdatedForbiddenFromMs: settings.outdatedWeightsMs - OUTDATED_MARGIN_MS,
+                    crossingMs: CROSSING_MS,
+                },
+            },
+            isDraining: () => this.isDraining,
+        };
+        this.server = new entryServers.EntryServer(ports);
+        this.readiness = new textServers.TextServer({
+            [deployment.readinessPath]: () => ({ status: this.isReady ? 200 : 503, body: "" }),
+        });
+        this.metrics = new textServers.TextServer({
+            "/metrics": () => ({ status: 200, body: this.meter.render() }),
+        });
+        this.watches = this.createWatches();
+        this.documents = new documents.DocumentExchange({ clock, journal, watches: Object.values(this.watches) });
+        this.beats = new beats.BeatExchange({
+            clock,
+            journal,
+            members: this.members,
+            compose: sequence => this.composeBeat(sequence),
+            received: (beat, now) => this.receiveBeat(beat, now),
+            isReceiver: () => true,
+        });
+    }
+
+    get isReady(): boolean {
+        return this.view.isComplete && !this.isDraining;
+    }
+
+    async start(): Promise<void> {
+        const { settings } = this;
+        this.members.learn(settings.seeds.filter(seed => seed !== settings.beatAddress).map(seedMember));
+        await Promise.all([
+            this.server.listen(settings.callAddress!),
+            this.readiness.listen(settings.readinessAddress!),
+            this.metrics.listen(settings.metricsAddress),
+        ]);
+        this.documents.start(settings.documentAddress);
+        this.beats.start(settings.beatAddress);
+        Object.values(this.watches).forEach(watch => watch.start());
+        void directories.register(
+            this.member,
+            {
+                clock: this.clock,
+                journal: this.journal,
+                store: this.deployment.store,
+                kind: this.deployment.kinds.members,
+                members: this.members,
+            },
+            this.stop.signal,
+        );
+    }
+
+    /** Fails readiness, serves until the balancer has noticed, and returns when no call is left or the time is over. */
+    async drain(signal: string): Promise<void> {
+        const startedAt = this.clock.now();
+        this.isDraining = true;
+        this.beats.send();
+        this.journal.emit("process-stopping", { signal, calls: this.server.callsInFlight });
+        const endsAt = startedAt + this.settings.graceMs - END_MARGIN_MS;
+        await this.clock.sleep(Math.min(KEEP_ACCEPTING_MS, this.settings.graceMs / 2));
+        this.server.close();
+        while (this.server.callsInFlight > 0 && this.clock.now() < endsAt) {
+            await this.clock.sleep(DRAIN_POLL_MS);
+            this.server.close();
+        }
+        const elapsedMs = Math.round(this.clock.now() - startedAt);
+        this.journal.emit("process-stopped", { elapsedMs, calls: this.server.callsInFlight });
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stop.abort();
+        await this.beats[Symbol.asyncDispose]();
+        await Promise.all([
+            this.server[Symbol.asyncDispose](),
+            this.readiness[Symbol.asyncDispose](),
+            this.metrics[Symbol.asyncDispose](),
+            this.documents[Symbol.asyncDispose](),
+            ...Object.values(this.watches).map(watch => watch[Symbol.asyncDispose]()),
+        ]);
+        this.rooms[Symbol.dispose]();
+        this.pool[Symbol.dispose]();
+    }
+
+    private get member(): peering.Member {
+        const { name, role, beatAddress, documentAddress } = this.settings;
+        return { name, role, beatAddress, documentAddress, serverAddress: undefined };
+    }
+
+    private createWatches(): Readonly<Record<"configuration" | "servers" | "weights", watches.KindWatch>> {
+        const { kinds, store } = this.deployment;
+        const create = (
+            kind: string,
+            options: Omit<watches.WatchOptions, "kind">,
+            changed: (copy: copies.KindCopy) => void,
+        ) => {
+            const ports = { store, clock: this.clock, journal: this.journal, changed };
+            return new watches.KindWatch({ kind, ...options }, ports);
+        };
+        return {
+            configuration: create(
+                kinds.configuration,
+                { waitMs: CONFIGURATION_WAIT_MS, collectMs: 0, ownersWriteAgain: false },
+                copy => this.adoptConfiguration(copy),
+            ),
+            servers: create(
+                kinds.servers,
+                { waitMs: SERVERS_WAIT_MS, collectMs: SERVERS_COLLECT_MS, ownersWriteAgain: true },
+                copy => this.adoptServers(copy),
+            ),
+            weights: create(
+                kinds.weights,
+                { waitMs: WEIGHTS_WAIT_MS, collectMs: 0, ownersWriteAgain: false },
+                copy => this.adoptWeights(copy),
+            ),
+        };
+    }
+
+    private adoptConfiguration(copy: copies.KindCopy): void {
+        const decoded = this.deployment.decodeConfigurations(copy.records(this.clock.now()));
+        this.reportInvalid(this.deployment.kinds.configuration, decoded.invalid);
+        for (const configuration of decoded.values) {
+            if (this.view.adoptConfiguration(configuration)) {
+                this.server.setIdleTimeout(configuration.limits.idleTimeoutMs);
+                this.journal.emit("configuration-in-force", {
+                    version: configuration.version,
+                    revision: copy.revision,
+                    routes: configuration.routes.length,
+                    customers: configuration.customers.length,
+                });
+            }
+        }
+        this.changed();
+    }
+
+    private adoptServers(copy: copies.KindCopy): void {
+        const decoded = this.deployment.decodeServers(copy.records(this.clock.now()));
+        this.reportInvalid(this.deployment.kinds.servers, decoded.invalid);
+        this.view.adoptServers(decoded.values);
+        this.pool.retain(new Set(decoded.values.map(server => server.address)));
+        this.changed();
+    }
+
+    private adoptWeights(copy: copies.KindCopy): void {
+        const decoded = this.deployment.decodeWeights(copy.records(this.clock.now()));
+        this.reportInvalid(this.deployment.kinds.weights, decoded.invalid);
+        decoded.values.forEach(weights => this.nameWeights(weights));
+        this.changed();
+    }
+
+    private nameWeights(weights: fleet.NamedWeights): void {
+        if (this.view.nameWeights(weights, this.clock.now())) {
+            const { model, version, revision } = weights;
+            this.journal.emit("weights-named", { model, version, revision });
+            this.beats.send();
+        }
+    }
+
+    private reportInvalid(kind: string, invalid: readonly types.InvalidRecord[]): void {
+        invalid.forEach(({ name, reason }) => this.journal.emit("record-invalid", { kind, record: name, reason }));
+    }
+
+    private changed(): void {
+        this.rooms.step();
+        if (this.isReady && !this.wasReady) {
+            this.wasReady = true;
+            const elapsedMs = Math.round(this.clock.now() - this.startedAt);
+            const configuration = this.view.table?.configuration.version;
+            this.journal.emit("entry-ready", { elapsedMs, configuration });
+            void this.meter.load();
+        }
+    }
+
+    private composeBeat(sequence: number): peering.Beat {
+        const changes = Object.values(this.watches).map(watch => [watch.kind, watch.copy.changedAt] as const);
+        return {
+            member: this.member,
+            incarnation: this.incarnation,
+            sequence,
+            isLeaving: this.isDraining,
+            changes: Object.fromEntries(changes),
+            spending: this.quotas.spending(),
+            use: this.use.snapshot(),
+            weights: this.view.namedWeights(),
+            report: undefined,
+        };
+    }
+
+    private receiveBeat(beat: peering.Beat, now: number): void {
+        beat.weights.forEach(weights => this.nameWeights(weights));
+        if (beat.member.role === "entry") {
+            this.quotas.hear(beat.member.name, beat.incarnation, beat.spending, now);
+            this.documents.compare(beat, now);
+        }
+        this.rooms.step();
+    }
+}
+
+/** A seed is known by its address until its first beat names it. */
+function seedMember(beatAddress: string): peering.Member {
+    return {
+        name: `seed ${beatAddress}`,
+        role: "entry",
+        beatAddress,
+        documentAddress: beatAddress,
+        serverAddress: undefined,
+    };
+}
--- /dev/null
+++ b/src/runtime/member-directory.ts
@@ -0,0 +1,42 @@
+/** Registers this process in the store and learns the others from it, once. Beats keep the table up to date afterwards. */
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import type * as members from "../peering/member-table.js";
+import type * as peering from "../peering/types.js";
+import type * as storeAccess from "../store-access/types.js";
+
+/** Pause in milliseconds between tries, with jitter. */
+const RETRY_MS = 700;
+
+export interface DirectoryPorts {
+    readonly clock: clocks.Clock;
+    readonly journal: event.Journal;
+    readonly store: storeAccess.RecordStore;
+    readonly kind: string;
+    readonly members: members.MemberTable;
+}
+
+/** Of two processes that start at once, at least one sees the other's record, and beats tell the rest. */
+export async function register(self: peering.Member, ports: DirectoryPorts, signal: AbortSignal): Promise<void> {
+    let isRegistered = false;
+    while (!signal.aborted) {
+        if (!isRegistered) {
+            const written = await ports.store.put(ports.kind, self.name, self);
+            isRegistered = written.ok;
+        }
+        const listing = isRegistered ? await ports.store.list(ports.kind) : undefined;
+        if (listing?.ok === true) {
+            ports.members.learn(listing.value.records.map(record => record.spec).filter(isMember));
+            return;
+        }
+        const reason = listing === undefined ? "registration" : listing.failure.detail;
+        ports.journal.emit("member-registration-failed", { reason });
+        await ports.clock.sleep(RETRY_MS * (0.5 + ports.clock.random()), signal);
+    }
+}
+
+function isMember(value: unknown): value is peering.Member {
+    const member = value as Partial<peering.Member> | undefined;
+    return typeof member?.name === "string" && typeof member.beatAddress === "string"
+        && typeof member.documentAddress === "string" && (member.role === "entry" || member.role === "agent");
+}
--- /dev/null
+++ b/src/weights/mover.ts
@@ -0,0 +1,162 @@
+/** Follows the server beside an agent and moves it to the newest weights. The only process that orders this server. */
+import type * as clocks from "../clock/clock.js";
+import type * as event from "../core/event.js";
+import type * as fleet from "../fleet/types.js";
+import type * as peering from "../peering/types.js";
+import * as moves from "./move.js";
+import type * as types from "./types.js";
+import * as waves from "./waves.js";
+
+/** Period in milliseconds of reading the server's state, which is free on its own instance. */
+const PERIOD_MS = 100;
+/** Failed reads in a row after which the server is reported as dead. */
+const FAILED_READS = 2;
+
+export interface MoverPorts {
+    readonly clock: clocks.Clock;
+    readonly journal: event.Journal;
+    readonly engine: types.EnginePort;
+    /** Address of the server, its name in the order of the waves. */
+    readonly address: string;
+    /** Addresses of all servers of the service, as far as their agents are known. */
+    readonly servers: () => readonly string[];
+    /** Tells the entries about a change at once. */
+    readonly announce: () => void;
+}
+
+export class Mover implements AsyncDisposable {
+    private engine: types.EngineState | undefined;
+    private failedReads = 0;
+    private move: moves.MoveState | undefined;
+    private readonly named = new Map<string, fleet.NamedWeights & { readonly seenAt: number; }>();
+    private timer: NodeJS.Timeout | undefined;
+    private isStopped = false;
+
+    constructor(private readonly ports: MoverPorts) {}
+
+    start(): void {
+        void this.tick();
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.isStopped = true;
+        clearTimeout(this.timer);
+        return Promise.resolve();
+    }
+
+    /** Takes over weights that were named, from the store or from a peer. */
+    name(weights: fleet.NamedWeights): void {
+        const known = this.named.get(weights.model);
+        if (known !== undefined && known.version >= weights.version) {
+            return;
+        }
+        const { model, version, revision } = weights;
+        this.named.set(model, { ...weights, seenAt: this.ports.clock.now() });
+        this.ports.journal.emit("weights-named", { model, version, revision });
+    }
+
+    namedWeights(): readonly fleet.NamedWeights[] {
+        return [...this.named.values()].map(({ model, version, revision }) => ({ model, version, revision }));
+    }
+
+    report(): peering.ServerReport {
+        const weights = [...this.engine?.weights ?? []].map(([model, version]) => ({ model, version }));
+        return {
+            address: this.ports.address,
+            isAlive: this.failedReads < FAILED_READS,
+            startedAt: this.engine?.startedAt,
+            weights,
+            isMoving: this.move !== undefined || this.engine?.isBusy === true,
+            running: this.engine?.running ?? 0,
+            waiting: this.engine?.waiting ?? 0,
+        };
+    }
+
+    private async tick(): Promise<void> {
+        const startedAt = this.ports.clock.now();
+        await this.read();
+        for (const weights of this.named.values()) {
+            await this.step(weights);
+        }
+        if (!this.isStopped) {
+            const elapsed = this.ports.clock.now() - startedAt;
+            this.timer = setTimeout(() => void this.tick(), Math.max(0, PERIOD_MS - elapsed));
+        }
+    }
+
+    private async read(): Promise<void> {
+        const state = await this.ports.engine.state();
+        const { address } = this.ports;
+        if (state === undefined) {
+            this.failedReads++;
+            if (this.failedReads === FAILED_READS) {
+                this.ports.journal.emit("engine-lost", { address });
+                this.ports.announce();
+            }
+            return;
+        }
+        const wasLost = this.failedReads >= FAILED_READS || this.engine === undefined;
+        this.failedReads = 0;
+        const hasChanged = this.engine?.isBusy !== state.isBusy;
+        this.engine = state;
+        if (wasLost) {
+            this.ports.journal.emit("engine-regained", { address, startedAt: state.startedAt });
+        }
+        if (wasLost || hasChanged) {
+            this.ports.announce();
+        }
+    }
+
+    private async step(weights: fleet.NamedWeights & { readonly seenAt: number; }): Promise<void> {
+        const now = this.ports.clock.now();
+        const delayMs = waves.waveDelayMs(this.ports.servers(), this.ports.address, weights.version);
+        const step = moves.nextStep(
+            {
+                engine: this.failedReads === 0 ? this.engine : undefined,
+                named: weights,
+                startAt: weights.seenAt + delayMs,
+                move: this.move?.model === weights.model ? this.move : undefined,
+            },
+            now,
+        );
+        await STEPS[step.kind](this, step as never, now);
+    }
+
+    /** @internal Used by the table of steps. */
+    begin(move: moves.MoveState): void {
+        this.move = move;
+        this.ports.announce();
+    }
+
+    /** @internal Used by the table of steps. */
+    async send(order: types.VersionOrder, now: number): Promise<void> {
+        this.move = { ...this.move!, orderedAt: now };
+        const outcome = await this.ports.engine.order(order);
+        const { model, version, fencingToken, expectedOrderCount } = order;
+        this.ports.journal.emit("weights-ordered", { model, version, outcome, fencingToken, expectedOrderCount });
+    }
+
+    /** @internal Used by the table of steps. */
+    finish(now: number): void {
+        const elapsedMs = Math.round(now - (this.move?.announcedAt ?? now));
+        this.ports.journal.emit("weights-moved", { version: this.move?.version, elapsedMs });
+        this.move = undefined;
+        this.ports.announce();
+    }
+}
+
+type StepHandlers = {
+    readonly [Kind in moves.MoveStep["kind"]]: (
+        mover: Mover,
+        step: Extract<moves.MoveStep, { readonly kind: Kind; }>,
+        now: number,
+    ) => Promise<void> | void;
+};
+
+const STEPS: StepHandlers = {
+    rest: () => undefined,
+    wait: () => undefined,
+    announce: (mover, step) => mover.begin(step.move),
+    order: (mover, step, now) => mover.send(step.order, now),
+    done: (mover, _step, now) => mover.finish(now),
+};
--- /dev/null
+++ b/tools/bundle-platform.ts
@@ -0,0 +1,16 @@
+/** Bundles the processes for the users' platform into a few files below target/. Their start is charged in full. */
+import * as esbuild from "esbuild";
+
+await esbuild.build({
+    entryPoints: ["platform/main.ts"],
+    entryNames: "ibisstep",
+    outdir: "target",
+    bundle: true,
+    splitting: true,
+    platform: "node",
+    format: "esm",
+    target: "node20",
+    minify: true,
+    legalComments: "none",
+    logLevel: "warning",
+});
