Move servers to new weights in turn, as beats show it

Cause: agents moved in waves of fixed times; a move takes 1.5 to 3 s and not 0.6 s, so that eight of nine servers were out of use together. Calls waited for them until their callers left. Ruled out: more time between waves, since the bound is 8 s. Change: agents send beats to each other; a server moves when fewer than three tenths of the others move or go before it, the oldest weights first. The age counts from the first newer version. A call waits for a server for 1 s at most. Calls that arrive 2.6 s after SIGTERM are turned away.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -16,7 +16,7 @@
 
 /** Longest wait for a server, as a share of the time that the caller gave and in milliseconds. */
 const WAIT_SHARE = 0.4;
-const LONGEST_WAIT_MS = 2000;
+const LONGEST_WAIT_MS = 1000;
 /** Time in milliseconds after which a caller may come back, by the reason for which no server took its call. */
 const RETURN_AFTER_MS: Readonly<Record<placement.Unavailable, number>> = {
     "no-server": 500,
@@ -27,6 +27,7 @@
 };
 const RETURN_AFTER_TURNED_AWAY_MS = 300;
 const RETURN_AFTER_START_MS = 500;
+const RETURN_AFTER_CLOSING_MS = 50;
 /** Time in milliseconds for which a server is avoided that had other weights than expected. */
 const MISMATCH_MS = 200;
 /** Time in milliseconds that a call without a deadline of its own and without a route timeout may take. */
@@ -112,6 +113,9 @@
         if (body.kind === "too-large") {
             return this.refuse("call-too-large", `more than ${bodyLimit} bytes`);
         }
+        if (this.ports.isClosing()) {
+            return this.refuse("entry-closing", "", RETURN_AFTER_CLOSING_MS);
+        }
         const table = view.table;
         if (table === undefined || !view.isComplete) {
             return this.refuse("entry-not-configured", "no configuration or no servers", RETURN_AFTER_START_MS);
@@ -202,7 +206,6 @@
         if (candidates.length > 0 && candidates.every(candidate => this.tried.has(candidate.server.id))) {
             this.tried.clear();
         }
-        const weights = head.model === undefined ? undefined : this.ports.view.newestWeights(head.model, now);
         const shared = cachePlans.lastSharedPart(head.parts);
         const wall = admission.customer?.isolated === true ? admission.customer.name : "";
         const demand: placement.Demand = {
@@ -211,8 +214,6 @@
             ownTokens: Math.max(0, head.promptTokens - cachePlans.sharedTokens(head.parts)),
             tried: this.tried,
             dataCentre: this.ports.settings.dataCentre,
-            newestWeights: weights?.version,
-            weightsAgeMs: weights?.ageMs ?? 0,
             isPlain: head.model === undefined,
         };
         const pace = this.ports.paces.of(service);
--- a/src/forwarding/failures.ts
+++ b/src/forwarding/failures.ts
@@ -42,6 +42,14 @@
         message: () => "the entry has no configuration yet",
         hint: "The entry has just started and reaches neither store nor peers. Retry at another entry.",
     },
+    "entry-closing": {
+        number: 3311,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: () => "the entry is about to end",
+        hint: "Retry on a new connection, which reaches another entry.",
+    },
     "over-quota": {
         number: 3306,
         status: 429,
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -6,16 +6,13 @@
 import type * as uses from "../placement/server-use.js";
 import type * as trusts from "../placement/trust.js";
 import type * as placement from "../placement/types.js";
+import * as namingHistories from "../weights/naming-history.js";
 
 /** Age in milliseconds up to which a beat tells the state of a server or the use by a peer. */
 const BEAT_FRESH_MS = 800;
 /** Age in milliseconds that weights are taken to have when the entry finds them at its start. */
 const AGE_AT_START_MS = 3000;
 
-interface SeenWeights extends fleet.NamedWeights {
-    readonly seenAt: number;
-}
-
 export interface ViewPorts {
     readonly members: members.MemberTable;
     readonly use: uses.ServerUse;
@@ -26,7 +23,7 @@
     private routing: routingTables.RoutingTable | undefined;
     private servers: readonly fleet.BackendServer[] = [];
     private serversKnown = false;
-    private readonly weights = new Map<string, SeenWeights>();
+    private readonly weights = new Map<string, namingHistories.NamingHistory>();
     /** Weights versions that answers showed, by server id. */
     private readonly answeredVersions = new Map<string, number>();
     /** Servers that turned a call away because of its weights, with the end of the time in which they are avoided. */
@@ -66,22 +63,13 @@
 
     /** Takes over weights that were named. True when they are newer than what was known. */
     nameWeights(named: fleet.NamedWeights, now: number): boolean {
-        const known = this.weights.get(named.model);
-        if (known !== undefined && known.version >= named.version) {
-            return false;
-        }
-        const isStart = known === undefined;
-        this.weights.set(named.model, { ...named, seenAt: isStart ? now - AGE_AT_START_MS : now });
-        return true;
+        const history = this.weights.get(named.model) ?? new namingHistories.NamingHistory(AGE_AT_START_MS);
+        this.weights.set(named.model, history);
+        return history.add(named, now);
     }
 
     namedWeights(): readonly fleet.NamedWeights[] {
-        return [...this.weights.values()].map(({ model, version, revision }) => ({ model, version, revision }));
-    }
-
-    newestWeights(model: string, now: number): { readonly version: number; readonly ageMs: number; } | undefined {
-        const seen = this.weights.get(model);
-        return seen === undefined ? undefined : { version: seen.version, ageMs: now - seen.seenAt };
+        return [...this.weights.values()].map(history => history.newest).filter(newest => newest !== undefined);
     }
 
     listed(): readonly fleet.BackendServer[] {
@@ -119,11 +107,14 @@
     ): placement.Candidate {
         const use = this.ports.use.total(server.id, entryBeats);
         const isDead = report !== undefined && !report.isAlive;
+        const weightsVersion = model === undefined ? undefined : this.versionOf(server, report, model);
+        const history = model === undefined ? undefined : this.weights.get(model);
         return {
             server,
             calls: use.calls,
             unreadTokens: use.unreadTokens,
-            weightsVersion: model === undefined ? undefined : this.versionOf(server, report, model),
+            weightsVersion,
+            outdatedForMs: history?.outdatedForMs(weightsVersion ?? 0, now),
             isMoving: report?.isMoving === true || now < (this.mismatched.get(server.id) ?? 0),
             isSuspected: isDead || this.ports.trust.isSuspected(server.id, now),
             failureShare: this.ports.trust.failureShare(server.id, now),
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -45,4 +45,6 @@
     readonly settings: CallSettings;
     /** The process is ending; connections are closed after their answers. */
     readonly isDraining: () => boolean;
+    /** The process ends too soon for new calls. */
+    readonly isClosing: () => boolean;
 }
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -43,7 +43,7 @@
     const filters: readonly (readonly [types.Unavailable, (candidate: types.Candidate) => boolean])[] = [
         ["no-server", candidate => !demand.tried.has(candidate.server.id)],
         ["all-suspected", candidate => !candidate.isSuspected],
-        ["all-outdated", candidate => !isForbidden(candidate, demand, settings)],
+        ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedForbiddenFromMs],
         ["all-moving", candidate => !candidate.isMoving],
         ["all-full", candidate => hasRoom(candidate, demand, pace)],
     ];
@@ -87,9 +87,7 @@
     isHome: boolean,
 ): number {
     const crossing = candidate.server.dataCentre === demand.dataCentre ? 0 : settings.crossingMs;
-    const outdated = isOutdated(candidate, demand) && demand.weightsAgeMs >= settings.outdatedCostsFromMs
-        ? OUTDATED_MS
-        : 0;
+    const outdated = (candidate.outdatedForMs ?? 0) >= settings.outdatedCostsFromMs ? OUTDATED_MS : 0;
     const failing = candidate.failureShare * FAILURE_MS;
     return queueMs(candidate, demand, pace) + readingMs(demand, pace, isHome) + crossing + outdated + failing;
 }
@@ -115,11 +113,3 @@
     return candidate.calls < candidate.server.slots
         && candidate.unreadTokens * pace.msPerPromptToken <= LONGEST_ENGINE_QUEUE_MS;
 }
-
-function isOutdated(candidate: types.Candidate, demand: types.Demand): boolean {
-    return demand.newestWeights !== undefined && (candidate.weightsVersion ?? 0) < demand.newestWeights;
-}
-
-function isForbidden(candidate: types.Candidate, demand: types.Demand, settings: SelectionSettings): boolean {
-    return isOutdated(candidate, demand) && demand.weightsAgeMs >= settings.outdatedForbiddenFromMs;
-}
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -10,6 +10,8 @@
     readonly unreadTokens: number;
     /** Version of the weights of the call's model; undefined for services without models or when unknown. */
     readonly weightsVersion: number | undefined;
+    /** Time in milliseconds since newer weights were named; undefined when the server has the newest. */
+    readonly outdatedForMs: number | undefined;
     /** The server is loading weights, or is about to. */
     readonly isMoving: boolean;
     /** Out of use after a failure: refused connections, resets, or silence. */
@@ -27,10 +29,6 @@
     /** Servers that this call has tried already. */
     readonly tried: ReadonlySet<string>;
     readonly dataCentre: string;
-    /** Newest version of the weights; undefined without a model. */
-    readonly newestWeights: number | undefined;
-    /** Time in milliseconds since that version was named. */
-    readonly weightsAgeMs: number;
     readonly isPlain: boolean;
 }
 
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -7,11 +7,14 @@
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
 import * as movers from "../weights/mover.js";
+import type * as turns from "../weights/turn.js";
 import * as directories from "./member-directory.js";
 import type * as types from "./types.js";
 
 /** Wait of the watch in milliseconds; the entries' beats name new weights as well. */
 const WEIGHTS_WAIT_MS = 20_000;
+/** Age in milliseconds up to which a beat tells the state of a neighbouring server. */
+const NEIGHBOUR_FRESH_MS = 1500;
 
 export class Agent implements AsyncDisposable {
     private readonly members: memberTables.MemberTable;
@@ -36,7 +39,7 @@
             journal,
             engine: deployment.engine(address),
             address,
-            servers: () => this.serverAddresses(),
+            neighbours: model => this.neighbours(model),
             announce: () => this.beats.send(),
         });
         this.watch = new watches.KindWatch(
@@ -49,7 +52,7 @@
             members: this.members,
             compose: sequence => this.composeBeat(sequence),
             received: beat => beat.weights.forEach(weights => this.mover.name(weights)),
-            isReceiver: member => member.role === "entry",
+            isReceiver: () => true,
         });
     }
 
@@ -92,9 +95,13 @@
         return { name, role, beatAddress, documentAddress, serverAddress };
     }
 
-    private serverAddresses(): readonly string[] {
-        const others = this.members.others().map(member => member.serverAddress);
-        return [this.settings.serverAddress, ...others].filter(address => address !== undefined);
+    private neighbours(model: string): readonly turns.Standing[] {
+        const heard = this.members.recent(this.clock.now(), NEIGHBOUR_FRESH_MS);
+        const reports = heard.map(({ beat }) => beat.report).filter(report => report !== undefined);
+        return reports.filter(report => report.isAlive).flatMap(({ address, isMoving, weights }) => {
+            const version = weights.find(entry => entry.model === model)?.version;
+            return version === undefined ? [] : [{ address, version, isMoving }];
+        });
     }
 
     private adoptWeights(copy: copies.KindCopy): void {
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -44,7 +44,9 @@
 /** Price of a call that crosses data centres, as milliseconds. */
 const CROSSING_MS = 6;
 /** Time in milliseconds after the request to stop in which the balancer still sends new connections. */
-const KEEP_ACCEPTING_MS = 3500;
+const KEEP_ACCEPTING_MS = 2200;
+/** Time in milliseconds after the request to stop from which calls are turned away, so that the others can finish. */
+const TURN_AWAY_AFTER_MS = 2600;
 /** Margin in milliseconds before the end of the grace time, for the last lines and connections. */
 const END_MARGIN_MS = 400;
 const DRAIN_POLL_MS = 50;
@@ -66,7 +68,7 @@
     private readonly stop = new AbortController();
     private readonly startedAt: number;
     private readonly incarnation: string;
-    private isDraining = false;
+    private drainingSince: number | undefined;
     private wasReady = false;
 
     constructor(
@@ -109,6 +111,7 @@
                 },
             },
             isDraining: () => this.isDraining,
+            isClosing: () => clock.now() - (this.drainingSince ?? Infinity) >= TURN_AWAY_AFTER_MS,
         };
         this.server = new entryServers.EntryServer(ports);
         this.readiness = new textServers.TextServer({
@@ -129,6 +132,10 @@
         });
     }
 
+    private get isDraining(): boolean {
+        return this.drainingSince !== undefined;
+    }
+
     get isReady(): boolean {
         return this.view.isComplete && !this.isDraining;
     }
@@ -160,7 +167,7 @@
     /** Fails readiness, serves until the balancer has noticed, and returns when no call is left or the time is over. */
     async drain(signal: string): Promise<void> {
         const startedAt = this.clock.now();
-        this.isDraining = true;
+        this.drainingSince = startedAt;
         this.beats.send();
         this.journal.emit("process-stopping", { signal, calls: this.server.callsInFlight });
         const endsAt = startedAt + this.settings.graceMs - END_MARGIN_MS;
--- a/src/weights/move.ts
+++ b/src/weights/move.ts
@@ -3,7 +3,7 @@
 import type * as types from "./types.js";
 
 /** Time in milliseconds between the announcement to the entries and the order, so that calls stop arriving first. */
-const ANNOUNCEMENT_MS = 100;
+const ANNOUNCEMENT_MS = 60;
 /** Time in milliseconds after an order without visible effect, after which it is repeated. */
 const REPEAT_MS = 400;
 
@@ -16,38 +16,41 @@
 
 export interface MoveInput {
     readonly engine: types.EngineState | undefined;
-    readonly named: fleet.NamedWeights | undefined;
-    /** Moment from which the server may load this version. */
-    readonly startAt: number;
+    readonly named: fleet.NamedWeights;
+    /** The server may begin to move now. */
+    readonly isTurn: boolean;
     readonly move: MoveState | undefined;
 }
 
+/** `finish` ends a move, with the version in force or given up for a newer one. */
 export type MoveStep =
     | { readonly kind: "rest"; }
     | { readonly kind: "announce"; readonly move: MoveState; }
     | { readonly kind: "wait"; }
     | { readonly kind: "order"; readonly order: types.VersionOrder; }
-    | { readonly kind: "done"; };
+    | { readonly kind: "finish"; readonly version: number; };
 
 /** The server may be silent, busy with an earlier order, or have been restarted; each step looks at its state anew. */
 export function nextStep(input: MoveInput, now: number): MoveStep {
     const { engine, named, move } = input;
-    if (engine === undefined || named === undefined) {
+    const version = engine?.weights.get(named.model);
+    if (engine === undefined || version === undefined || engine.isBusy) {
         return { kind: move === undefined ? "rest" : "wait" };
     }
-    const version = engine.weights.get(named.model);
-    if (version === undefined || version >= named.version) {
-        return { kind: move === undefined || engine.isBusy ? "rest" : "done" };
+    if (move !== undefined && (version >= move.version || move.version < named.version && !input.isTurn)) {
+        return { kind: "finish", version };
     }
-    if (move === undefined || move.version !== named.version) {
-        const model = named.model;
+    if (version >= named.version || !input.isTurn && move === undefined) {
+        return { kind: "rest" };
+    }
+    if (move === undefined || move.version < named.version) {
         const announcedAt = move?.announcedAt ?? now;
-        const next = { model, version: named.version, announcedAt, orderedAt: undefined };
-        return now >= input.startAt || move !== undefined ? { kind: "announce", move: next } : { kind: "rest" };
+        const next = { model: named.model, version: named.version, announcedAt, orderedAt: undefined };
+        return { kind: "announce", move: next };
     }
     const isAnnounced = now - move.announcedAt >= ANNOUNCEMENT_MS;
-    const isRepeat = move.orderedAt !== undefined && now - move.orderedAt < REPEAT_MS;
-    if (engine.isBusy || !isAnnounced || isRepeat) {
+    const wasOrderedNow = move.orderedAt !== undefined && now - move.orderedAt < REPEAT_MS;
+    if (!isAnnounced || wasOrderedNow) {
         return { kind: "wait" };
     }
     const order = {
--- a/src/weights/mover.ts
+++ b/src/weights/mover.ts
@@ -4,8 +4,9 @@
 import type * as fleet from "../fleet/types.js";
 import type * as peering from "../peering/types.js";
 import * as moves from "./move.js";
+import * as namingHistories from "./naming-history.js";
+import * as turns from "./turn.js";
 import type * as types from "./types.js";
-import * as waves from "./waves.js";
 
 /** Period in milliseconds of reading the server's state, which is free on its own instance. */
 const PERIOD_MS = 100;
@@ -16,10 +17,9 @@
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
     readonly engine: types.EnginePort;
-    /** Address of the server, its name in the order of the waves. */
     readonly address: string;
-    /** Addresses of all servers of the service, as far as their agents are known. */
-    readonly servers: () => readonly string[];
+    /** The other servers with the model that answer, as far as their agents were heard of late. */
+    readonly neighbours: (model: string) => readonly turns.Standing[];
     /** Tells the entries about a change at once. */
     readonly announce: () => void;
 }
@@ -28,7 +28,7 @@
     private engine: types.EngineState | undefined;
     private failedReads = 0;
     private move: moves.MoveState | undefined;
-    private readonly named = new Map<string, fleet.NamedWeights & { readonly seenAt: number; }>();
+    private readonly named = new Map<string, namingHistories.NamingHistory>();
     private timer: NodeJS.Timeout | undefined;
     private isStopped = false;
 
@@ -46,17 +46,16 @@
 
     /** Takes over weights that were named, from the store or from a peer. */
     name(weights: fleet.NamedWeights): void {
-        const known = this.named.get(weights.model);
-        if (known !== undefined && known.version >= weights.version) {
-            return;
+        const history = this.named.get(weights.model) ?? new namingHistories.NamingHistory(0);
+        this.named.set(weights.model, history);
+        if (history.add(weights, this.ports.clock.now())) {
+            const { model, version, revision } = weights;
+            this.ports.journal.emit("weights-named", { model, version, revision });
         }
-        const { model, version, revision } = weights;
-        this.named.set(model, { ...weights, seenAt: this.ports.clock.now() });
-        this.ports.journal.emit("weights-named", { model, version, revision });
     }
 
     namedWeights(): readonly fleet.NamedWeights[] {
-        return [...this.named.values()].map(({ model, version, revision }) => ({ model, version, revision }));
+        return [...this.named.values()].map(history => history.newest).filter(newest => newest !== undefined);
     }
 
     report(): peering.ServerReport {
@@ -75,8 +74,8 @@
     private async tick(): Promise<void> {
         const startedAt = this.ports.clock.now();
         await this.read();
-        for (const weights of this.named.values()) {
-            await this.step(weights);
+        for (const history of this.named.values()) {
+            await this.step(history);
         }
         if (!this.isStopped) {
             const elapsed = this.ports.clock.now() - startedAt;
@@ -107,21 +106,25 @@
         }
     }
 
-    private async step(weights: fleet.NamedWeights & { readonly seenAt: number; }): Promise<void> {
+    private async step(history: namingHistories.NamingHistory): Promise<void> {
+        const named = history.newest;
+        if (named === undefined) {
+            return;
+        }
         const now = this.ports.clock.now();
-        const delayMs = waves.waveDelayMs(this.ports.servers(), this.ports.address, weights.version);
-        const step = moves.nextStep(
-            {
-                engine: this.failedReads === 0 ? this.engine : undefined,
-                named: weights,
-                startAt: weights.seenAt + delayMs,
-                move: this.move?.model === weights.model ? this.move : undefined,
-            },
-            now,
-        );
+        const engine = this.failedReads === 0 ? this.engine : undefined;
+        const move = this.move?.model === named.model ? this.move : undefined;
+        const step = moves.nextStep({ engine, named, isTurn: this.isTurn(history, named, now), move }, now);
         await STEPS[step.kind](this, step as never, now);
     }
 
+    private isTurn(history: namingHistories.NamingHistory, named: fleet.NamedWeights, now: number): boolean {
+        const version = this.engine?.weights.get(named.model) ?? 0;
+        const self = { address: this.ports.address, version, isMoving: this.move !== undefined };
+        const outdatedForMs = history.outdatedForMs(version, now) ?? 0;
+        return turns.isTurn(self, named.version, outdatedForMs, this.ports.neighbours(named.model));
+    }
+
     /** @internal Used by the table of steps. */
     begin(move: moves.MoveState): void {
         this.move = move;
@@ -137,9 +140,9 @@
     }
 
     /** @internal Used by the table of steps. */
-    finish(now: number): void {
+    finish(version: number, now: number): void {
         const elapsedMs = Math.round(now - (this.move?.announcedAt ?? now));
-        this.ports.journal.emit("weights-moved", { version: this.move?.version, elapsedMs });
+        this.ports.journal.emit("weights-moved", { version, ordered: this.move?.version, elapsedMs });
         this.move = undefined;
         this.ports.announce();
     }
@@ -158,5 +161,5 @@
     wait: () => undefined,
     announce: (mover, step) => mover.begin(step.move),
     order: (mover, step, now) => mover.send(step.order, now),
-    done: (mover, _step, now) => mover.finish(now),
+    finish: (mover, step, now) => mover.finish(step.version, now),
 };
