Recognize a reset that arrives with the last bytes, and send beats less often and shorter

Ruled out: an error event that is handled in the wrong order; there is none. Change: at the end of an answer without length the connection's peer is asked for, which a reset connection has no more. Beats are positional, and periods differ by the receiver's use for them.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -48,6 +48,7 @@
     const [host, port] = request.address.split(":");
     let isOver = false;
     let wasConnected = false;
+    let wasReset = false;
     let response: http.IncomingMessage | undefined;
     const fail = (reason: string) => {
         if (!isOver) {
@@ -72,6 +73,12 @@
             wasConnected = true;
             clearTimeout(connectTimer);
         };
+        // Bytes and a reset that arrive together are reported as a normal end. A reset connection has no peer any more.
+        const noteReset = () => {
+            wasReset = socket.remoteAddress === undefined;
+        };
+        socket.prependOnceListener("end", noteReset);
+        outgoing.once("close", () => void socket.off("end", noteReset));
         if (socket.connecting) {
             socket.once("connect", connected);
         }
@@ -92,7 +99,7 @@
         });
         incoming.on("error", error => fail(controlCalls.errorCode(error)));
         incoming.on("end", () => {
-            if (!incoming.complete) {
+            if (!incoming.complete || wasReset && !hasEndMark(incoming)) {
                 fail("incomplete answer");
             }
             else if (!isOver) {
@@ -114,3 +121,8 @@
         resume: () => void response?.resume(),
     };
 }
+
+/** Whether the head says where the answer ends; otherwise it ends with its connection. */
+function hasEndMark(response: http.IncomingMessage): boolean {
+    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+}
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -8,8 +8,10 @@
 import type * as placement from "../placement/types.js";
 import * as namingHistories from "../weights/naming-history.js";
 
-/** Age in milliseconds up to which a beat tells the state of a server or the use by a peer. */
-const BEAT_FRESH_MS = 800;
+/** Age in milliseconds up to which a beat tells the use of servers by a peer. */
+const USE_FRESH_MS = 1000;
+/** Age in milliseconds up to which a beat tells the state of a server. */
+const REPORT_FRESH_MS = 1500;
 /** Age in milliseconds that weights are taken to have when the entry finds them at its start. */
 const AGE_AT_START_MS = 3000;
 
@@ -87,11 +89,13 @@
     }
 
     candidates(service: string, model: string | undefined, now: number): readonly placement.Candidate[] {
-        const heard = this.ports.members.recent(now, BEAT_FRESH_MS).map(entry => entry.beat);
         const reports = new Map(
-            heard.filter(beat => beat.report !== undefined).map(beat => [beat.report!.address, beat.report!]),
+            this.ports.members.recent(now, REPORT_FRESH_MS).flatMap(({ beat }) => {
+                return beat.report === undefined ? [] : [[beat.report.address, beat.report] as const];
+            }),
         );
-        const entryBeats = heard.filter(beat => beat.member.role === "entry");
+        const entryBeats = this.ports.members.recent(now, USE_FRESH_MS).map(({ beat }) => beat)
+            .filter(beat => beat.member.role === "entry");
         return this.servers.filter(server => server.service === service).map(server => {
             const report = reports.get(server.address);
             return this.candidate(server, isSameRun(server, report) ? report : undefined, model, entryBeats, now);
--- a/src/peering/beat-exchange.ts
+++ b/src/peering/beat-exchange.ts
@@ -6,12 +6,12 @@
 import type * as members from "./member-table.js";
 import type * as types from "./types.js";
 
-/** Period of beats in milliseconds; the quota's slack covers what is spent in between. */
-const PERIOD_MS = 150;
-/** Number of peers up to which the shortest period is kept; beyond it the cost of a process stays the same. */
+/** Shortest period of beats in milliseconds; longer ones are rounded up to it. */
+const TICK_MS = 150;
+/** Number of peers up to which the periods are kept; beyond it they grow, so that a process' cost stays the same. */
 const PEERS_AT_SHORTEST_PERIOD = 16;
 /** Silence in milliseconds that is logged, as a multiple of several periods. */
-const SILENCE_MS = 1500;
+const SILENCE_MS = 2500;
 
 export interface BeatPorts {
     readonly clock: clocks.Clock;
@@ -20,8 +20,8 @@
     /** Content of the next beat. */
     readonly compose: (sequence: number, now: number) => types.Beat;
     readonly received: (beat: types.Beat, now: number) => void;
-    /** Peers that this process sends to. */
-    readonly isReceiver: (member: types.Member) => boolean;
+    /** Period in milliseconds of the beats to a peer that brings no news. */
+    readonly periodMs: (member: types.Member) => number;
 }
 
 export class BeatExchange implements AsyncDisposable {
@@ -29,6 +29,7 @@
     private readonly silent = new Set<string>();
     private timer: NodeJS.Timeout | undefined;
     private sequence = 0;
+    private readonly sentAt = new Map<string, number>();
 
     constructor(private readonly ports: BeatPorts) {}
 
@@ -42,18 +43,9 @@
         this.socket.bind(Number(port), host, () => this.tick());
     }
 
-    /** Sends a beat at once, for news that should not wait for the period. */
+    /** Sends a beat to all peers at once, for news that should not wait for the period. */
     send(): void {
-        const now = this.ports.clock.now();
-        const datagram = codec.encode(this.ports.compose(this.sequence++, now));
-        for (const member of this.ports.members.others().filter(this.ports.isReceiver)) {
-            const [host, port] = member.beatAddress.split(":");
-            this.socket.send(datagram, Number(port), host, error => {
-                if (error) {
-                    this.ports.journal.emit("peer-send-failed", { peer: member.name, reason: error.message });
-                }
-            });
-        }
+        this.sendTo(this.ports.members.others(), this.ports.clock.now());
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -63,11 +55,31 @@
     }
 
     private tick(): void {
-        this.send();
-        this.noteSilence(this.ports.clock.now());
-        const receivers = this.ports.members.others().filter(this.ports.isReceiver).length;
-        const period = PERIOD_MS * Math.max(1, receivers / PEERS_AT_SHORTEST_PERIOD);
-        this.timer = setTimeout(() => this.tick(), period);
+        const now = this.ports.clock.now();
+        const peers = this.ports.members.others();
+        const stretch = Math.max(1, peers.length / PEERS_AT_SHORTEST_PERIOD);
+        const due = peers.filter(peer => {
+            const sentAt = this.sentAt.get(peer.name) ?? Number.NEGATIVE_INFINITY;
+            return now - sentAt > this.ports.periodMs(peer) * stretch - TICK_MS / 2;
+        });
+        if (due.length > 0) {
+            this.sendTo(due, now);
+        }
+        this.noteSilence(now);
+        this.timer = setTimeout(() => this.tick(), TICK_MS);
+    }
+
+    private sendTo(peers: readonly types.Member[], now: number): void {
+        const datagram = codec.encode(this.ports.compose(this.sequence++, now));
+        for (const peer of peers) {
+            this.sentAt.set(peer.name, now);
+            const [host, port] = peer.beatAddress.split(":");
+            this.socket.send(datagram, Number(port), host, error => {
+                if (error) {
+                    this.ports.journal.emit("peer-send-failed", { peer: peer.name, reason: error.message });
+                }
+            });
+        }
     }
 
     private receive(datagram: Buffer): void {
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -13,8 +13,11 @@
 
 /** Wait of the watch in milliseconds; the entries' beats name new weights as well. */
 const WEIGHTS_WAIT_MS = 20_000;
+/** Periods in milliseconds of beats; a change of the server's state is sent at once. */
+const ENTRY_PERIOD_MS = 400;
+const AGENT_PERIOD_MS = 800;
 /** Age in milliseconds up to which a beat tells the state of a neighbouring server. */
-const NEIGHBOUR_FRESH_MS = 1500;
+const NEIGHBOUR_FRESH_MS = 2500;
 
 export class Agent implements AsyncDisposable {
     private readonly members: memberTables.MemberTable;
@@ -52,7 +55,7 @@
             members: this.members,
             compose: sequence => this.composeBeat(sequence),
             received: beat => beat.weights.forEach(weights => this.mover.name(weights)),
-            isReceiver: () => true,
+            periodMs: member => member.role === "entry" ? ENTRY_PERIOD_MS : AGENT_PERIOD_MS,
         });
     }
 
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -32,6 +32,9 @@
 const WEIGHTS_WAIT_MS = 6000;
 /** Pause in milliseconds that collects changes of servers; a leaving server is known long before its bound. */
 const SERVERS_COLLECT_MS = 300;
+/** Periods in milliseconds of beats: entries share spending and load; agents only hear of new weights. */
+const ENTRY_PERIOD_MS = 150;
+const AGENT_PERIOD_MS = 1000;
 /** Silence in milliseconds from which a peer's spending is unknown, and after which the peer is taken to have gone. */
 const PEER_SILENCE_MS = 700;
 const PEER_FORGOTTEN_MS = 15_000;
@@ -128,7 +131,7 @@
             members: this.members,
             compose: sequence => this.composeBeat(sequence),
             received: (beat, now) => this.receiveBeat(beat, now),
-            isReceiver: () => true,
+            periodMs: member => member.role === "entry" ? ENTRY_PERIOD_MS : AGENT_PERIOD_MS,
         });
     }
 
