Follow the stores of cached parts, and save parts once

Only the first of several stores was used. Prompts of cold servers were counted as cached, so queues were underestimated. Change: entries follow the stores' changes, spread parts over all stores, save a part when no store has it, and count a prompt as cached when a store or a server has its parts. Beats keep their period for up to 40 peers. An entry that hears no peer keeps to its part of the rates.

--- a/src/catalogue/events.ts
+++ b/src/catalogue/events.ts
@@ -15,6 +15,7 @@
 import * as metrics from "../metrics/events.js";
 import * as objectApi from "../object-api/events.js";
 import * as peering from "../peering/events.js";
+import * as placement from "../placement/events.js";
 import * as quarantine from "../quarantine/events.js";
 import * as resilience from "../resilience/events.js";
 import * as rollout from "../rollout/events.js";
@@ -51,6 +52,7 @@
     ...storeAccess.events,
     ...peering.events,
     ...forwarding.events,
+    ...placement.events,
     ...weights.events,
     ...runtime.events,
 } as const;
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -65,6 +65,8 @@
     readonly address: string;
     readonly dataCentre: string;
     readonly memoryTokens: number;
+    /** Processes that may follow its changes at once. */
+    readonly maximumFollowers: number;
 }
 
 export interface CallLimits {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -35,6 +35,14 @@
 
 type ServerChoice = placement.Choice & { readonly kind: "server"; };
 
+/** Where a call finds cached parts at the chosen server. */
+interface PlannedCache {
+    readonly scope: string | undefined;
+    readonly plan: cachePlans.CachePlan | undefined;
+    /** Tokens of the prompt that the server most likely need not read. */
+    readonly cachedTokens: number;
+}
+
 /** What the intake of a call found out. */
 interface Admission {
     readonly head: fleet.CallHead;
@@ -230,17 +238,20 @@
         if (this.attempts === 1) {
             budget.request(now);
         }
+        const cache = this.planCache(admission, choice, now);
+        const unread = Math.max(0, head.promptTokens - cache.cachedTokens);
         this.log("call-placed", {
             backendServer: candidate.server.id,
             attempt: this.attempts,
             costMs: Math.round(choice.costMs),
             isHome: choice.isHome,
             calls: candidate.calls,
-            unreadTokens: candidate.unreadTokens,
+            unreadTokens: Math.round(candidate.unreadTokens),
+            cachedTokens: cache.cachedTokens,
+            saves: cache.plan?.saveTo !== undefined,
             weights: candidate.weightsVersion,
             configuration: this.ports.view.table?.configuration.version,
         });
-        const unread = unreadTokens(head, choice.isHome);
         using use = this.ports.use.place(candidate.server.id, unread);
         const exchange = new exchanges.Exchange(this.ports, {
             admission: { ...admission, priority: priorityOf(admission) },
@@ -249,6 +260,8 @@
             answer: this.answer,
             use,
             tokensAhead: candidate.unreadTokens + unread,
+            cacheScope: cache.scope,
+            cachePlan: cache.plan,
             hasAttemptLeft: this.ran + 1 < admission.route.maximumAttempts,
         });
         this.interrupt = () => exchange.abort();
@@ -259,6 +272,29 @@
         return end;
     }
 
+    /** Looks up the shared parts of the prompt for a server, and notes that the server will hold them. */
+    private planCache(admission: Admission, choice: ServerChoice, now: number): PlannedCache {
+        const { head, customer } = admission;
+        const { candidate } = choice;
+        const shared = cachePlans.lastSharedPart(head.parts);
+        if (head.model === undefined || candidate.weightsVersion === undefined) {
+            return { scope: undefined, plan: undefined, cachedTokens: 0 };
+        }
+        const scope = cachePlans.cacheScope(head.model, candidate.weightsVersion, customer);
+        if (shared === undefined) {
+            return { scope, plan: undefined, cachedTokens: 0 };
+        }
+        const { caches } = this.ports;
+        const holders = caches.holders(scope, shared.id, now);
+        const holder = this.ports.view.listed().find(server => server.state === "ready" && holders.has(server.id));
+        const store = cachePlans.storeOf(shared.id, this.ports.view.table?.configuration.cacheStores ?? []);
+        const isInStore = store !== undefined && caches.isInStore(store.address, scope, shared.id, now);
+        const plan = cachePlans.planCache({ store, isInStore, holder }, candidate);
+        caches.noteSent(scope, shared.id, candidate.server.id, now);
+        const isCached = isInStore || holders.size > 0;
+        return { scope, plan, cachedTokens: isCached ? cachePlans.sharedTokens(head.parts) : 0 };
+    }
+
     /** Decides what follows an attempt that brought no answer. True when the call tries again. */
     private continueAfter(admission: Admission, choice: ServerChoice, end: exchanges.ExchangeEnd): boolean {
         if (end.kind === "answered" || this.isOver) {
@@ -412,9 +448,3 @@
 function priorityOf(admission: Admission): number {
     return admission.customer?.priority ?? admission.route.priority;
 }
-
-/** Prompt tokens that the server will read; the shared parts are expected at their home. */
-function unreadTokens(head: fleet.CallHead, isHome: boolean): number {
-    const shared = cachePlans.sharedTokens(head.parts);
-    return Math.max(0, head.promptTokens - (isHome ? shared : shared / 2));
-}
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -39,6 +39,9 @@
     readonly use: uses.Placement;
     /** Prompt tokens that the server reads before the first event of this call, its own included. */
     readonly tokensAhead: number;
+    /** Text under which cached parts are found; undefined without a model. */
+    readonly cacheScope: string | undefined;
+    readonly cachePlan: cachePlans.CachePlan | undefined;
     /** Another server may run the call after this one. */
     readonly hasAttemptLeft: boolean;
 }
@@ -191,9 +194,18 @@
         this.hasEvent = true;
         this.input.use.promptRead();
         const elapsedMs = this.ports.clock.now() - this.startedAt;
+        this.noteSaved();
         this.ports.paces.firstEvent(this.input.admission.service, this.input.tokensAhead, elapsedMs);
     }
 
+    private noteSaved(): void {
+        const { admission, cacheScope, cachePlan } = this.input;
+        const shared = cachePlans.lastSharedPart(admission.head.parts);
+        if (cacheScope !== undefined && shared !== undefined && cachePlan?.saveTo !== undefined) {
+            this.ports.caches.noteSaved(cacheScope, shared.id, this.ports.clock.now());
+        }
+    }
+
     private endStream(): void {
         if (this.splitter.remainder.length > 0) {
             this.breakAttempt("broken", "the stream ended inside an event");
@@ -285,21 +297,17 @@
     }
 
     private attemptHead(): dialects.AttemptHead {
-        const { admission, choice, answer } = this.input;
+        const { admission, choice, answer, cacheScope, cachePlan } = this.input;
         const { server, weightsVersion } = choice.candidate;
-        const { model } = admission.head;
-        const hasCache = model !== undefined && weightsVersion !== undefined;
-        const stores = this.ports.view.table?.configuration.cacheStores ?? [];
-        const plan = hasCache ? cachePlans.planCache(choice, stores) : undefined;
         return {
             server,
             customer: admission.customer?.name,
             remainingMs: Math.max(1, Math.floor(admission.expiresAt - this.ports.clock.now())),
             priority: admission.priority,
-            cacheScope: hasCache ? cachePlans.cacheScope(model, weightsVersion, admission.customer) : undefined,
-            weightsVersion: hasCache ? weightsVersion : undefined,
-            fetchFrom: plan?.fetchFrom,
-            saveTo: plan?.saveTo,
+            cacheScope,
+            weightsVersion: cacheScope === undefined ? undefined : weightsVersion,
+            fetchFrom: cachePlan?.fetchFrom,
+            saveTo: cachePlan?.saveTo,
             resumeAfter: answer.lastEvent ?? admission.head.resumeAfter,
         };
     }
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -11,7 +11,7 @@
 /** Age in milliseconds up to which a beat tells the use of servers by a peer. */
 const USE_FRESH_MS = 1000;
 /** Age in milliseconds up to which a beat tells the state of a server. */
-const REPORT_FRESH_MS = 1500;
+const REPORT_FRESH_MS = 2500;
 /** Age in milliseconds that weights are taken to have when the entry finds them at its start. */
 const AGE_AT_START_MS = 3000;
 
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -1,6 +1,7 @@
 /** Ports and settings of the call path. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import type * as cacheIndexes from "../placement/cache-index.js";
 import type * as paces from "../placement/pace.js";
 import type * as selection from "../placement/selection.js";
 import type * as uses from "../placement/server-use.js";
@@ -36,6 +37,7 @@
     readonly dialect: dialects.Dialect;
     readonly view: views.FleetView;
     readonly use: uses.ServerUse;
+    readonly caches: cacheIndexes.CacheIndex;
     readonly trust: trusts.ServerTrust;
     readonly paces: paces.PaceTable;
     readonly quotas: ledgers.QuotaLedger;
--- a/src/peering/beat-exchange.ts
+++ b/src/peering/beat-exchange.ts
@@ -9,7 +9,7 @@
 /** Shortest period of beats in milliseconds; longer ones are rounded up to it. */
 const TICK_MS = 150;
 /** Number of peers up to which the periods are kept; beyond it they grow, so that a process' cost stays the same. */
-const PEERS_AT_SHORTEST_PERIOD = 16;
+const PEERS_AT_SHORTEST_PERIOD = 40;
 /** Silence in milliseconds that is logged, as a multiple of several periods. */
 const SILENCE_MS = 2500;
 
--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -1,4 +1,5 @@
 /** Where a call finds cached parts of its prompt, and where it leaves them. */
+import * as rendezvous from "../core/rendezvous.js";
 import type * as fleet from "../fleet/types.js";
 import type * as types from "./types.js";
 
@@ -9,11 +10,25 @@
     readonly saveTo: string | undefined;
 }
 
+export interface CacheSituation {
+    readonly store: fleet.CacheStore | undefined;
+    /** The store holds the shared parts, as far as is known. */
+    readonly isInStore: boolean;
+    /** Another server that most likely holds the shared parts. */
+    readonly holder: fleet.BackendServer | undefined;
+}
+
 /** The last shared part of the prompt; the part after it belongs to the call itself. */
 export function lastSharedPart(parts: readonly fleet.PromptPart[]): fleet.PromptPart | undefined {
     return parts.at(-2);
 }
 
+/** Each part has its place in one of the stores, so that they hold more together. */
+export function storeOf(part: string, stores: readonly fleet.CacheStore[]): fleet.CacheStore | undefined {
+    const nodes = stores.map(store => ({ id: store.address, weight: Math.max(1, store.memoryTokens), store }));
+    return rendezvous.rank(part, nodes)[0]?.store;
+}
+
 /** Tokens of the parts that calls share. */
 export function sharedTokens(parts: readonly fleet.PromptPart[]): number {
     return parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
@@ -28,15 +43,15 @@
     return `${model}/${weightsVersion}${wall}`;
 }
 
-/** A store keeps parts that servers have evicted; without one the home of the parts is asked. */
-export function planCache(
-    choice: types.Choice & { readonly kind: "server"; },
-    stores: readonly fleet.CacheStore[],
-): CachePlan {
-    const store = stores[0];
-    if (store !== undefined) {
-        return { fetchFrom: store.address, saveTo: store.address };
+/**
+ * Parts are saved once: with the shared parts a server saves the part of the call itself, which nobody uses again, and
+ * saving it with every call would push the shared parts out of the store.
+ */
+export function planCache(situation: CacheSituation, target: types.Candidate): CachePlan {
+    const { store, holder } = situation;
+    if (store !== undefined && situation.isInStore) {
+        return { fetchFrom: store.address, saveTo: undefined };
     }
-    const fetchFrom = choice.isHome ? undefined : choice.home?.address;
-    return { fetchFrom, saveTo: undefined };
+    const otherHolder = holder?.id === target.server.id ? undefined : holder;
+    return { fetchFrom: otherHolder?.address ?? store?.address, saveTo: store?.address };
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -32,6 +32,9 @@
     readonly isPlain: boolean;
 }
 
+/** Ids of servers that most likely hold a part. */
+export type Holders = ReadonlySet<string>;
+
 /** Speeds that were learned from answers. */
 export interface Pace {
     readonly msPerPromptToken: number;
--- a/src/quota/ledger.ts
+++ b/src/quota/ledger.ts
@@ -10,7 +10,10 @@
     readonly overdraftTokens: number;
     /** Silence of a peer in milliseconds from which its spending is unknown. */
     readonly silenceMs: number;
-    /** Silence in milliseconds after which a peer is taken to have gone. */
+    /**
+     * Silence in milliseconds after which a peer is taken to have gone, by an entry that hears others. A peer that is
+     * cut off for longer spends its part beyond the rate.
+     */
     readonly forgetMs: number;
 }
 
@@ -91,9 +94,12 @@
         return (heard + 1) / (this.peers.size + 1);
     }
 
+    /** An entry that hears nobody may itself be cut off; it forgets nobody and stays within its part of the rates. */
     private forget(now: number): void {
-        for (const [name, peer] of this.peers) {
-            if (now - peer.heardAt > this.settings.forgetMs) {
+        const peers = [...this.peers];
+        const hearsOthers = peers.some(([, peer]) => now - peer.heardAt <= this.settings.silenceMs);
+        for (const [name, peer] of peers) {
+            if (hearsOthers && now - peer.heardAt > this.settings.forgetMs) {
                 this.peers.delete(name);
             }
         }
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -13,8 +13,10 @@
 import * as documents from "../peering/documents.js";
 import * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
+import * as cacheIndexes from "../placement/cache-index.js";
 import * as paces from "../placement/pace.js";
 import * as uses from "../placement/server-use.js";
+import * as followers from "../placement/store-follower.js";
 import * as trusts from "../placement/trust.js";
 import * as ledgers from "../quota/ledger.js";
 import type * as copies from "../store-access/kind-copy.js";
@@ -37,7 +39,7 @@
 const AGENT_PERIOD_MS = 1000;
 /** Silence in milliseconds from which a peer's spending is unknown, and after which the peer is taken to have gone. */
 const PEER_SILENCE_MS = 700;
-const PEER_FORGOTTEN_MS = 15_000;
+const PEER_FORGOTTEN_MS = 30_000;
 /** Part of the quota's slack that may be spent beyond an empty bucket; the rest covers spending not heard of yet. */
 const OVERDRAFT_SHARE = 0.3;
 /** Age in milliseconds of newer weights from which calls on older ones are worth less. */
@@ -57,6 +59,8 @@
 export class Entry implements AsyncDisposable {
     private readonly members: memberTables.MemberTable;
     private readonly use = new uses.ServerUse();
+    private readonly caches = new cacheIndexes.CacheIndex();
+    private readonly followers = new Map<string, followers.StoreFollower>();
     private readonly view: views.FleetView;
     private readonly quotas: ledgers.QuotaLedger;
     private readonly rooms: rooms.WaitingRooms;
@@ -99,6 +103,7 @@
             dialect: deployment.dialect,
             view: this.view,
             use: this.use,
+            caches: this.caches,
             trust,
             paces: new paces.PaceTable(),
             quotas: this.quotas,
@@ -192,6 +197,7 @@
             this.readiness[Symbol.asyncDispose](),
             this.metrics[Symbol.asyncDispose](),
             this.documents[Symbol.asyncDispose](),
+            ...[...this.followers.values()].map(follower => follower[Symbol.asyncDispose]()),
             ...Object.values(this.watches).map(watch => watch[Symbol.asyncDispose]()),
         ]);
         this.rooms[Symbol.dispose]();
@@ -238,6 +244,7 @@
         for (const configuration of decoded.values) {
             if (this.view.adoptConfiguration(configuration)) {
                 this.server.setIdleTimeout(configuration.limits.idleTimeoutMs);
+                this.followStores(configuration.cacheStores);
                 this.journal.emit("configuration-in-force", {
                     version: configuration.version,
                     revision: copy.revision,
@@ -287,6 +294,34 @@
         }
     }
 
+    /** Follows the stores that the configuration names, and no others. */
+    private followStores(stores: readonly fleet.CacheStore[]): void {
+        for (const [address, follower] of this.followers) {
+            if (!stores.some(store => store.address === address)) {
+                void follower[Symbol.asyncDispose]();
+                this.followers.delete(address);
+            }
+        }
+        for (const { address, maximumFollowers } of stores.filter(store => !this.followers.has(store.address))) {
+            const follower = new followers.StoreFollower({
+                clock: this.clock,
+                journal: this.journal,
+                source: this.deployment.cacheChanges,
+                index: this.caches,
+                address,
+                mayFollow: () => this.followerRank() < maximumFollowers,
+            });
+            this.followers.set(address, follower);
+            follower.start();
+        }
+    }
+
+    /** A store serves few followers at once; the entries whose names come first follow it. */
+    private followerRank(): number {
+        const heard = this.members.recent(this.clock.now(), PEER_SILENCE_MS).map(({ beat }) => beat.member);
+        return heard.filter(member => member.role === "entry" && member.name < this.settings.name).length;
+    }
+
     private composeBeat(sequence: number): peering.Beat {
         const changes = Object.values(this.watches).map(watch => [watch.kind, watch.copy.changedAt] as const);
         return {
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -2,6 +2,7 @@
 import type * as fleet from "../fleet/types.js";
 import type * as dialects from "../forwarding/dialect.js";
 import type * as peering from "../peering/types.js";
+import type * as followers from "../placement/store-follower.js";
 import type * as storeAccess from "../store-access/types.js";
 import type * as weights from "../weights/types.js";
 
@@ -32,6 +33,7 @@
     decodeConfigurations(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.Configuration>;
     decodeServers(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.BackendServer>;
     decodeWeights(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.NamedWeights>;
+    readonly cacheChanges: followers.CacheChangeSource;
     /** The server beside this process. */
     engine(address: string): weights.EnginePort;
 }
--- /dev/null
+++ b/test/quota/ledger.test.ts
@@ -0,0 +1,142 @@
+/** Guards against a customer that exceeds its rate over all entries, and against calls that are refused inside it. */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import type * as fleet from "../../src/fleet/types.js";
+import * as ledgers from "../../src/quota/ledger.js";
+
+const SEED = 11;
+const RATE = 1000;
+const BURST = 1000;
+const OVERDRAFT = 300;
+const SETTINGS = { overdraftTokens: OVERDRAFT, silenceMs: 700, forgetMs: 30_000 };
+const CUSTOMER: fleet.Customer = {
+    name: "gallery",
+    keys: [],
+    priority: undefined,
+    isolated: false,
+    rateUnit: "tokens",
+    tokensPerSecond: RATE,
+    burstTokens: BURST,
+    tokensOfPlainCall: 1,
+};
+const BEAT_MS = 150;
+const WINDOW_MS = 8000;
+
+interface Spend {
+    readonly at: number;
+    readonly tokens: number;
+}
+
+/** Most tokens that were spent in any window of the length. */
+function mostInWindow(spends: readonly Spend[], windowMs: number): number {
+    const sums = spends.map(({ at }) => {
+        return spends.filter(spend => spend.at >= at && spend.at < at + windowMs)
+            .reduce((sum, spend) => sum + spend.tokens, 0);
+    });
+    return Math.max(0, ...sums);
+}
+
+/** Entries that all want to spend without end; `hears` says whether a beat arrives. */
+function flood(
+    entryCount: number,
+    durationMs: number,
+    hears: (from: number, to: number, at: number) => boolean,
+): readonly Spend[] {
+    const entries = Array.from({ length: entryCount }, () => new ledgers.QuotaLedger(SETTINGS));
+    const spends: Spend[] = [];
+    for (let now = 0; now < durationMs; now += 10) {
+        if (now % BEAT_MS === 0) {
+            entries.forEach((from, fromIndex) => {
+                entries.forEach((to, toIndex) => {
+                    if (fromIndex !== toIndex && hears(fromIndex, toIndex, now)) {
+                        to.hear(`entry-${fromIndex}`, "run", from.spending(), now);
+                    }
+                });
+            });
+        }
+        for (const entry of entries) {
+            if (entry.admit(CUSTOMER, 20, now) === 0) {
+                spends.push({ at: now, tokens: 20 });
+            }
+        }
+    }
+    return spends;
+}
+
+/** What all entries can spend between two beats before they hear of each other: the level, once per entry. */
+function tolerance(entryCount: number): number {
+    return RATE * WINDOW_MS / 1000 * 0.1 + (entryCount - 1) * (BURST * 0.1) + OVERDRAFT + BURST;
+}
+
+testing.test("guards against entries that each grant the whole rate", () => {
+    const spends = flood(4, 20_000, () => true);
+    const limit = RATE * WINDOW_MS / 1000 + BURST;
+    assert.ok(mostInWindow(spends, WINDOW_MS) <= limit + tolerance(4), `${mostInWindow(spends, WINDOW_MS)}`);
+    const total = spends.reduce((sum, spend) => sum + spend.tokens, 0);
+    assert.ok(total >= RATE * 20 * 0.95, `only ${total} tokens were granted`);
+});
+
+testing.test("guards against an entry that spends the whole rate while it is cut off from the others", () => {
+    const spends = flood(4, 24_000, (from, to, at) => at < 5000 || from !== 0 && to !== 0);
+    const late = spends.filter(spend => spend.at >= 8000);
+    const limit = RATE * WINDOW_MS / 1000 + BURST;
+    assert.ok(mostInWindow(late, WINDOW_MS) <= limit + tolerance(4), `${mostInWindow(late, WINDOW_MS)}`);
+});
+
+testing.test("guards against calls that are refused although the customer stays inside its rate", () => {
+    const entry = new ledgers.QuotaLedger(SETTINGS);
+    entry.hear("peer", "run", {}, 0);
+    let refused = 0;
+    for (let now = 0; now < 20_000; now += 50) {
+        if (now % BEAT_MS === 0) {
+            entry.hear("peer", "run", { gallery: now * RATE / 1000 * 0.4 }, now);
+        }
+        refused += entry.admit(CUSTOMER, RATE * 0.05 * 0.5, now) === 0 ? 0 : 1;
+    }
+    assert.equal(refused, 0);
+});
+
+testing.test("guards against a restarted entry that begins with a full bucket", () => {
+    const entry = new ledgers.QuotaLedger(SETTINGS);
+    assert.equal(entry.admit(CUSTOMER, OVERDRAFT, 0), 0);
+    assert.ok(entry.admit(CUSTOMER, BURST, 1) > 0);
+});
+
+testing.test("a refused call is admitted after the time that was stated", () => {
+    fastCheck.assert(
+        fastCheck.property(fastCheck.integer({ min: 1, max: 1200 }), fastCheck.nat(2000), (tokens, spent) => {
+            const entry = new ledgers.QuotaLedger(SETTINGS);
+            entry.admit(CUSTOMER, Math.min(spent, OVERDRAFT), 0);
+            const waitMs = entry.admit(CUSTOMER, tokens, 10);
+            assert.ok(waitMs === 0 || entry.admit(CUSTOMER, tokens, 10 + Math.ceil(waitMs) + 1) === 0);
+        }),
+        { seed: SEED },
+    );
+});
+
+testing.test("a refund lets another call in", () => {
+    const entry = new ledgers.QuotaLedger(SETTINGS);
+    assert.equal(entry.admit(CUSTOMER, OVERDRAFT, 0), 0);
+    assert.ok(entry.admit(CUSTOMER, OVERDRAFT, 0) > 0);
+    entry.refund(CUSTOMER, OVERDRAFT, 0);
+    assert.equal(entry.admit(CUSTOMER, OVERDRAFT, 0), 0);
+});
+
+testing.test("guards against a peer's restart that counts its spending twice or backwards", () => {
+    const entry = new ledgers.QuotaLedger(SETTINGS);
+    entry.admit(CUSTOMER, 1, 0);
+    entry.hear("peer", "first", { gallery: 5000 }, 0);
+    entry.hear("peer", "second", { gallery: 10 }, 100);
+    assert.equal(entry.admit(CUSTOMER, OVERDRAFT, 100), 0);
+});
+
+testing.test("guards against an isolated entry that takes the whole rate once its peers are silent for long", () => {
+    const entry = new ledgers.QuotaLedger(SETTINGS);
+    ["a", "b", "c"].forEach(peer => entry.hear(peer, "run", {}, 0));
+    let spent = 0;
+    for (let now = 40_000; now < 60_000; now += 10) {
+        spent += entry.admit(CUSTOMER, 20, now) === 0 ? 20 : 0;
+    }
+    assert.ok(spent <= RATE / 4 * 20 + BURST / 4 + OVERDRAFT, `${spent}`);
+});
