--- a/src/catalogue/failures.ts
+++ b/src/catalogue/failures.ts
@@ -14,14 +14,18 @@
 import * as membership from "../membership/failures.js";
 import * as metrics from "../metrics/failures.js";
 import * as objectApi from "../object-api/failures.js";
+import * as peering from "../peering/failures.js";
+import * as placement from "../placement/failures.js";
 import * as quarantine from "../quarantine/failures.js";
 import * as resilience from "../resilience/failures.js";
 import * as rollout from "../rollout/failures.js";
 import * as routing from "../routing/failures.js";
 import * as rpc from "../rpc/failures.js";
+import * as runtime from "../runtime/failures.js";
 import * as settings from "../settings/failures.js";
 import * as storeAccess from "../store-access/failures.js";
 import * as streams from "../streams/failures.js";
+import * as weights from "../weights/failures.js";
 
 export const failures = {
     ...core.failures,
@@ -47,4 +51,8 @@
     ...cli.failures,
     ...storeAccess.failures,
     ...forwarding.failures,
+    ...peering.failures,
+    ...placement.failures,
+    ...weights.failures,
+    ...runtime.failures,
 } as const;
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -13,6 +13,7 @@
     "report": { summary: "show rollouts and harm to callers", load: () => import("./commands/report.js") },
     "histograms": { summary: "show latencies per customer and class", load: () => import("./commands/histograms.js") },
     "key hash": { summary: "compute the hash of a key", load: () => import("./commands/key-hash.js") },
+    "explain": { summary: "show what happened to a call", load: () => import("./commands/explain.js") },
     "drain": { summary: "shut a process down gracefully", load: () => import("./commands/drain.js") },
 };
 
--- /dev/null
+++ b/src/peering/failures.ts
@@ -0,0 +1,4 @@
+/** Failures of this feature. */
+import type * as failure from "../core/failure.js";
+
+export const failures = {} as const satisfies failure.FailureCatalogue;
--- /dev/null
+++ b/test/fleet/routing-table.test.ts
@@ -0,0 +1,60 @@
+/** Guards against calls that reach another route, service or customer than the configuration says. */
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as tables from "../../src/fleet/routing-table.js";
+import type * as types from "../../src/fleet/types.js";
+
+function route(
+    name: string,
+    host: string,
+    pathPrefix: string,
+    targets: readonly types.RouteTarget[] = [],
+): types.Route {
+    return {
+        name,
+        host,
+        pathPrefix,
+        kind: "stream",
+        resumable: false,
+        targets,
+        timeoutMs: 1000,
+        targetLatencyMs: 100,
+        maximumAttempts: 1,
+        priority: 0,
+        open: false,
+    };
+}
+
+const TABLE = tables.compile({
+    version: 1,
+    routes: [
+        route("short", "a.example", "/a/"),
+        route("long", "a.example", "/a/b/"),
+        route("other", "b.example", "/a/"),
+    ],
+    services: new Map(),
+    cacheStores: [],
+    customers: [],
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+testing.test("the longest prefix of the host decides", () => {
+    assert.equal(tables.findRoute(TABLE, "a.example", "/a/b/c?x=/z/")?.name, "long");
+    assert.equal(tables.findRoute(TABLE, "A.example:80", "/a/c")?.name, "short");
+    assert.equal(tables.findRoute(TABLE, "b.example", "/a/b/")?.name, "other");
+    assert.equal(tables.findRoute(TABLE, "a.example", "/b/"), undefined);
+    assert.equal(tables.findRoute(TABLE, "c.example", "/a/"), undefined);
+});
+
+testing.test("calls are split by weight, and a call goes the same way each time", () => {
+    const split = route("split", "a", "/", [{ service: "old", weight: 90 }, { service: "new", weight: 10 }]);
+    const chosen = Array.from({ length: 4000 }, (_, index) => tables.chooseService(split, `call-${index}`));
+    const share = chosen.filter(service => service === "new").length / chosen.length;
+    assert.ok(share > 0.07 && share < 0.13, `${share}`);
+    assert.equal(tables.chooseService(split, "call-1"), chosen[1]);
+});
+
+testing.test("guards against a target without weight that gets calls", () => {
+    const none = route("none", "a", "/", [{ service: "off", weight: 0 }]);
+    assert.equal(tables.chooseService(none, "call"), undefined);
+});
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,149 @@
+/** Guards against records and headers of the platform that are misread, and against records of other writers. */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as dialects from "../../platform/dialect.js";
+import * as records from "../../platform/records.js";
+import * as settings from "../../platform/settings.js";
+import type * as storeAccess from "../../src/store-access/types.js";
+
+const SEED = 31;
+const { dialect } = dialects;
+
+function record(name: string, spec: unknown, isDeleting = false): storeAccess.StoredRecord {
+    return { name, revision: 7, spec, isDeleting };
+}
+
+const SERVER = {
+    service: "menu",
+    address: "10.0.0.9:8080",
+    zone: "one",
+    version: "v1",
+    slots: 96,
+    state: "ready",
+    models: [{ name: "m", version: 3, adapters: [] }],
+    born: 1234,
+};
+
+testing.test("a server is read with its weights, and one that is marked for removal leaves", () => {
+    const { values } = records.decodeServers([record("i-1", SERVER), record("i-2", SERVER, true)]);
+    assert.deepEqual(values.map(server => [server.id, server.state, server.weights.get("m")]), [
+        ["i-1", "ready", 3],
+        ["i-2", "draining", 3],
+    ]);
+    assert.equal(values[0]?.startedAt, 1234);
+});
+
+testing.test("guards against records of other writers: they name no server, and the others hold", () => {
+    const broken = [
+        { ...SERVER, state: "resting" },
+        { ...SERVER, address: 5 },
+        { ...SERVER, slots: "many" },
+        "text",
+        undefined,
+        [],
+    ].map((spec, index) => record(`x-${index}`, spec));
+    const decoded = records.decodeServers([...broken, record("i-1", SERVER)]);
+    assert.deepEqual(decoded.values.map(server => server.id), ["i-1"]);
+    assert.equal(decoded.invalid.length, broken.length);
+});
+
+testing.test("no value makes a decoder throw", () => {
+    fastCheck.assert(
+        fastCheck.property(fastCheck.jsonValue(), value => {
+            records.decodeServers([record("a", value)]);
+            records.decodeWeights([record("a", value)]);
+            records.decodeConfigurations([record("main", value), record("main", { version: 1, routes: value })]);
+        }),
+        { seed: SEED },
+    );
+});
+
+testing.test("a configuration is read: routes with their kinds and shares, stores, customers and their units", () => {
+    const spec = {
+        version: 7,
+        routes: [
+            {
+                name: "r",
+                hostname: "A.example",
+                pathPrefix: "/a/",
+                routeType: "streaming",
+                timeoutMs: 5000,
+                trafficSplit: [{ service: "s", weight: 90 }, { service: "t", weight: 10 }],
+                maxAttempts: 2,
+                resumable: true,
+            },
+            { hostname: "b.example", pathPrefix: "/b/", routeType: "non_idempotent", service: "t" },
+            { hostname: "b.example", pathPrefix: "/c/", routeType: "unheard-of", service: "t" },
+        ],
+        services: [{ name: "s", maxConnections: 5 }, {
+            name: "k",
+            kvStoreAddr: "10.0.0.1:1",
+            zone: "one",
+            maxInflight: 12,
+        }],
+        tenants: [{ name: "c", apiKeys: ["key"], unit: "tokens", ratePerS: 10, burst: 20, isolated: true }],
+    };
+    const configuration = records.decodeConfigurations([record("main", spec), record("other", spec)]).values[0]!;
+    assert.deepEqual(configuration.routes.map(route => [route.host, route.kind, route.targets.length]), [
+        ["a.example", "stream", 2],
+        ["b.example", "at-most-once", 1],
+    ]);
+    assert.deepEqual(configuration.cacheStores.map(store => [store.address, store.maximumFollowers]), [[
+        "10.0.0.1:1",
+        12,
+    ]]);
+    assert.equal(configuration.customers[0]?.rateUnit, "tokens");
+});
+
+testing.test("guards against a caller's key or a header of the system that reaches a server", () => {
+    const raw = [
+        ...["Host", "a.example", "Request-Id", "r1", "Authorization", "Bearer secret"],
+        ...["Tenant", "other", "Cache-Salt", "mine", "Kv-Fetch", "10.0.0.1:1", "Hold", "x", "Pin-Ms", "9"],
+        ...["Kv-Backup", "10.0.0.1:1", "Kv-From", "10.0.0.1:1/h", "Expect-Version", "1", "Request-Priority", "0"],
+        ...["Connection", "keep-alive, X-Hop", "X-Hop", "1", "Length-Hint", "40", "Prompt-Prefix", "a:1,b:2"],
+    ];
+    assert.deepEqual(dialect.passedHeaders(raw), [
+        ...["Host", "a.example", "Request-Id", "r1", "Length-Hint", "40", "Prompt-Prefix", "a:1,b:2"],
+    ]);
+});
+
+testing.test("the head of a call is read", () => {
+    const head = dialect.decodeCall({
+        "request-id": "r1",
+        "deadline-ms": "5000",
+        "authorization": "Bearer secret",
+        "model": "m",
+        "token-count": "1460,80",
+        "prompt-prefix": "5c1e07a2:800,91bd3f06:410",
+        "last-event-id": "12",
+    });
+    assert.deepEqual(head, {
+        id: "r1",
+        deadlineMs: 5000,
+        key: "secret",
+        model: "m",
+        promptTokens: 1460,
+        maximumOutputTokens: 80,
+        hasTokenCounts: true,
+        parts: [{ id: "5c1e07a2", tokens: 800 }, { id: "91bd3f06", tokens: 410 }],
+        resumeAfter: 12,
+    });
+    assert.equal(dialect.decodeCall({}), undefined);
+});
+
+testing.test("a refusal tells in seconds when to come back", () => {
+    assert.deepEqual(dialect.refusalHeaders("r1", 250), ["Request-Id", "r1", "Retry-After", "0.250"]);
+});
+
+testing.test("settings without a needed field are refused by the name of the field", () => {
+    const file = { ip: "10.0.0.1", nodeName: "n", zone: "one", internalPorts: [7600, 7615], listen: {} };
+    const refused = settings.decode({ ...file, platform: { address: "10.9.0.1:1" } }, "entry");
+    assert.equal(!refused.ok && refused.failure.detail, "missing: listen.front, listen.ready");
+    const listen = { front: "10.0.0.1:1", ready: "10.0.0.1:2" };
+    const read = settings.decode(
+        { ...file, listen, platform: { address: "10.9.0.1:1" }, seeds: ["10.0.0.2:9"] },
+        "entry",
+    );
+    assert.deepEqual(read.ok && read.value.process.seeds, ["10.0.0.2:7600"]);
+});
--- a/test/tools/catalogue.test.ts
+++ b/test/tools/catalogue.test.ts
@@ -13,7 +13,7 @@
     core: 1000,
     settings: 1100,
     manifest: 1200,
-    platform: 1300,
+    "object-api": 1300,
     rpc: 1400,
     gossip: 1500,
     configuration: 1600,
@@ -31,6 +31,12 @@
     agent: 2800,
     daemon: 2900,
     cli: 3000,
+    "store-access": 3100,
+    peering: 3200,
+    forwarding: 3300,
+    weights: 3400,
+    runtime: 3500,
+    placement: 3600,
 };
 
 testing.test("docs: the pages of events and failures are current", () => {
@@ -59,9 +65,11 @@
 }
 
 testing.test("catalogue: the product uses each event and each failure that it documents", () => {
-    const files = fs.readdirSync(path.join(ROOT, "src"), { recursive: true, encoding: "utf8" })
-        .filter(file => file.endsWith(".ts") && !file.includes("/gen/") && !/(events|failures)\.ts$/.test(file));
-    const source = files.map(file => fs.readFileSync(path.join(ROOT, "src", file), "utf8")).join("\n");
+    const files = ["src", "platform"].flatMap(folder => {
+        return fs.readdirSync(path.join(ROOT, folder), { recursive: true, encoding: "utf8" })
+            .map(file => path.join(folder, file));
+    }).filter(file => file.endsWith(".ts") && !file.includes("/gen/") && !/(events|failures)\.ts$/.test(file));
+    const source = files.map(file => fs.readFileSync(path.join(ROOT, file), "utf8")).join("\n");
     const unused = [...Object.keys(events.events), ...Object.keys(failures.failures)]
         .filter(name => !source.includes(`"${name}"`));
     assert.deepEqual(unused, []);
