Leave servers that were replaced at their address at once

Ruled out: a larger retry budget, which all entries share. Change: an entry whose address a later run has taken over is not used, be it known from the registry, from the agent's report or from the answer. Idle connections stay within the part of the connections that a server accepts.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -28,8 +28,8 @@
 const RETURN_AFTER_TURNED_AWAY_MS = 300;
 const RETURN_AFTER_START_MS = 500;
 const RETURN_AFTER_CLOSING_MS = 50;
-/** Time in milliseconds for which a server is avoided that had other weights than expected. */
-const MISMATCH_MS = 200;
+/** Time in milliseconds for which a server is avoided; one that has been replaced leaves the registry within seconds. */
+const MISMATCH_MS = { weights: 200, server: 5000 } as const;
 /** Time in milliseconds that a call without a deadline of its own and without a route timeout may take. */
 const DEFAULT_DEADLINE_MS = 60_000;
 
@@ -316,7 +316,14 @@
             hasBudget: budget.hasRetry(now),
         });
         const backendServer = choice.candidate.server.id;
-        this.log("attempt-ended", { backendServer, end: end.kind, reason: end.reason, decision, ran: this.ran });
+        this.log("attempt-ended", {
+            backendServer,
+            end: end.kind,
+            reason: end.reason,
+            decision,
+            ran: this.ran,
+            mismatch: end.mismatch,
+        });
         if (decision === "retry") {
             // An attempt that reached no server is no arrival at the service.
             if (end.kind !== "not-sent") {
@@ -330,8 +337,8 @@
 
     private judge(server: fleet.BackendServer, end: exchanges.ExchangeEnd, now: number): void {
         if (end.kind === "not-executed") {
-            if (end.isMismatch) {
-                this.ports.view.sawMismatch(server.id, now + MISMATCH_MS);
+            if (end.mismatch !== undefined) {
+                this.ports.view.sawMismatch(server.id, now + MISMATCH_MS[end.mismatch]);
             }
             return;
         }
--- a/src/forwarding/connections.ts
+++ b/src/forwarding/connections.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 
-/** Idle connections that are kept per server; more are opened under load and closed after it. */
+/** Idle connections that are kept per server at most; more are opened under load and closed after it. */
 const MAXIMUM_IDLE = 24;
 
 /** Keeps connections for reuse, and drops one on which bytes arrive that no call asked for. */
@@ -31,6 +31,7 @@
 }
 
 export class ConnectionPool implements Disposable {
+    private idleLimit = MAXIMUM_IDLE;
     private readonly agents = new Map<string, http.Agent>();
     private readonly singleUse = new http.Agent({ keepAlive: false });
 
@@ -40,7 +41,7 @@
         if (known !== undefined) {
             return known;
         }
-        const agent = new CleanAgent({ keepAlive: true, maxFreeSockets: MAXIMUM_IDLE, scheduling: "lifo" });
+        const agent = new CleanAgent({ keepAlive: true, maxFreeSockets: this.idleLimit, scheduling: "lifo" });
         this.agents.set(address, agent);
         return agent;
     }
@@ -50,6 +51,14 @@
         return this.singleUse;
     }
 
+    /** Limits the idle connections to each server, which accepts a number from all entries together. */
+    limitIdle(connections: number): void {
+        this.idleLimit = Math.max(1, Math.min(MAXIMUM_IDLE, Math.floor(connections)));
+        this.agents.forEach(agent => {
+            agent.maxFreeSockets = this.idleLimit;
+        });
+    }
+
     /** Closes the connections to servers that are no longer listed. */
     retain(addresses: ReadonlySet<string>): void {
         for (const [address, agent] of this.agents) {
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -28,6 +28,8 @@
     readonly callId: string | undefined;
     /** The server states that it has not run the call and will not. */
     readonly isNotExecuted: boolean;
+    /** Identity of the answering server, where it states it. */
+    readonly server: string | undefined;
     /** The server vouches for this answer. */
     readonly isSealed: boolean;
     readonly weightsVersion: number | undefined;
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -49,8 +49,8 @@
 export interface ExchangeEnd {
     readonly kind: "answered" | retries.AttemptEnd;
     readonly reason: string;
-    /** The server was another one or had other weights than the attempt named. */
-    readonly isMismatch: boolean;
+    /** The server at the address is another one, or has other weights, than the attempt named. */
+    readonly mismatch: "server" | "weights" | undefined;
     /** A failure of the server, whole. */
     readonly response: answers.ServerResponse | undefined;
 }
@@ -117,8 +117,9 @@
         }
         const serverId = this.input.choice.candidate.server.id;
         if (answer.isNotExecuted || status === MISDIRECTED) {
-            const isMismatch = status === MISDIRECTED;
-            this.finish({ kind: "not-executed", reason: `status ${status}`, isMismatch, response: undefined });
+            const isOther = answer.server !== undefined && answer.server !== serverId;
+            const mismatch = status !== MISDIRECTED ? undefined : isOther ? "server" : "weights";
+            this.finish({ kind: "not-executed", reason: `status ${status}`, mismatch, response: undefined });
             return;
         }
         if (answer.weightsVersion !== undefined) {
@@ -155,7 +156,7 @@
 
     failed(failure: attempts.AttemptFailure): void {
         const kind = failure.wasSent ? "broken" : "not-sent";
-        this.finish({ kind, reason: failure.reason, isMismatch: false, response: undefined });
+        this.finish({ kind, reason: failure.reason, mismatch: undefined, response: undefined });
     }
 
     private relay(chunk: Buffer): void {
@@ -215,14 +216,14 @@
             this.input.answer.startStream(this.response!.statusCode!, this.response!.rawHeaders);
         }
         this.input.answer.endStream();
-        this.finish({ kind: "answered", reason: "", isMismatch: false, response: undefined });
+        this.finish({ kind: "answered", reason: "", mismatch: undefined, response: undefined });
     }
 
     private endWhole(): void {
         const status = this.response!.statusCode!;
         const whole = { status, rawHeaders: this.response!.rawHeaders, body: Buffer.concat(this.chunks) };
         if (status >= 500) {
-            this.finish({ kind: "server-failure", reason: `status ${status}`, isMismatch: false, response: whole });
+            this.finish({ kind: "server-failure", reason: `status ${status}`, mismatch: undefined, response: whole });
             return;
         }
         const now = this.ports.clock.now();
@@ -231,7 +232,7 @@
         if (!this.input.answer.hasStarted) {
             this.input.answer.pass(whole);
         }
-        this.finish({ kind: "answered", reason: "", isMismatch: false, response: undefined });
+        this.finish({ kind: "answered", reason: "", mismatch: undefined, response: undefined });
     }
 
     /** Why the answer can't be the server's answer to this call. */
@@ -256,7 +257,7 @@
 
     private breakAttempt(kind: retries.AttemptEnd, reason: string): void {
         this.attempt?.abort();
-        this.finish({ kind, reason, isMismatch: false, response: undefined });
+        this.finish({ kind, reason, mismatch: undefined, response: undefined });
     }
 
     private finish(end: ExchangeEnd | undefined): void {
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -52,7 +52,7 @@
     }
 
     adoptServers(servers: readonly fleet.BackendServer[]): void {
-        this.servers = servers;
+        this.servers = servers.filter(server => !servers.some(other => isLaterRun(other, server)));
         this.serversKnown = true;
         const ids = new Set(servers.map(server => server.id));
         this.ports.trust.retain(ids);
@@ -98,19 +98,21 @@
             .filter(beat => beat.member.role === "entry");
         return this.servers.filter(server => server.service === service).map(server => {
             const report = reports.get(server.address);
-            return this.candidate(server, isSameRun(server, report) ? report : undefined, model, entryBeats, now);
+            return this.candidate(server, report, model, entryBeats, now);
         });
     }
 
     private candidate(
         server: fleet.BackendServer,
-        report: peering.ServerReport | undefined,
+        reportAtAddress: peering.ServerReport | undefined,
         model: string | undefined,
         entryBeats: readonly peering.Beat[],
         now: number,
     ): placement.Candidate {
+        const report = isSameRun(server, reportAtAddress) ? reportAtAddress : undefined;
+        const hasLaterRun = reportAtAddress !== undefined && isLaterStart(reportAtAddress.startedAt, server.startedAt);
         const use = this.ports.use.total(server.id, entryBeats);
-        const isDead = report !== undefined && !report.isAlive;
+        const isDead = report !== undefined && !report.isAlive || hasLaterRun;
         const weightsVersion = model === undefined ? undefined : this.versionOf(server, report, model);
         const history = model === undefined ? undefined : this.weights.get(model);
         return {
@@ -147,3 +149,12 @@
 function isSameRun(server: fleet.BackendServer, report: peering.ServerReport | undefined): boolean {
     return report?.startedAt === undefined || server.startedAt === undefined || report.startedAt === server.startedAt;
 }
+
+/** The registry lists a server for some seconds after another run has taken over its address. */
+function isLaterRun(other: fleet.BackendServer, server: fleet.BackendServer): boolean {
+    return other.address === server.address && isLaterStart(other.startedAt, server.startedAt);
+}
+
+function isLaterStart(start: number | undefined, other: number | undefined): boolean {
+    return start !== undefined && other !== undefined && start > other;
+}
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -42,6 +42,8 @@
 const PEER_FORGOTTEN_MS = 30_000;
 /** Part of the quota's slack that may be spent beyond an empty bucket; the rest covers spending not heard of yet. */
 const OVERDRAFT_SHARE = 0.3;
+/** Share of the connections that a server accepts which may stay idle; the rest is for calls in flight. */
+const IDLE_CONNECTIONS_SHARE = 0.5;
 /** Age in milliseconds of newer weights from which calls on older ones are worth less. */
 const OUTDATED_COSTS_FROM_MS = 1200;
 /** Margin in milliseconds before the bound on older weights, for calls that are under way to the server. */
@@ -283,7 +285,15 @@
         invalid.forEach(({ name, reason }) => this.journal.emit("record-invalid", { kind, record: name, reason }));
     }
 
+    /** Each entry keeps its part of the connections that a server accepts. */
+    private limitConnections(): void {
+        const services = [...this.view.table?.configuration.services.values() ?? []];
+        const accepted = Math.min(...services.map(service => service.maximumConnections));
+        this.pool.limitIdle(accepted * IDLE_CONNECTIONS_SHARE / this.quotas.entryCount(this.clock.now()));
+    }
+
     private changed(): void {
+        this.limitConnections();
         this.rooms.step();
         if (this.isReady && !this.wasReady) {
             this.wasReady = true;
