--- /dev/null
+++ b/tools/capacity/beats.ts
@@ -0,0 +1,40 @@
+/** Prints size and time of a beat of an entry by the number of servers in use and of customers. */
+import * as codec from "../../src/peering/codec.js";
+import type * as types from "../../src/peering/types.js";
+
+const SIZES = [{ servers: 8, customers: 5 }, { servers: 40, customers: 50 }, { servers: 170, customers: 500 }] as const;
+const ROUNDS = 2000;
+const MICROSECONDS_PER_MILLISECOND = 1000;
+
+function beat(servers: number, customers: number): types.Beat {
+    const names = (count: number, prefix: string) => Array.from({ length: count }, (_, index) => `${prefix}${index}`);
+    const member = { name: "edge-one-1", role: "entry", beatAddress: "10.1.0.24:7600" } as const;
+    return {
+        member: { ...member, documentAddress: member.beatAddress, serverAddress: undefined },
+        incarnation: "9c0b2df7d4cc8fe0fb43da7d",
+        sequence: 12_345,
+        isLeaving: false,
+        changes: { configuration: 1200, servers: 1201, weights: 1202 },
+        spending: Object.fromEntries(names(customers, "customer").map(name => [name, 1_234_567])),
+        use: Object.fromEntries(names(servers, "i-5fc1d1dc2").map(id => [id, { calls: 3, unreadTokens: 4567 }])),
+        weights: [{ model: "model", version: 12, revision: 345 }],
+        report: undefined,
+    };
+}
+
+console.log("servers customers bytes encode-us decode-us");
+for (const { servers, customers } of SIZES) {
+    const message = beat(servers, customers);
+    const datagram = codec.encode(message);
+    const encodeUs = time(() => codec.encode(message));
+    const decodeUs = time(() => codec.decode(datagram));
+    console.log(`${servers} ${customers} ${datagram.length} ${encodeUs.toFixed(1)} ${decodeUs.toFixed(1)}`);
+}
+
+function time(action: () => unknown): number {
+    const start = performance.now();
+    for (let round = 0; round < ROUNDS; round++) {
+        action();
+    }
+    return (performance.now() - start) / ROUNDS * MICROSECONDS_PER_MILLISECOND;
+}
