--- a/src/http/control-call.ts
+++ b/src/http/control-call.ts
@@ -1,4 +1,4 @@
-/** Small calls between processes, to the store and to backend servers: JSON in, JSON out, with a time limit. */
+/** Small calls between processes, to the store and to backend servers: JSON in, JSON out, with a timeout. */
 import * as http from "node:http";
 
 export interface ControlCall {
