Take a peer's newer copy although others are behind, and notice the store's return soon

Ruled out: documents that can't be fetched; no fetch was tried. Change: only the own copy ends the wait for a newer one. While the store does not answer, calls wait for 1 ms.

--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -20,8 +20,8 @@
 
 export class DocumentExchange implements AsyncDisposable {
     private readonly server: http.Server;
-    /** Since when a peer is known to have a newer copy, by kind. */
-    private readonly behindSince = new Map<string, number>();
+    /** Newest change that a peer has and this process has not, with the time since when, by kind. */
+    private readonly behind = new Map<string, { readonly revision: number; readonly since: number; }>();
     private readonly fetching = new Set<string>();
 
     constructor(private readonly ports: DocumentPorts) {
@@ -42,12 +42,16 @@
     compare(beat: types.Beat, now: number): void {
         for (const watch of this.ports.watches) {
             const theirs = beat.changes[watch.kind] ?? -1;
+            // Only the own copy ends the wait: other peers may be as far behind as this process.
+            const known = this.behind.get(watch.kind);
+            if (known !== undefined && known.revision <= watch.copy.revision) {
+                this.behind.delete(watch.kind);
+            }
             if (theirs <= watch.copy.revision) {
-                this.behindSince.delete(watch.kind);
                 continue;
             }
-            const since = this.behindSince.get(watch.kind) ?? now;
-            this.behindSince.set(watch.kind, since);
+            const { since } = this.behind.get(watch.kind) ?? { since: now };
+            this.behind.set(watch.kind, { revision: Math.max(theirs, known?.revision ?? -1), since });
             if ((now - since >= CATCH_UP_MS || !watch.copy.isLoaded) && !this.fetching.has(watch.kind)) {
                 void this.fetch(watch, beat.member);
             }
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -7,6 +7,8 @@
 /** Pauses between calls that fail, in milliseconds; the longest one bounds the delay after an outage. */
 const FIRST_PAUSE_MS = 150;
 const LONGEST_PAUSE_MS = 800;
+/** Wait of a call in milliseconds while the store does not answer. */
+const PROBE_WAIT_MS = 1;
 
 export interface WatchOptions extends copies.KindCopyOptions {
     readonly kind: string;
@@ -86,7 +88,9 @@
     }
 
     private async watchOnce(): Promise<number | undefined> {
-        const batch = await this.ports.store.watch(this.options.kind, this.copy.revision, this.options.waitMs);
+        // While the store does not answer, a call that hangs may hide its return for as long as it waits.
+        const waitMs = this.lostAt === undefined ? this.options.waitMs : PROBE_WAIT_MS;
+        const batch = await this.ports.store.watch(this.options.kind, this.copy.revision, waitMs);
         if (!batch.ok) {
             if (batch.failure.kind === "store-history-lost") {
                 this.isListed = false;
--- /dev/null
+++ b/test/peering/documents.test.ts
@@ -0,0 +1,72 @@
+/** Guards against an old copy that stays in force although a peer has a newer one. */
+import * as assert from "node:assert/strict";
+import * as net from "node:net";
+import * as testing from "node:test";
+import * as clocks from "../../src/clock/clock.js";
+import * as journals from "../../src/logging/journal.js";
+import * as documents from "../../src/peering/documents.js";
+import type * as types from "../../src/peering/types.js";
+import * as watches from "../../src/store-access/kind-watch.js";
+import type * as storeAccess from "../../src/store-access/types.js";
+
+const KIND = "configuration";
+const SILENT_STORE: storeAccess.RecordStore = {
+    list: () => new Promise(() => undefined),
+    watch: () => new Promise(() => undefined),
+    put: () => new Promise(() => undefined),
+};
+
+function watchAt(revision: number): watches.KindWatch {
+    const watch = new watches.KindWatch(
+        { kind: KIND, waitMs: 1000, collectMs: 0, ownersWriteAgain: false },
+        { store: SILENT_STORE, clock: clocks.systemClock, journal: journals.silentJournal, changed: () => undefined },
+    );
+    watch.adopt({ revision, records: [{ name: "main", revision, spec: {}, isDeleting: false }] }, "test");
+    return watch;
+}
+
+function exchangeOf(watch: watches.KindWatch): documents.DocumentExchange {
+    return new documents.DocumentExchange({
+        clock: clocks.systemClock,
+        journal: journals.silentJournal,
+        watches: [watch],
+    });
+}
+
+function beat(name: string, documentAddress: string, change: number): types.Beat {
+    return {
+        member: { name, role: "entry", beatAddress: documentAddress, documentAddress, serverAddress: undefined },
+        incarnation: "run",
+        sequence: 0,
+        isLeaving: false,
+        changes: { [KIND]: change },
+        spending: {},
+        use: {},
+        weights: [],
+        report: undefined,
+    };
+}
+
+async function freeAddress(): Promise<string> {
+    const server = net.createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as net.AddressInfo;
+    await new Promise<void>(resolve => server.close(() => resolve()));
+    return `127.0.0.1:${port}`;
+}
+
+testing.test("a newer copy is fetched although other peers are as far behind", async () => {
+    const address = await freeAddress();
+    await using ahead = exchangeOf(watchAt(9));
+    ahead.start(address);
+    const own = watchAt(5);
+    await using behind = exchangeOf(own);
+    for (let now = 0; now <= 600; now += 150) {
+        behind.compare(beat("ahead", address, 9), now);
+        behind.compare(beat("like this one", "127.0.0.1:1", 5), now + 50);
+    }
+    for (let round = 0; round < 200 && own.copy.revision < 9; round++) {
+        await clocks.systemClock.sleep(10);
+    }
+    assert.equal(own.copy.revision, 9);
+});
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -35,7 +35,7 @@
     };
     return {
         list: () => next("list"),
-        watch: (_kind, after) => next(`watch ${after}`),
+        watch: (_kind, after, waitMs) => next(`watch ${after}${waitMs < 1000 ? " short" : ""}`),
         put: () => Promise.resolve(outcomes.succeed(undefined)),
     };
 }
@@ -73,14 +73,14 @@
     assert.deepEqual(seen, [5, 9]);
 });
 
-testing.test("guards against a watch that ends with an outage, and goes on from where it was", async () => {
+testing.test("guards against a watch that ends with an outage, or hangs beyond it, and goes on from where it was", async () => {
     const { calls, watch } = await play([
         outcomes.succeed({ revision: 5, records: [record("main", 5)] }),
         outcomes.refuse("store-unavailable", "timeout"),
         outcomes.refuse("store-unavailable", "status 503"),
         outcomes.succeed({ revision: 8, changes: [{ record: record("main", 8), isDeleted: false }] }),
     ]);
-    assert.deepEqual(calls, ["list", "watch 5", "watch 5", "watch 5", "watch 8"]);
+    assert.deepEqual(calls, ["list", "watch 5", "watch 5 short", "watch 5 short", "watch 8"]);
     assert.equal(watch.isConnected, true);
 });
 
