--- a/src/idempotency/call-ledger.ts
+++ b/src/idempotency/call-ledger.ts
@@ -193,10 +193,10 @@
         execute: calls.Execute,
     ): Promise<Finished> {
         const { time } = this.options;
-        // Settlement waits out the time limit of the claim, so before it the claim certainly stands.
+        // Settlement waits out the deadline of the claim, so before it the claim certainly stands.
         const mayStart = () => !this.hasEnded(call);
         if (!mayStart()) {
-            return this.notRun(call, id, claim, "it was cancelled or its time limit passed before it started");
+            return this.notRun(call, id, claim, "it was cancelled or its deadline passed before it started");
         }
         const permit = { serviceKey: id, timeoutMs: call.deadline - time.now(), mayStart };
         const result = await execute(permit).catch(unexpectedEnd);
@@ -212,7 +212,7 @@
         }
     }
 
-    /** After the time limit another agent may have settled the claim, so that the record alone can prove anything. */
+    /** After the deadline another agent may have settled the claim, so that the record alone can prove anything. */
     private notRun(call: calls.Call, id: string, claim: types.Claim, detail: string): Finished {
         const stands = this.options.time.now() < call.deadline;
         const outcome = outcomes.refuse(stands ? "call-not-run" : "call-not-claimed", detail);
@@ -304,7 +304,7 @@
         return sameRequest && record.claim.attempt < call.attempt && !this.hasEnded(call);
     }
 
-    /** The time limit of the call has passed or its caller has cancelled it. */
+    /** The deadline of the call has passed or its caller has cancelled it. */
     private hasEnded(call: calls.Call): boolean {
         return this.options.time.now() >= call.deadline || call.signal?.aborted === true;
     }
--- a/src/idempotency/settlement.ts
+++ b/src/idempotency/settlement.ts
@@ -27,7 +27,7 @@
  * Time from which an unknown key proves that the call did not run; undefined when there is no such time yet.
  *
  * The proof of death may concern a paused holder that the instance list dropped. It can still start the call until the
- * time limit of its claim, and a started call takes up to `settleAfterMs` to be visible to the lookup. So both times add
+ * deadline of its claim, and a started call takes up to `settleAfterMs` to be visible to the lookup. So both times add
  * up. An `unknown` record was written after the call had ended for its holder, so that only the second time counts.
  */
 export function settleAt(
--- a/src/object-api/http-call.ts
+++ b/src/object-api/http-call.ts
@@ -113,7 +113,7 @@
             return;
         }
         if (!this.mayStart()) {
-            this.end({ kind: "not-sent", detail: "the time limit of the start has passed" });
+            this.end({ kind: "not-sent", detail: "the deadline of the start has passed" });
             controller.abort(new undici.errors.RequestAbortedError());
             return;
         }
--- a/src/streams/waiting.ts
+++ b/src/streams/waiting.ts
@@ -1,4 +1,4 @@
-/** Waits of one attempt: one promise at a time, with a time limit and an abort signal. */
+/** Waits of one attempt: one promise at a time, with a timeout and an abort signal. */
 import type * as clock from "../clock/clock.js";
 
 export type Waited<Value> =
--- a/test/idempotency/call-ledger.test.ts
+++ b/test/idempotency/call-ledger.test.ts
@@ -161,7 +161,7 @@
     assert.equal(kind(await harness.finish(repeat)), "1");
 });
 
-testing.test("call ledger: after its time limit a claim proves nothing", async () => {
+testing.test("call ledger: after its deadline a claim proves nothing", async () => {
     const harness = new Harness();
     const late = async (permit: ledgers.Permit) => {
         await harness.time.sleep(20_000);
--- a/test/tools/catalogue.test.ts
+++ b/test/tools/catalogue.test.ts
@@ -39,7 +39,7 @@
     placement: 3600,
 };
 
-testing.test("docs: the pages of events and failures are current", () => {
+testing.test("docs: events.md and errors.md are current", () => {
     const pageOf = (name: string) => fs.readFileSync(path.join(ROOT, "docs", name), "utf8");
     assert.equal(pageOf("events.md"), render.renderEvents(events.events));
     assert.equal(pageOf("errors.md"), render.renderFailures(failures.failures));
