--- a/src/entry/chat-pipeline.ts
+++ b/src/entry/chat-pipeline.ts
@@ -88,10 +88,7 @@
             deadline: clock.now() + settings.timing.request_deadline_ms,
             firstTokenTimeoutMs: FIRST_TOKEN_TIMEOUT_MS,
             tokenTimeoutMs: TOKEN_TIMEOUT_MS,
-            limits: {
-                maximumRetries: MAXIMUM_RETRIES,
-                takeRetry: server => this.options.health.takeRetry(server, clock.now()),
-            },
+            limits: { maximumRetries: MAXIMUM_RETRIES, takeRetry: exchange.takeRetry },
             signal: admitted.signal,
         });
         return relay.run();
--- a/src/entry/generation-exchange.ts
+++ b/src/entry/generation-exchange.ts
@@ -74,6 +74,18 @@
         });
     };
 
+    /**
+     * Takes a retry after a failure at the server. A sampled version gets its requests in bursts, which would use up the
+     * budget of a server with little traffic; its share bounds these retries.
+     */
+    readonly takeRetry = (server: string): boolean => {
+        const { health, versions, clock } = this.options;
+        const { model, weightsVersion } = this.generation.demand;
+        const isVersionFailure = this.failedVersions.get(server) === weightsVersion;
+        return isVersionFailure && versions.isSampled(model.name, weightsVersion)
+            || health.takeRetry(server, clock.now());
+    };
+
     /** Selects a server with the version of the request, or with the next one that it may run on. */
     private select(plan: streams.AttemptPlan): serverSelection.Choice | undefined {
         const { servers, versions, clock } = this.options;
--- a/src/rollout/version-choice.ts
+++ b/src/rollout/version-choice.ts
@@ -64,6 +64,17 @@
         return isDone && !isWithdrawn ? [chosen, rollout.to] : [chosen];
     }
 
+    /**
+     * True for the new version of a rollout that gets a part of the requests. The share bounds how many requests fail
+     * on it, and each of them runs once more on the old version.
+     */
+    isSampled(model: string, version: string): boolean {
+        const rollouts = this.options.board.read("rollouts");
+        const rollout = effects.rolloutOf(this.options.board.read("configuration"), model);
+        const share = rollout === undefined ? 1 : types.statusOf(rollouts, rollout)?.share ?? 0;
+        return rollout?.to === version && share < 1;
+    }
+
     /** The rollout of a request in flight has left the manifest; the model may have another version by now. */
     private versionsWithoutRollout(model: manifest.Model, chosen: string): readonly string[] {
         const { board, wallTime } = this.options;
--- a/tools/run-tests.ts
+++ b/tools/run-tests.ts
@@ -56,7 +56,8 @@
         expected.forEach(name => console.log(`known red, see ${KNOWN_RED_FILE}: ${name}`));
         stale.forEach(name => console.log(`listed in ${KNOWN_RED_FILE} but passes: ${name}`));
         intermittent.forEach(name => {
-            console.log(`intermittent, see ${KNOWN_RED_FILE}: ${name}: ${failed.has(name) ? "failed" : "passed"}`);
+            const outcome = failed.has(name) ? "failed" : passed.has(name) ? "passed" : "not run";
+            console.log(`intermittent, see ${KNOWN_RED_FILE}: ${name}: ${outcome}`);
         });
         unexpected.forEach(name => console.log(`failed: ${name}`));
     });
