--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -20,6 +20,7 @@
 const NEIGHBOUR_FRESH_MS = 2500;
 
 export class Agent implements AsyncDisposable {
+    private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
     private readonly mover: movers.Mover;
     private readonly watch: watches.KindWatch;
@@ -35,6 +36,7 @@
         private readonly journal: event.Journal,
     ) {
         this.incarnation = clock.identifier();
+        this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
         const address = settings.serverAddress!;
         this.mover = new movers.Mover({
@@ -64,17 +66,8 @@
         this.beats.start(settings.beatAddress);
         this.mover.start();
         this.watch.start();
-        void directories.register(
-            this.member,
-            {
-                clock: this.clock,
-                journal: this.journal,
-                store: this.deployment.store,
-                kind: this.deployment.kinds.members,
-                members: this.members,
-            },
-            this.stop.signal,
-        );
+        const { clock, journal, deployment, members } = this;
+        void directories.register(this.member, { clock, journal, deployment, members }, this.stop.signal);
     }
 
     /** An agent holds no calls; it only tells its end. */
@@ -93,11 +86,6 @@
         ]);
     }
 
-    private get member(): peering.Member {
-        const { name, role, beatAddress, documentAddress, serverAddress } = this.settings;
-        return { name, role, beatAddress, documentAddress, serverAddress };
-    }
-
     private neighbours(model: string): readonly turns.Standing[] {
         const heard = this.members.recent(this.clock.now(), NEIGHBOUR_FRESH_MS);
         const reports = heard.map(({ beat }) => beat.report).filter(report => report !== undefined);
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -59,6 +59,7 @@
 const DRAIN_POLL_MS = 50;
 
 export class Entry implements AsyncDisposable {
+    private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
     private readonly use = new uses.ServerUse();
     private readonly caches = new cacheIndexes.CacheIndex();
@@ -88,6 +89,7 @@
     ) {
         this.startedAt = clock.now();
         this.incarnation = clock.identifier();
+        this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
         const trust = new trusts.ServerTrust();
         this.view = new views.FleetView({ members: this.members, use: this.use, trust });
@@ -161,17 +163,8 @@
         this.documents.start(settings.documentAddress);
         this.beats.start(settings.beatAddress);
         Object.values(this.watches).forEach(watch => watch.start());
-        void directories.register(
-            this.member,
-            {
-                clock: this.clock,
-                journal: this.journal,
-                store: this.deployment.store,
-                kind: this.deployment.kinds.members,
-                members: this.members,
-            },
-            this.stop.signal,
-        );
+        const { clock, journal, deployment, members } = this;
+        void directories.register(this.member, { clock, journal, deployment, members }, this.stop.signal);
     }
 
     /** Fails readiness, serves until the balancer has noticed, and returns when no call is left or the time is over. */
@@ -206,11 +199,6 @@
         this.pool[Symbol.dispose]();
     }
 
-    private get member(): peering.Member {
-        const { name, role, beatAddress, documentAddress } = this.settings;
-        return { name, role, beatAddress, documentAddress, serverAddress: undefined };
-    }
-
     private createWatches(): Readonly<Record<"configuration" | "servers" | "weights", watches.KindWatch>> {
         const { kinds, store } = this.deployment;
         const create = (
--- a/src/runtime/member-directory.ts
+++ b/src/runtime/member-directory.ts
@@ -3,7 +3,7 @@
 import type * as event from "../core/event.js";
 import type * as members from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
-import type * as storeAccess from "../store-access/types.js";
+import type * as types from "./types.js";
 
 /** Pause in milliseconds between tries, with jitter. */
 const RETRY_MS = 700;
@@ -11,20 +11,26 @@
 export interface DirectoryPorts {
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
-    readonly store: storeAccess.RecordStore;
-    readonly kind: string;
+    readonly deployment: types.Deployment;
     readonly members: members.MemberTable;
 }
 
+/** What the peers know of a process. */
+export function memberOf(settings: types.ProcessSettings): peering.Member {
+    const { name, role, beatAddress, documentAddress, serverAddress } = settings;
+    return { name, role, beatAddress, documentAddress, serverAddress };
+}
+
 /** Of two processes that start at once, at least one sees the other's record, and beats tell the rest. */
 export async function register(self: peering.Member, ports: DirectoryPorts, signal: AbortSignal): Promise<void> {
+    const { store, kinds } = ports.deployment;
     let isRegistered = false;
     while (!signal.aborted) {
         if (!isRegistered) {
-            const written = await ports.store.put(ports.kind, self.name, self);
+            const written = await store.put(kinds.members, self.name, self);
             isRegistered = written.ok;
         }
-        const listing = isRegistered ? await ports.store.list(ports.kind) : undefined;
+        const listing = isRegistered ? await store.list(kinds.members) : undefined;
         if (listing?.ok === true) {
             ports.members.learn(listing.value.records.map(record => record.spec).filter(isMember));
             return;
