--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -65,6 +65,7 @@
     private attempt: attempts.Attempt | undefined;
     private patience: NodeJS.Timeout | undefined;
     private response: http.IncomingMessage | undefined;
+    private hasEvent = false;
     private readonly chunks: Buffer[] = [];
     private readonly splitter = new splitters.EventSplitter();
 
@@ -189,8 +190,6 @@
         }
     }
 
-    private hasEvent = false;
-
     private firstEvent(): void {
         this.hasEvent = true;
         this.input.use.promptRead();
