--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -122,6 +122,8 @@
     readonly model: string | undefined;
     readonly promptTokens: number;
     readonly maximumOutputTokens: number;
+    /** Output tokens that the caller expects; the maximum where it gives no estimate. */
+    readonly expectedOutputTokens: number;
     readonly hasTokenCounts: boolean;
     readonly parts: readonly PromptPart[];
     /** Last event that the caller has already received of a stream that it resumes. */
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -220,6 +220,7 @@
             affinityKey: shared === undefined ? undefined : `${wall}/${shared.id}`,
             sharedTokens: cachePlans.sharedTokens(head.parts),
             ownTokens: Math.max(0, head.promptTokens - cachePlans.sharedTokens(head.parts)),
+            outputTokens: head.expectedOutputTokens,
             tried: this.tried,
             dataCentre: this.ports.settings.dataCentre,
             isPlain: head.model === undefined,
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -122,6 +122,7 @@
             weightsVersion,
             outdatedForMs: history?.outdatedForMs(weightsVersion ?? 0, now),
             isMoving: report?.isMoving === true || now < (this.mismatched.get(server.id) ?? 0),
+            isWindingDown: report?.isWindingDown === true,
             isSuspected: isDead || this.ports.trust.isSuspected(server.id, now),
             failureShare: this.ports.trust.failureShare(server.id, now),
         };
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -2,7 +2,7 @@
 import type * as types from "./types.js";
 
 /** Raised when the layout changes, so that old and new processes ignore each other's beats. */
-const LAYOUT = 2;
+const LAYOUT = 3;
 
 type Positions = readonly [
     layout: number,
@@ -28,6 +28,7 @@
     startedAt: number,
     weights: readonly (readonly [model: string, version: number])[],
     isMoving: 0 | 1,
+    isWindingDown: 0 | 1,
     running: number,
     waiting: number,
 ];
@@ -100,19 +101,21 @@
         report.startedAt ?? 0,
         report.weights.map(({ model, version }) => [model, version]),
         report.isMoving ? 1 : 0,
+        report.isWindingDown ? 1 : 0,
         report.running,
         report.waiting,
     ];
 }
 
 function decodeReport(positions: ReportPositions): types.ServerReport {
-    const [address, isAlive, startedAt, weights, isMoving, running, waiting] = positions;
+    const [address, isAlive, startedAt, weights, isMoving, isWindingDown, running, waiting] = positions;
     return {
         address,
         isAlive: isAlive === 1,
         startedAt: startedAt === 0 ? undefined : startedAt,
         weights: weights.map(([model, version]) => ({ model, version })),
         isMoving: isMoving === 1,
+        isWindingDown: isWindingDown === 1,
         running,
         waiting,
     };
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -35,6 +35,8 @@
     readonly weights: readonly WeightsState[];
     /** The server is about to load weights or is loading them; new calls would wait or be rejected. */
     readonly isMoving: boolean;
+    /** The server moves soon; calls that run for long would delay that. */
+    readonly isWindingDown: boolean;
     readonly running: number;
     readonly waiting: number;
 }
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -2,7 +2,8 @@
  * Chooses the server of a call by the lowest cost in milliseconds.
  *
  * The cost adds the time until the first event (prompts to read before, own prompt, transfer of cached parts) and prices
- * in the same unit: moving cached parts off their home, traffic between data centres, older weights, failures.
+ * in the same unit: moving cached parts off their home, traffic between data centres, older weights, failures, delay of
+ * a server that is about to load weights.
  */
 import * as rendezvous from "../core/rendezvous.js";
 import type * as types from "./types.js";
@@ -18,6 +19,11 @@
 
 /** Cost of reading a token's cached state from elsewhere, relative to reading the prompt token; from measured transfers. */
 const TRANSFER_SHARE = 0.25;
+/**
+ * Cost in milliseconds of each token that is generated at a server that is about to load weights: the server is out of
+ * use until it is done. About the time of a step of an engine.
+ */
+const WINDING_DOWN_MS = 5;
 /** Extra cost of a place that is not the home: the parts displace others there. Share of the time to read them. */
 const DISPLACEMENT_SHARE = 0.5;
 /** Cost in milliseconds of a server whose calls all fail; a tenth of failures weighs as much as a short queue. */
@@ -89,7 +95,9 @@
     const crossing = candidate.server.dataCentre === demand.dataCentre ? 0 : settings.crossingMs;
     const outdated = (candidate.outdatedForMs ?? 0) >= settings.outdatedCostsFromMs ? OUTDATED_MS : 0;
     const failing = candidate.failureShare * FAILURE_MS;
-    return queueMs(candidate, demand, pace) + readingMs(demand, pace, isHome) + crossing + outdated + failing;
+    const delaysMove = candidate.isWindingDown ? demand.outputTokens * WINDING_DOWN_MS : 0;
+    const prices = crossing + outdated + failing + delaysMove;
+    return queueMs(candidate, demand, pace) + readingMs(demand, pace, isHome) + prices;
 }
 
 function queueMs(candidate: types.Candidate, demand: types.Demand, pace: types.Pace): number {
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -14,6 +14,8 @@
     readonly outdatedForMs: number | undefined;
     /** The server is loading weights, or is about to. */
     readonly isMoving: boolean;
+    /** The server loads weights as soon as its runs have ended. */
+    readonly isWindingDown: boolean;
     /** Out of use after a failure: refused connections, resets, or silence. */
     readonly isSuspected: boolean;
     /** Share of recent calls that failed, from 0 to 1. */
@@ -26,6 +28,8 @@
     readonly affinityKey: string | undefined;
     readonly sharedTokens: number;
     readonly ownTokens: number;
+    /** Tokens that the server is expected to generate. */
+    readonly outputTokens: number;
     /** Servers that this call has tried already. */
     readonly tried: ReadonlySet<string>;
     readonly dataCentre: string;
--- a/src/weights/mover.ts
+++ b/src/weights/mover.ts
@@ -65,7 +65,8 @@
             isAlive: this.failedReads < FAILED_READS,
             startedAt: this.engine?.startedAt,
             weights,
-            isMoving: this.move !== undefined || this.engine?.isBusy === true,
+            isMoving: this.move?.announcedAt !== undefined || this.engine?.isBusy === true,
+            isWindingDown: this.move !== undefined && this.move.announcedAt === undefined,
             running: this.engine?.running ?? 0,
             waiting: this.engine?.waiting ?? 0,
         };
@@ -114,15 +115,15 @@
         const now = this.ports.clock.now();
         const engine = this.failedReads === 0 ? this.engine : undefined;
         const move = this.move?.model === named.model ? this.move : undefined;
-        const step = moves.nextStep({ engine, named, isTurn: this.isTurn(history, named, now), move }, now);
+        const step = moves.nextStep({ engine, named, turn: this.turn(history, named, now), move }, now);
         await STEPS[step.kind](this, step as never, now);
     }
 
-    private isTurn(history: namingHistories.NamingHistory, named: fleet.NamedWeights, now: number): boolean {
+    private turn(history: namingHistories.NamingHistory, named: fleet.NamedWeights, now: number): turns.Turn {
         const version = this.engine?.weights.get(named.model) ?? 0;
-        const self = { address: this.ports.address, version, isMoving: this.move !== undefined };
+        const self = { address: this.ports.address, version, isMoving: this.move?.announcedAt !== undefined };
         const outdatedForMs = history.outdatedForMs(version, now) ?? 0;
-        return turns.isTurn(self, named.version, outdatedForMs, this.ports.neighbours(named.model));
+        return turns.turnOf(self, named.version, outdatedForMs, this.ports.neighbours(named.model));
     }
 
     /** @internal Used by the table of steps. */
@@ -141,8 +142,13 @@
 
     /** @internal Used by the table of steps. */
     finish(version: number, now: number): void {
-        const elapsedMs = Math.round(now - (this.move?.announcedAt ?? now));
-        this.ports.journal.emit("weights-moved", { version, ordered: this.move?.version, elapsedMs });
+        const { announcedAt = now, windingDownSince = now, version: ordered } = this.move ?? {};
+        this.ports.journal.emit("weights-moved", {
+            version,
+            ordered,
+            elapsedMs: Math.round(now - announcedAt),
+            windingDownMs: Math.round(announcedAt - windingDownSince),
+        });
         this.move = undefined;
         this.ports.announce();
     }
@@ -159,6 +165,7 @@
 const STEPS: StepHandlers = {
     rest: () => undefined,
     wait: () => undefined,
+    "wind-down": (mover, step) => mover.begin(step.move),
     announce: (mover, step) => mover.begin(step.move),
     order: (mover, step, now) => mover.send(step.order, now),
     finish: (mover, step, now) => mover.finish(step.version, now),
--- a/src/weights/turn.ts
+++ b/src/weights/turn.ts
@@ -3,7 +3,8 @@
  *
  * A server that moves takes no calls until its runs have finished and the weights are loaded, and loading takes longer
  * when many servers load at once. All agents order the servers in the same way and know each other's state from beats,
- * so that only a share of the servers moves at any time without an agreement between them.
+ * so that only a share of the servers moves at any time without an agreement between them. The next ones wind down
+ * while these move: they get no more calls that run for long, so that they are out of use for a shorter time.
  */
 import * as hashing from "../core/hashing.js";
 
@@ -12,6 +13,16 @@
 /** Time in milliseconds on older weights after which a server moves without waiting for the others. */
 const LONGEST_WAIT_MS = 5500;
 
+/** Longest time in milliseconds that a server winds down before it moves without waiting for the others. */
+const LAST_WIND_DOWN_MS = 800;
+
+/**
+ * - `now`: the server may move.
+ * - `next`: it moves once those before it have; it can wind down meanwhile.
+ * - `later`: it serves as usual.
+ */
+export type Turn = "now" | "next" | "later";
+
 /** A server of the service as its agent reports it. */
 export interface Standing {
     readonly address: string;
@@ -21,23 +32,26 @@
 }
 
 /**
- * Whether a server may begin to move to a version. `neighbours` are the other servers that answered of late;
- * `outdatedForMs` is the time since a version newer than its own was named.
+ * Whose turn it is to move to a version. `neighbours` are the other servers that answered of late; `outdatedForMs` is
+ * the time since a version newer than its own was named.
  */
-export function isTurn(
+export function turnOf(
     self: Standing,
     version: number,
     outdatedForMs: number,
     neighbours: readonly Standing[],
-): boolean {
+): Turn {
     if (outdatedForMs >= LONGEST_WAIT_MS) {
-        return true;
+        return "now";
     }
     const places = Math.max(1, Math.ceil((neighbours.length + 1) * MOVING_SHARE));
     const before = neighbours.filter(neighbour => {
         return neighbour.isMoving || neighbour.version < version && goesBefore(neighbour, self, version);
     });
-    return before.length < places;
+    if (before.length < places) {
+        return "now";
+    }
+    return before.length < 2 * places || outdatedForMs >= LONGEST_WAIT_MS - LAST_WIND_DOWN_MS ? "next" : "later";
 }
 
 /** Servers with the oldest weights go first, so that none is passed over when versions follow each other quickly. */
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -46,7 +46,17 @@
 
 function report(startedAt: number, version: number, changes: Partial<peering.ServerReport> = {}): peering.ServerReport {
     const weights = [{ model: "m", version }];
-    return { address: ADDRESS, isAlive: true, startedAt, weights, isMoving: false, running: 0, waiting: 0, ...changes };
+    return {
+        address: ADDRESS,
+        isAlive: true,
+        startedAt,
+        weights,
+        isMoving: false,
+        isWindingDown: false,
+        running: 0,
+        waiting: 0,
+        ...changes,
+    };
 }
 
 function create() {
--- a/test/peering/beats.test.ts
+++ b/test/peering/beats.test.ts
@@ -28,6 +28,7 @@
             startedAt: 5,
             weights: [{ model: "menu", version: 2 }],
             isMoving: false,
+            isWindingDown: true,
             running: 1,
             waiting: 0,
         },
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -30,6 +30,7 @@
         weightsVersion: 1,
         outdatedForMs: undefined,
         isMoving: false,
+        isWindingDown: false,
         isSuspected: false,
         failureShare: 0,
         ...changes,
@@ -40,6 +41,7 @@
     affinityKey: "/wall",
     sharedTokens: 6300,
     ownTokens: 2900,
+    outputTokens: 10,
     tried: new Set(),
     dataCentre: "one",
     isPlain: false,
@@ -121,3 +123,11 @@
     const far = IDS.map(id => candidate(id, { server: server(id, { dataCentre: id === "3" ? "one" : "two" }) }));
     assert.equal(chosen(choose(far, plain)), "3");
 });
+
+testing.test("new weights: a long answer avoids a server that loads next, a short one stays with its cached parts", () => {
+    const winding = IDLE.map(entry => ({ ...entry, isWindingDown: entry.server.id === HOME }));
+    assert.notEqual(chosen(choose(winding, { ...REVIEW, outputTokens: 150 })), HOME);
+    assert.equal(chosen(choose(winding, { ...REVIEW, outputTokens: 8 })), HOME);
+    const busy = winding.map(entry => entry.isWindingDown ? entry : { ...entry, unreadTokens: 100_000 });
+    assert.equal(chosen(choose(busy, { ...REVIEW, outputTokens: 150 })), HOME);
+});
--- a/test/weights/turn.test.ts
+++ b/test/weights/turn.test.ts
@@ -42,7 +42,7 @@
             });
             const isIdle = server.movingTo === undefined && server.version < newest;
             const others = standings.filter((_, other) => other !== index);
-            if (isIdle && turns.isTurn(standings[index]!, newest, outdatedForMs, others)) {
+            if (isIdle && turns.turnOf(standings[index]!, newest, outdatedForMs, others) === "now") {
                 servers = servers.with(index, { ...server, movingTo: newest, doneAt: now + MOVE_MS });
             }
         }
@@ -66,10 +66,17 @@
 testing.test("guards against a server that waits without end for neighbours that are never done", () => {
     const stuck = SERVERS.slice(1).map(address => ({ address, version: 1, isMoving: true }));
     const self = { address: SERVERS[0]!, version: 1, isMoving: false };
-    assert.equal(turns.isTurn(self, 2, 100, stuck), false);
-    assert.equal(turns.isTurn(self, 2, 5500, stuck), true);
+    assert.notEqual(turns.turnOf(self, 2, 100, stuck), "now");
+    assert.equal(turns.turnOf(self, 2, 4800, stuck), "next");
+    assert.equal(turns.turnOf(self, 2, 5500, stuck), "now");
 });
 
 testing.test("a server without neighbours moves at once", () => {
-    assert.equal(turns.isTurn({ address: SERVERS[0]!, version: 1, isMoving: false }, 2, 0, []), true);
+    assert.equal(turns.turnOf({ address: SERVERS[0]!, version: 1, isMoving: false }, 2, 0, []), "now");
+});
+
+testing.test("guards against most servers winding down together, which leaves nobody to run long answers", () => {
+    const standings = SERVERS.map(address => ({ address, version: 1, isMoving: false }));
+    const all = standings.map(self => turns.turnOf(self, 2, 0, standings.filter(other => other !== self)));
+    assert.deepEqual(all.toSorted(), [...Array(3).fill("later"), ...Array(3).fill("next"), ...Array(3).fill("now")]);
 });
