--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -33,6 +33,8 @@
 /** Time in milliseconds that a call without a deadline of its own and without a route timeout may take. */
 const DEFAULT_DEADLINE_MS = 60_000;
 
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
 type ServerChoice = placement.Choice & { readonly kind: "server"; };
 
 /** Where a call finds cached parts at the chosen server. */
@@ -214,10 +216,13 @@
         if (candidates.length > 0 && candidates.every(candidate => this.tried.has(candidate.server.id))) {
             this.tried.clear();
         }
-        const shared = cachePlans.lastSharedPart(head.parts);
-        const wall = admission.customer?.isolated === true ? admission.customer.name : "";
+        const affinityKey = affinityKeyOf(admission);
+        const readers = affinityKey === undefined
+            ? NO_SERVERS
+            : this.ports.readings.servers(affinityKey, this.ports.view.entryBeats(now), now);
         const demand: placement.Demand = {
-            affinityKey: shared === undefined ? undefined : `${wall}/${shared.id}`,
+            affinityKey,
+            readers,
             sharedTokens: cachePlans.sharedTokens(head.parts),
             ownTokens: Math.max(0, head.promptTokens - cachePlans.sharedTokens(head.parts)),
             outputTokens: head.expectedOutputTokens,
@@ -249,17 +254,32 @@
             calls: candidate.calls,
             unreadTokens: Math.round(candidate.unreadTokens),
             cachedTokens: cache.cachedTokens,
+            part: cachePlans.lastSharedPart(head.parts)?.id,
+            fetchFrom: cache.plan?.fetchFrom,
             saves: cache.plan?.saveTo !== undefined,
             weights: candidate.weightsVersion,
             configuration: this.ports.view.table?.configuration.version,
         });
         using use = this.ports.use.place(candidate.server.id, unread);
+        using reading = cache.plan?.saveTo === undefined
+            ? undefined
+            : this.ports.readings.begin(
+                affinityKeyOf(admission) ?? "",
+                cachePlans.sharedTokens(head.parts),
+                candidate.server.id,
+                now,
+            );
         const exchange = new exchanges.Exchange(this.ports, {
             admission: { ...admission, priority: priorityOf(admission) },
             choice,
             request: this.request,
             answer: this.answer,
-            use,
+            promptRead: () => {
+                const readAt = this.ports.clock.now();
+                use.promptRead();
+                reading?.finished(readAt);
+                this.noteCached(admission, candidate.server, cache, readAt);
+            },
             tokensAhead: candidate.unreadTokens + unread,
             cacheScope: cache.scope,
             cachePlan: cache.plan,
@@ -273,7 +293,19 @@
         return end;
     }
 
-    /** Looks up the shared parts of the prompt for a server, and notes that the server will hold them. */
+    /** Notes that a server holds the shared parts of the prompt, and saves them as planned. */
+    private noteCached(admission: Admission, server: fleet.BackendServer, cache: PlannedCache, now: number): void {
+        const shared = cachePlans.lastSharedPart(admission.head.parts);
+        if (cache.scope === undefined || shared === undefined) {
+            return;
+        }
+        this.ports.caches.noteHeld(cache.scope, shared.id, server.id, now);
+        if (cache.plan?.saveTo !== undefined) {
+            this.ports.caches.noteSaved(cache.scope, shared.id, now);
+        }
+    }
+
+    /** Looks up the shared parts of the prompt for a server. */
     private planCache(admission: Admission, choice: ServerChoice, now: number): PlannedCache {
         const { head, customer } = admission;
         const { candidate } = choice;
@@ -291,7 +323,6 @@
         const store = cachePlans.storeOf(shared.id, this.ports.view.table?.configuration.cacheStores ?? []);
         const isInStore = store !== undefined && caches.isInStore(store.address, scope, shared.id, now);
         const plan = cachePlans.planCache({ store, isInStore, holder }, candidate);
-        caches.noteSent(scope, shared.id, candidate.server.id, now);
         const isCached = isInStore || holders.size > 0;
         return { scope, plan, cachedTokens: isCached ? cachePlans.sharedTokens(head.parts) : 0 };
     }
@@ -453,6 +484,12 @@
     }
 }
 
+/** Calls with the same text share parts; a customer behind a wall shares with nobody. */
+function affinityKeyOf({ head, customer }: Admission): string | undefined {
+    const shared = cachePlans.lastSharedPart(head.parts);
+    return shared === undefined ? undefined : `${customer?.isolated === true ? customer.name : ""}/${shared.id}`;
+}
+
 function priorityOf(admission: Admission): number {
     return admission.customer?.priority ?? admission.route.priority;
 }
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -1,8 +1,7 @@
 /** One attempt of a call at a server, with the relay of its answer. */
 import type * as http from "node:http";
 import type * as fleet from "../fleet/types.js";
-import * as cachePlans from "../placement/cache-plan.js";
-import type * as uses from "../placement/server-use.js";
+import type * as cachePlans from "../placement/cache-plan.js";
 import type * as placement from "../placement/types.js";
 import type * as answers from "./answer.js";
 import * as attempts from "./attempt.js";
@@ -36,7 +35,8 @@
     readonly choice: placement.Choice & { readonly kind: "server"; };
     readonly request: http.IncomingMessage;
     readonly answer: answers.Answer;
-    readonly use: uses.Placement;
+    /** Called when the server has read the prompt: its first event arrived. */
+    readonly promptRead: () => void;
     /** Prompt tokens that the server reads before the first event of this call, its own included. */
     readonly tokensAhead: number;
     /** Text under which cached parts are found; undefined without a model. */
@@ -192,20 +192,11 @@
 
     private firstEvent(): void {
         this.hasEvent = true;
-        this.input.use.promptRead();
+        this.input.promptRead();
         const elapsedMs = this.ports.clock.now() - this.startedAt;
-        this.noteSaved();
         this.ports.paces.firstEvent(this.input.admission.service, this.input.tokensAhead, elapsedMs);
     }
 
-    private noteSaved(): void {
-        const { admission, cacheScope, cachePlan } = this.input;
-        const shared = cachePlans.lastSharedPart(admission.head.parts);
-        if (cacheScope !== undefined && shared !== undefined && cachePlan?.saveTo !== undefined) {
-            this.ports.caches.noteSaved(cacheScope, shared.id, this.ports.clock.now());
-        }
-    }
-
     private endStream(): void {
         if (this.splitter.remainder.length > 0) {
             this.breakAttempt("broken", "the stream ended inside an event");
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -94,14 +94,19 @@
                 return beat.report === undefined ? [] : [[beat.report.address, beat.report] as const];
             }),
         );
-        const entryBeats = this.ports.members.recent(now, USE_FRESH_MS).map(({ beat }) => beat)
-            .filter(beat => beat.member.role === "entry");
+        const entryBeats = this.entryBeats(now);
         return this.servers.filter(server => server.service === service).map(server => {
             const report = reports.get(server.address);
             return this.candidate(server, report, model, entryBeats, now);
         });
     }
 
+    /** Fresh beats of the other entries. */
+    entryBeats(now: number): readonly peering.Beat[] {
+        return this.ports.members.recent(now, USE_FRESH_MS).map(({ beat }) => beat)
+            .filter(beat => beat.member.role === "entry");
+    }
+
     private candidate(
         server: fleet.BackendServer,
         reportAtAddress: peering.ServerReport | undefined,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -3,6 +3,7 @@
 import type * as event from "../core/event.js";
 import type * as cacheIndexes from "../placement/cache-index.js";
 import type * as paces from "../placement/pace.js";
+import type * as readings from "../placement/readings.js";
 import type * as selection from "../placement/selection.js";
 import type * as uses from "../placement/server-use.js";
 import type * as trusts from "../placement/trust.js";
@@ -38,6 +39,7 @@
     readonly view: views.FleetView;
     readonly use: uses.ServerUse;
     readonly caches: cacheIndexes.CacheIndex;
+    readonly readings: readings.Readings;
     readonly trust: trusts.ServerTrust;
     readonly paces: paces.PaceTable;
     readonly quotas: ledgers.QuotaLedger;
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -18,6 +18,7 @@
     changes: types.Beat["changes"],
     spending: types.Beat["spending"],
     use: readonly (readonly [server: string, calls: number, unreadTokens: number])[],
+    readings: readonly (readonly [part: number, server: string])[],
     weights: readonly (readonly [model: string, version: number, revision: number])[],
     report: ReportPositions | 0,
 ];
@@ -48,6 +49,7 @@
         beat.changes,
         beat.spending,
         Object.entries(beat.use).map(([server, use]) => [server, use.calls, Math.round(use.unreadTokens)]),
+        beat.readings.map(({ part, server }) => [part, server]),
         beat.weights.map(({ model, version, revision }) => [model, version, revision]),
         report === undefined ? 0 : encodeReport(report),
     ];
@@ -68,12 +70,13 @@
 
 function fromPositions(positions: Positions): types.Beat {
     const [, name, role, beatAddress, documentAddress, serverAddress, incarnation, sequence, isLeaving] = positions;
-    const [changes, spending, use, weights, report] = [
+    const [changes, spending, use, readings, weights, report] = [
         positions[9],
         positions[10],
         positions[11],
         positions[12],
         positions[13],
+        positions[14],
     ];
     return {
         member: {
@@ -89,6 +92,7 @@
         changes,
         spending,
         use: Object.fromEntries(use.map(([server, calls, unreadTokens]) => [server, { calls, unreadTokens }])),
+        readings: readings.map(([part, server]) => ({ part, server })),
         weights: weights.map(([model, version, revision]) => ({ model, version, revision })),
         report: report === 0 ? undefined : decodeReport(report),
     };
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -21,6 +21,14 @@
     readonly unreadTokens: number;
 }
 
+/** A shared prompt part that a server reads, since no store has it yet. */
+export interface Reading {
+    /** Hash of the part's place in the caches. */
+    readonly part: number;
+    /** Id of the server. */
+    readonly server: string;
+}
+
 export interface WeightsState {
     readonly model: string;
     readonly version: number;
@@ -62,6 +70,8 @@
     readonly spending: Readonly<Record<string, number>>;
     /** Use of servers by address; entries only. */
     readonly use: Readonly<Record<string, ServerUse>>;
+    /** Parts that servers read for calls of this process; entries only. */
+    readonly readings: readonly Reading[];
     readonly weights: readonly NamedVersion[];
     readonly report: ServerReport | undefined;
 }
--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -1,7 +1,7 @@
-/** What an entry knows of cached prompt parts: those in the store of cached parts, and those it sent to servers. */
+/** What an entry knows of cached prompt parts: those in the store of cached parts, and those that servers hold. */
 import type * as types from "./types.js";
 
-/** Time in milliseconds for which a part is expected at the server it was sent to; engines evict within seconds. */
+/** Time in milliseconds for which a part is expected at a server that has read it; engines evict within seconds. */
 const SERVER_RETENTION_MS = 8000;
 /** Time in milliseconds for which a part is expected in a store that is not followed. */
 const STORE_RETENTION_MS = 12_000;
@@ -19,7 +19,8 @@
     /** Parts by the address of the store; stores without an entry are not followed. */
     private readonly stored = new Map<string, Set<string>>();
     private readonly saved = new Map<string, number>();
-    private readonly sent = new Map<string, Map<string, number>>();
+    /** Moment at which a server last began to hold a part, by part and server. */
+    private readonly held = new Map<string, Map<string, number>>();
 
     /** Begins to follow a store whose content is unknown. */
     follow(store: string): void {
@@ -44,15 +45,15 @@
         }
     }
 
-    /** A call with this shared part was sent to a server. */
-    noteSent(scope: string, part: string, server: string, now: number): void {
+    /** A server answered a call with this shared part. A call that is only sent may be turned away unread. */
+    noteHeld(scope: string, part: string, server: string, now: number): void {
         const name = key(scope, part);
-        const servers = this.sent.get(name) ?? new Map<string, number>();
+        const servers = this.held.get(name) ?? new Map<string, number>();
         // Sets the part to the end, so that the first ones are those that were not used for longest.
-        this.sent.delete(name);
-        this.sent.set(name, servers);
+        this.held.delete(name);
+        this.held.set(name, servers);
         servers.set(server, now);
-        dropFirst(this.sent);
+        dropFirst(this.held);
     }
 
     /** A server has read the part and saves it to the store. */
@@ -74,9 +75,9 @@
             : parts.has(name) || now - savedAt < SAVE_DELAY_MS;
     }
 
-    /** Moment at which this entry last sent the part to a server that still may hold it. */
+    /** Servers that answered a call of this entry with the part of late. */
     holders(scope: string, part: string, now: number): types.Holders {
-        const servers = this.sent.get(key(scope, part));
+        const servers = this.held.get(key(scope, part));
         if (servers === undefined) {
             return EMPTY;
         }
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -19,6 +19,11 @@
 
 /** Cost of reading a token's cached state from elsewhere, relative to reading the prompt token; from measured transfers. */
 const TRANSFER_SHARE = 0.25;
+/**
+ * Cost of reading shared parts that another server reads now, as a share of the time to read them: the own time, that
+ * of the calls behind, and the parts that are displaced.
+ */
+const READING_AGAIN_SHARE = 2.5;
 /**
  * Cost in milliseconds of each token that is generated at a server that is about to load weights: the server is out of
  * use until it is done. About the time of a step of an engine.
@@ -97,7 +102,7 @@
     const failing = candidate.failureShare * FAILURE_MS;
     const delaysMove = candidate.isWindingDown ? demand.outputTokens * WINDING_DOWN_MS : 0;
     const prices = crossing + outdated + failing + delaysMove;
-    return queueMs(candidate, demand, pace) + readingMs(demand, pace, isHome) + prices;
+    return queueMs(candidate, demand, pace) + readingMs(candidate, demand, pace, isHome) + prices;
 }
 
 function queueMs(candidate: types.Candidate, demand: types.Demand, pace: types.Pace): number {
@@ -109,9 +114,13 @@
     return candidate.unreadTokens * pace.msPerPromptToken + candidate.calls * STEP_SHARE_MS;
 }
 
-function readingMs(demand: types.Demand, pace: types.Pace, isHome: boolean): number {
-    const shared = isHome ? 0 : demand.sharedTokens * (TRANSFER_SHARE + DISPLACEMENT_SHARE);
-    return (demand.ownTokens + shared) * pace.msPerPromptToken;
+function readingMs(candidate: types.Candidate, demand: types.Demand, pace: types.Pace, isHome: boolean): number {
+    const share = demand.readers.size > 0
+        ? demand.readers.has(candidate.server.id) ? 0 : READING_AGAIN_SHARE
+        : isHome
+        ? 0
+        : TRANSFER_SHARE + DISPLACEMENT_SHARE;
+    return (demand.ownTokens + demand.sharedTokens * share) * pace.msPerPromptToken;
 }
 
 function hasRoom(candidate: types.Candidate, demand: types.Demand, pace: types.Pace): boolean {
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -27,6 +27,8 @@
     /** Cached parts are looked up by this text: scope and last shared part; undefined without shared parts. */
     readonly affinityKey: string | undefined;
     readonly sharedTokens: number;
+    /** Servers that read the last shared part now, which no store has yet. */
+    readonly readers: ReadonlySet<string>;
     readonly ownTokens: number;
     /** Tokens that the server is expected to generate. */
     readonly outputTokens: number;
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -38,6 +38,7 @@
         changes: {},
         spending: {},
         use: {},
+        readings: [],
         weights: [],
         report: undefined,
         ...changes,
--- a/test/placement/cache.test.ts
+++ b/test/placement/cache.test.ts
@@ -75,3 +75,11 @@
     );
     assert.deepEqual(reversed, places);
 });
+
+testing.test("guards against fetching from a server that was sent a call and turned it away unread", () => {
+    const index = new indexes.CacheIndex();
+    assert.equal(index.holders("s", "p", 0).size, 0);
+    index.noteHeld("s", "p", "one", 100);
+    assert.deepEqual(index.holders("s", "p", 200), new Set(["one"]));
+    assert.equal(index.holders("s", "p", 60_000).size, 0);
+});
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -40,6 +40,7 @@
 const REVIEW: types.Demand = {
     affinityKey: "/wall",
     sharedTokens: 6300,
+    readers: new Set(),
     ownTokens: 2900,
     outputTokens: 10,
     tried: new Set(),
@@ -131,3 +132,12 @@
     const busy = winding.map(entry => entry.isWindingDown ? entry : { ...entry, unreadTokens: 100_000 });
     assert.equal(chosen(choose(busy, { ...REVIEW, outputTokens: 150 })), HOME);
 });
+
+testing.test("cold parts: guards against a second server that reads what another one reads now", () => {
+    const reader = IDS.find(id => id !== HOME)!;
+    const demand = { ...REVIEW, readers: new Set([reader]) };
+    const busier = IDLE.map(entry => entry.server.id === reader ? { ...entry, unreadTokens: 12_000 } : entry);
+    assert.equal(chosen(choose(busier, demand)), reader);
+    const overloaded = IDLE.map(entry => entry.server.id === reader ? { ...entry, unreadTokens: 60_000 } : entry);
+    assert.notEqual(chosen(choose(overloaded, demand)), reader);
+});
--- a/tools/capacity/beats.ts
+++ b/tools/capacity/beats.ts
@@ -17,6 +17,7 @@
         changes: { configuration: 1200, servers: 1201, weights: 1202 },
         spending: Object.fromEntries(names(customers, "customer").map(name => [name, 1_234_567])),
         use: Object.fromEntries(names(servers, "i-5fc1d1dc2").map(id => [id, { calls: 3, unreadTokens: 4567 }])),
+        readings: [],
         weights: [{ model: "model", version: 12, revision: 345 }],
         report: undefined,
     };
