--- a/src/peering/beat-exchange.ts
+++ b/src/peering/beat-exchange.ts
@@ -70,11 +70,12 @@
     }
 
     private sendTo(peers: readonly types.Member[], now: number): void {
-        const datagram = codec.encode(this.ports.compose(this.sequence++, now));
+        const beat = this.ports.compose(this.sequence++, now);
+        const datagrams = { entry: codec.encode(beat), agent: codec.encode(forAgent(beat)) };
         for (const peer of peers) {
             this.sentAt.set(peer.name, now);
             const [host, port] = peer.beatAddress.split(":");
-            this.socket.send(datagram, Number(port), host, error => {
+            this.socket.send(datagrams[peer.role], Number(port), host, error => {
                 if (error) {
                     this.ports.journal.emit("peer-send-failed", { peer: peer.name, reason: error.message });
                 }
@@ -108,3 +109,8 @@
         }
     }
 }
+
+/** Agents need the weights and the state of other servers; what entries share would be most of their traffic. */
+function forAgent(beat: types.Beat): types.Beat {
+    return { ...beat, changes: {}, spending: {}, use: {}, readings: [] };
+}
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -52,7 +52,9 @@
             }
             const { since } = this.behind.get(watch.kind) ?? { since: now };
             this.behind.set(watch.kind, { revision: Math.max(theirs, known?.revision ?? -1), since });
-            if ((now - since >= CATCH_UP_MS || !watch.copy.isLoaded) && !this.fetching.has(watch.kind)) {
+            // A copy that collects changes catches up by itself; fetching it takes all records over the network.
+            const catchUpMs = CATCH_UP_MS + watch.lagMs;
+            if ((now - since >= catchUpMs || !watch.copy.isLoaded) && !this.fetching.has(watch.kind)) {
                 void this.fetch(watch, beat.member);
             }
         }
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -48,7 +48,12 @@
             announce: () => this.beats.send(),
         });
         this.watch = new watches.KindWatch(
-            { kind: deployment.kinds.weights, waitMs: WEIGHTS_WAIT_MS, collectMs: 0, ownersWriteAgain: false },
+            {
+                kind: deployment.kinds.weights,
+                waitMs: () => WEIGHTS_WAIT_MS,
+                collectMs: () => 0,
+                ownersWriteAgain: false,
+            },
             { store: deployment.store, clock, journal, changed: copy => this.adoptWeights(copy) },
         );
         this.beats = new beats.BeatExchange({
@@ -112,6 +117,7 @@
             changes: {},
             spending: {},
             use: {},
+            readings: [],
             weights: this.mover.namedWeights(),
             report: this.mover.report(),
         };
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -15,6 +15,7 @@
 import type * as peering from "../peering/types.js";
 import * as cacheIndexes from "../placement/cache-index.js";
 import * as paces from "../placement/pace.js";
+import * as readings from "../placement/readings.js";
 import * as uses from "../placement/server-use.js";
 import * as followers from "../placement/store-follower.js";
 import * as trusts from "../placement/trust.js";
@@ -29,11 +30,15 @@
  * Waits of the watches in milliseconds. A silent connection is noticed after this time, and peers' beats show a newer
  * copy before; a longer wait takes fewer calls.
  */
-const CONFIGURATION_WAIT_MS = 6000;
-const SERVERS_WAIT_MS = 6000;
-const WEIGHTS_WAIT_MS = 6000;
+const WATCH_WAIT_MS = 6000;
 /** Pause in milliseconds that collects changes of servers; a leaving server is known long before its bound. */
 const SERVERS_COLLECT_MS = 300;
+/**
+ * Entries up to which these times are kept, and the longest stretch beyond. All entries call the store for each change,
+ * and the more there are, the sooner a peer tells of one.
+ */
+const ENTRIES_AT_SHORTEST_WAIT = 8;
+const LONGEST_STRETCH = 3;
 /** Periods in milliseconds of beats: entries share spending and load; agents only hear of new weights. */
 const ENTRY_PERIOD_MS = 150;
 const AGENT_PERIOD_MS = 1000;
@@ -63,6 +68,7 @@
     private readonly members: memberTables.MemberTable;
     private readonly use = new uses.ServerUse();
     private readonly caches = new cacheIndexes.CacheIndex();
+    private readonly readings = new readings.Readings();
     private readonly followers = new Map<string, followers.StoreFollower>();
     private readonly view: views.FleetView;
     private readonly quotas: ledgers.QuotaLedger;
@@ -108,6 +114,7 @@
             view: this.view,
             use: this.use,
             caches: this.caches,
+            readings: this.readings,
             trust,
             paces: new paces.PaceTable(),
             quotas: this.quotas,
@@ -209,25 +216,31 @@
             const ports = { store, clock: this.clock, journal: this.journal, changed };
             return new watches.KindWatch({ kind, ...options }, ports);
         };
+        const waitMs = () => WATCH_WAIT_MS * this.watchStretch;
         return {
             configuration: create(
                 kinds.configuration,
-                { waitMs: CONFIGURATION_WAIT_MS, collectMs: 0, ownersWriteAgain: false },
+                { waitMs, collectMs: () => 0, ownersWriteAgain: false },
                 copy => this.adoptConfiguration(copy),
             ),
             servers: create(
                 kinds.servers,
-                { waitMs: SERVERS_WAIT_MS, collectMs: SERVERS_COLLECT_MS, ownersWriteAgain: true },
+                { waitMs, collectMs: () => SERVERS_COLLECT_MS * this.watchStretch, ownersWriteAgain: true },
                 copy => this.adoptServers(copy),
             ),
             weights: create(
                 kinds.weights,
-                { waitMs: WEIGHTS_WAIT_MS, collectMs: 0, ownersWriteAgain: false },
+                { waitMs, collectMs: () => 0, ownersWriteAgain: false },
                 copy => this.adoptWeights(copy),
             ),
         };
     }
 
+    private get watchStretch(): number {
+        const share = this.quotas.entryCount(this.clock.now()) / ENTRIES_AT_SHORTEST_WAIT;
+        return Math.min(LONGEST_STRETCH, Math.max(1, share));
+    }
+
     private adoptConfiguration(copy: copies.KindCopy): void {
         const decoded = this.deployment.decodeConfigurations(copy.records(this.clock.now()));
         this.reportInvalid(this.deployment.kinds.configuration, decoded.invalid);
@@ -330,6 +343,7 @@
             changes: Object.fromEntries(changes),
             spending: this.quotas.spending(),
             use: this.use.snapshot(),
+            readings: this.readings.snapshot(this.clock.now()),
             weights: this.view.namedWeights(),
             report: undefined,
         };
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -13,9 +13,9 @@
 export interface WatchOptions extends copies.KindCopyOptions {
     readonly kind: string;
     /** Longest wait of one call in milliseconds; also the time in which a silent connection is noticed. */
-    readonly waitMs: number;
+    readonly waitMs: () => number;
     /** Pause in milliseconds after a change, so that changes in a row take one call. */
-    readonly collectMs: number;
+    readonly collectMs: () => number;
 }
 
 export interface WatchPorts {
@@ -47,6 +47,11 @@
         return this.isListed && this.lostAt === undefined;
     }
 
+    /** Time in milliseconds by which the copy is behind the store on purpose. */
+    get lagMs(): number {
+        return this.isConnected ? this.options.collectMs() : 0;
+    }
+
     start(): void {
         this.loop = this.run();
     }
@@ -89,7 +94,7 @@
 
     private async watchOnce(): Promise<number | undefined> {
         // While the store does not answer, a call that hangs may hide its return for as long as it waits.
-        const waitMs = this.lostAt === undefined ? this.options.waitMs : PROBE_WAIT_MS;
+        const waitMs = this.lostAt === undefined ? this.options.waitMs() : PROBE_WAIT_MS;
         const batch = await this.ports.store.watch(this.options.kind, this.copy.revision, waitMs);
         if (!batch.ok) {
             if (batch.failure.kind === "store-history-lost") {
@@ -105,7 +110,7 @@
         }
         const names = batch.value.changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
         this.report(names.slice(0, 8).join(" "), "store");
-        return this.options.collectMs;
+        return this.options.collectMs();
     }
 
     private report(change: string, source: string): void {
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -18,7 +18,7 @@
 
 function watchAt(revision: number): watches.KindWatch {
     const watch = new watches.KindWatch(
-        { kind: KIND, waitMs: 1000, collectMs: 0, ownersWriteAgain: false },
+        { kind: KIND, waitMs: () => 1000, collectMs: () => 0, ownersWriteAgain: false },
         { store: SILENT_STORE, clock: clocks.systemClock, journal: journals.silentJournal, changed: () => undefined },
     );
     watch.adopt({ revision, records: [{ name: "main", revision, spec: {}, isDeleting: false }] }, "test");
@@ -42,6 +42,7 @@
         changes: { [KIND]: change },
         spending: {},
         use: {},
+        readings: [],
         weights: [],
         report: undefined,
     };
@@ -70,3 +71,34 @@
     }
     assert.equal(own.copy.revision, 9);
 });
+
+testing.test("guards against fetching all records for a change that the own watch collects", async () => {
+    const address = await freeAddress();
+    await using ahead = exchangeOf(watchAt(9));
+    ahead.start(address);
+    const listing = { revision: 5, records: [] };
+    await using own = new watches.KindWatch(
+        { kind: KIND, waitMs: () => 1000, collectMs: () => 900, ownersWriteAgain: false },
+        {
+            store: { ...SILENT_STORE, list: () => Promise.resolve({ ok: true, value: listing }) },
+            clock: clocks.systemClock,
+            journal: journals.silentJournal,
+            changed: () => undefined,
+        },
+    );
+    own.start();
+    await using behind = exchangeOf(own);
+    for (let round = 0; round < 200 && !own.isConnected; round++) {
+        await clocks.systemClock.sleep(1);
+    }
+    for (let now = 0; now <= 1000; now += 100) {
+        behind.compare(beat("ahead", address, 9), now);
+    }
+    await clocks.systemClock.sleep(100);
+    assert.equal(own.copy.revision, 5);
+    behind.compare(beat("ahead", address, 9), 1200);
+    for (let round = 0; round < 200 && own.copy.revision < 9; round++) {
+        await clocks.systemClock.sleep(10);
+    }
+    assert.equal(own.copy.revision, 9);
+});
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -48,7 +48,7 @@
     const calls: string[] = [];
     const seen: number[] = [];
     const watch = new watches.KindWatch(
-        { kind: "config", waitMs: 1000, collectMs: 0, ownersWriteAgain: false },
+        { kind: "config", waitMs: () => 1000, collectMs: () => 0, ownersWriteAgain: false },
         {
             store: scriptedStore(script, calls),
             clock: sleepingClock(),
