--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -6,6 +6,7 @@
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
 import * as cachePlans from "../placement/cache-plan.js";
+import type * as readings from "../placement/readings.js";
 import * as selection from "../placement/selection.js";
 import type * as placement from "../placement/types.js";
 import * as answers from "./answer.js";
@@ -33,6 +34,9 @@
 /** Time in milliseconds that a call without a deadline of its own and without a route timeout may take. */
 const DEFAULT_DEADLINE_MS = 60_000;
 
+/** Longest wait in milliseconds for shared parts that another call has read; reading them takes about as long. */
+const READING_WAIT_MS = 350;
+const READING_STEP_MS = 40;
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 type ServerChoice = placement.Choice & { readonly kind: "server"; };
@@ -162,11 +166,11 @@
     }
 
     /** Waits for a server that can take the call. Nothing when the call has been answered instead. */
-    private place(admission: Admission): Promise<ServerChoice | undefined> {
+    private async place(admission: Admission): Promise<ServerChoice | undefined> {
         const room = this.ports.rooms.of(admission.service);
-        const first = this.choose(admission);
-        if (first.kind === "server" && room.size === 0) {
-            return Promise.resolve(first);
+        const first = await this.chooseWhenRead(admission);
+        if (first.kind === "server" && room.size === 0 || this.isOver) {
+            return first.kind === "server" ? first : undefined;
         }
         const now = this.ports.clock.now();
         const waitMs = Math.min(LONGEST_WAIT_MS, WAIT_SHARE * (admission.expiresAt - this.arrivedAt));
@@ -200,6 +204,70 @@
         });
     }
 
+    /** Chooses a server, after a short wait for shared parts that another call has read now. */
+    private async chooseWhenRead(admission: Admission): Promise<placement.Choice> {
+        let choice = this.choose(admission);
+        const since = this.ports.clock.now();
+        let waitedMs = 0;
+        while (choice.kind === "server" && this.attempts === 0 && !this.isOver && waitedMs < READING_WAIT_MS) {
+            if (!this.isBeingRead(admission, choice.candidate)) {
+                break;
+            }
+            await this.ports.clock.sleep(READING_STEP_MS);
+            waitedMs = Math.round(this.ports.clock.now() - since);
+            choice = this.choose(admission);
+        }
+        if (waitedMs > 0) {
+            this.log("call-waits", { reason: "part-being-read", service: admission.service, waitedMs });
+        }
+        return choice;
+    }
+
+    /** Another call has a server read a shared part of this one now, which the store will have in a moment. */
+    private isBeingRead(admission: Admission, candidate: placement.Candidate): boolean {
+        const now = this.ports.clock.now();
+        const version = candidate.weightsVersion;
+        return version !== undefined && this.missingParts(admission, candidate, now).some(part => {
+            const state = this.partState(admission, version, part, now);
+            return state.servers.size > 0 && !state.isRead;
+        });
+    }
+
+    /** Shared parts that the store does not have, as far as is known. */
+    private missingParts(
+        admission: Admission,
+        candidate: placement.Candidate,
+        now: number,
+    ): readonly fleet.PromptPart[] {
+        const { head, customer } = admission;
+        const shared = cachePlans.lastSharedPart(head.parts);
+        const store = this.storeOf(shared);
+        if (head.model === undefined || candidate.weightsVersion === undefined || store === undefined) {
+            return [];
+        }
+        const scope = cachePlans.cacheScope(head.model, candidate.weightsVersion, customer);
+        const isMissing = (part: fleet.PromptPart) => {
+            return !this.ports.caches.isInStore(store.address, scope, part.id, now);
+        };
+        return head.parts.slice(0, -1).filter(isMissing);
+    }
+
+    private storeOf(shared: fleet.PromptPart | undefined): fleet.CacheStore | undefined {
+        const stores = this.ports.view.table?.configuration.cacheStores ?? [];
+        return shared === undefined ? undefined : cachePlans.storeOf(shared.id, stores);
+    }
+
+    private partState(
+        { head, customer }: Admission,
+        version: number,
+        part: fleet.PromptPart,
+        now: number,
+    ): readings.PartState {
+        const scope = cachePlans.cacheScope(head.model ?? "", version, customer);
+        const place = readingPlace(scope, this.storeOf(cachePlans.lastSharedPart(head.parts)));
+        return this.ports.readings.stateOf(place, part.id, this.ports.view.entryBeats(now), now);
+    }
+
     private refuseWaiting(admission: Admission, reason: placement.Unavailable): void {
         if (this.ran === 0) {
             this.refund(admission);
@@ -216,13 +284,14 @@
         if (candidates.length > 0 && candidates.every(candidate => this.tried.has(candidate.server.id))) {
             this.tried.clear();
         }
-        const affinityKey = affinityKeyOf(admission);
-        const readers = affinityKey === undefined
-            ? NO_SERVERS
-            : this.ports.readings.servers(affinityKey, this.ports.view.entryBeats(now), now);
+        const shared = cachePlans.lastSharedPart(head.parts);
+        const wall = admission.customer?.isolated === true ? admission.customer.name : "";
+        const newest = this.ports.view.namedWeights().find(weights => weights.model === head.model)?.version;
         const demand: placement.Demand = {
-            affinityKey,
-            readers,
+            affinityKey: shared === undefined ? undefined : `${wall}/${shared.id}`,
+            readers: shared === undefined || newest === undefined
+                ? NO_SERVERS
+                : this.partState(admission, newest, shared, now).servers,
             sharedTokens: cachePlans.sharedTokens(head.parts),
             ownTokens: Math.max(0, head.promptTokens - cachePlans.sharedTokens(head.parts)),
             outputTokens: head.expectedOutputTokens,
@@ -261,14 +330,9 @@
             configuration: this.ports.view.table?.configuration.version,
         });
         using use = this.ports.use.place(candidate.server.id, unread);
-        using reading = cache.plan?.saveTo === undefined
-            ? undefined
-            : this.ports.readings.begin(
-                affinityKeyOf(admission) ?? "",
-                cachePlans.sharedTokens(head.parts),
-                candidate.server.id,
-                now,
-            );
+        const missing = this.missingParts(admission, candidate, now);
+        const place = readingPlace(cache.scope ?? "", this.storeOf(cachePlans.lastSharedPart(head.parts)));
+        using reading = this.ports.readings.begin(place, missing, candidate.server.id, now);
         const exchange = new exchanges.Exchange(this.ports, {
             admission: { ...admission, priority: priorityOf(admission) },
             choice,
@@ -277,7 +341,7 @@
             promptRead: () => {
                 const readAt = this.ports.clock.now();
                 use.promptRead();
-                reading?.finished(readAt);
+                reading.finished(readAt);
                 this.noteCached(admission, candidate.server, cache, readAt);
             },
             tokensAhead: candidate.unreadTokens + unread,
@@ -295,13 +359,15 @@
 
     /** Notes that a server holds the shared parts of the prompt, and saves them as planned. */
     private noteCached(admission: Admission, server: fleet.BackendServer, cache: PlannedCache, now: number): void {
-        const shared = cachePlans.lastSharedPart(admission.head.parts);
-        if (cache.scope === undefined || shared === undefined) {
+        const { scope, plan } = cache;
+        if (scope === undefined) {
             return;
         }
-        this.ports.caches.noteHeld(cache.scope, shared.id, server.id, now);
-        if (cache.plan?.saveTo !== undefined) {
-            this.ports.caches.noteSaved(cache.scope, shared.id, now);
+        for (const part of admission.head.parts.slice(0, -1)) {
+            this.ports.caches.noteHeld(scope, part.id, server.id, now);
+            if (plan?.saveTo !== undefined) {
+                this.ports.caches.noteSaved(scope, part.id, now);
+            }
         }
     }
 
@@ -320,8 +386,9 @@
         const { caches } = this.ports;
         const holders = caches.holders(scope, shared.id, now);
         const holder = this.ports.view.listed().find(server => server.state === "ready" && holders.has(server.id));
-        const store = cachePlans.storeOf(shared.id, this.ports.view.table?.configuration.cacheStores ?? []);
-        const isInStore = store !== undefined && caches.isInStore(store.address, scope, shared.id, now);
+        const store = this.storeOf(shared);
+        const isInStore = store !== undefined && (caches.isInStore(store.address, scope, shared.id, now)
+            || this.partState(admission, candidate.weightsVersion, shared, now).isRead);
         const plan = cachePlans.planCache({ store, isInStore, holder }, candidate);
         const isCached = isInStore || holders.size > 0;
         return { scope, plan, cachedTokens: isCached ? cachePlans.sharedTokens(head.parts) : 0 };
@@ -484,10 +551,9 @@
     }
 }
 
-/** Calls with the same text share parts; a customer behind a wall shares with nobody. */
-function affinityKeyOf({ head, customer }: Admission): string | undefined {
-    const shared = cachePlans.lastSharedPart(head.parts);
-    return shared === undefined ? undefined : `${customer?.isolated === true ? customer.name : ""}/${shared.id}`;
+/** Parts that several last parts share are read once for each store. */
+function readingPlace(scope: string, store: fleet.CacheStore | undefined): string {
+    return `${scope} ${store?.address}`;
 }
 
 function priorityOf(admission: Admission): number {
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -18,7 +18,7 @@
     changes: types.Beat["changes"],
     spending: types.Beat["spending"],
     use: readonly (readonly [server: string, calls: number, unreadTokens: number])[],
-    readings: readonly (readonly [part: number, server: string])[],
+    readings: readonly (readonly [part: number, server: string, isRead: 0 | 1])[],
     weights: readonly (readonly [model: string, version: number, revision: number])[],
     report: ReportPositions | 0,
 ];
@@ -49,7 +49,7 @@
         beat.changes,
         beat.spending,
         Object.entries(beat.use).map(([server, use]) => [server, use.calls, Math.round(use.unreadTokens)]),
-        beat.readings.map(({ part, server }) => [part, server]),
+        beat.readings.map(({ part, server, isRead }) => [part, server, isRead ? 1 : 0]),
         beat.weights.map(({ model, version, revision }) => [model, version, revision]),
         report === undefined ? 0 : encodeReport(report),
     ];
@@ -92,7 +92,7 @@
         changes,
         spending,
         use: Object.fromEntries(use.map(([server, calls, unreadTokens]) => [server, { calls, unreadTokens }])),
-        readings: readings.map(([part, server]) => ({ part, server })),
+        readings: readings.map(([part, server, isRead]) => ({ part, server, isRead: isRead === 1 })),
         weights: weights.map(([model, version, revision]) => ({ model, version, revision })),
         report: report === 0 ? undefined : decodeReport(report),
     };
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -23,10 +23,12 @@
 
 /** A shared prompt part that a server reads, since no store has it yet. */
 export interface Reading {
-    /** Hash of the part's place in the caches. */
+    /** Hash of the part and the scope under which it is cached. */
     readonly part: number;
     /** Id of the server. */
     readonly server: string;
+    /** The server has read the part and saves it. */
+    readonly isRead: boolean;
 }
 
 export interface WeightsState {
--- a/test/peering/beats.test.ts
+++ b/test/peering/beats.test.ts
@@ -21,7 +21,7 @@
         changes: { config: 3 },
         spending: { gallery: 100 },
         use: { server: { calls: 2, unreadTokens: 300 } },
-        readings: [{ part: 7, server: "server" }],
+        readings: [{ part: 7, server: "server", isRead: true }],
         weights: [{ model: "menu", version: 2, revision: 9 }],
         report: {
             address: "10.0.0.9:8000",
