--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -1,8 +1,8 @@
 /** What an entry knows of cached prompt parts: those in the store of cached parts, and those that servers hold. */
 import type * as types from "./types.js";
 
-/** Time in milliseconds for which a part is expected at a server that has read it; engines evict within seconds. */
-const SERVER_RETENTION_MS = 8000;
+/** Time in milliseconds for which a part is expected at a server that has read it; under load engines evict within seconds. */
+const SERVER_RETENTION_MS = 2500;
 /** Time in milliseconds for which a part is expected in a store that is not followed. */
 const STORE_RETENTION_MS = 12_000;
 /** Parts that are remembered; the largest deployment has some ten thousand in use. */
--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -49,9 +49,10 @@
  */
 export function planCache(situation: CacheSituation, target: types.Candidate): CachePlan {
     const { store, holder } = situation;
+    const otherHolder = holder?.id === target.server.id ? undefined : holder;
     if (store !== undefined && situation.isInStore) {
-        return { fetchFrom: store.address, saveTo: undefined };
+        // Many servers share the link of a store, which is full under load; each has a link of its own.
+        return { fetchFrom: otherHolder?.address ?? store.address, saveTo: undefined };
     }
-    const otherHolder = holder?.id === target.server.id ? undefined : holder;
     return { fetchFrom: otherHolder?.address ?? store?.address, saveTo: store?.address };
 }
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -29,8 +29,11 @@
  * use until it is done. About the time of a step of an engine.
  */
 const WINDING_DOWN_MS = 5;
-/** Extra cost of a place that is not the home: the parts displace others there. Share of the time to read them. */
-const DISPLACEMENT_SHARE = 0.5;
+/**
+ * Extra cost of a place that is not the home, as a share of the time to read the parts: they displace others there, and
+ * bringing them takes the link of a store, which all servers share.
+ */
+const DISPLACEMENT_SHARE = 1.5;
 /** Cost in milliseconds of a server whose calls all fail; a tenth of failures weighs as much as a short queue. */
 const FAILURE_MS = 2000;
 /** Cost in milliseconds of older weights: a fifth of the value of a call, against the time of a whole prompt. */
@@ -98,7 +101,9 @@
     isHome: boolean,
 ): number {
     const crossing = candidate.server.dataCentre === demand.dataCentre ? 0 : settings.crossingMs;
-    const outdated = (candidate.outdatedForMs ?? 0) >= settings.outdatedCostsFromMs ? OUTDATED_MS : 0;
+    const isOutdated = (candidate.outdatedForMs ?? 0) >= settings.outdatedCostsFromMs;
+    // Parts of older weights are no reason to stay with them.
+    const outdated = isOutdated ? OUTDATED_MS + awayFromHomeMs(demand, pace) : 0;
     const failing = candidate.failureShare * FAILURE_MS;
     const delaysMove = candidate.isWindingDown ? demand.outputTokens * WINDING_DOWN_MS : 0;
     const prices = crossing + outdated + failing + delaysMove;
@@ -115,12 +120,16 @@
 }
 
 function readingMs(candidate: types.Candidate, demand: types.Demand, pace: types.Pace, isHome: boolean): number {
-    const share = demand.readers.size > 0
-        ? demand.readers.has(candidate.server.id) ? 0 : READING_AGAIN_SHARE
-        : isHome
-        ? 0
-        : TRANSFER_SHARE + DISPLACEMENT_SHARE;
-    return (demand.ownTokens + demand.sharedTokens * share) * pace.msPerPromptToken;
+    const ownMs = demand.ownTokens * pace.msPerPromptToken;
+    if (demand.readers.size > 0) {
+        const isReader = demand.readers.has(candidate.server.id);
+        return ownMs + (isReader ? 0 : demand.sharedTokens * READING_AGAIN_SHARE * pace.msPerPromptToken);
+    }
+    return ownMs + (isHome ? 0 : awayFromHomeMs(demand, pace));
+}
+
+function awayFromHomeMs(demand: types.Demand, pace: types.Pace): number {
+    return demand.sharedTokens * (TRANSFER_SHARE + DISPLACEMENT_SHARE) * pace.msPerPromptToken;
 }
 
 function hasRoom(candidate: types.Candidate, demand: types.Demand, pace: types.Pace): boolean {
--- a/test/placement/cache.test.ts
+++ b/test/placement/cache.test.ts
@@ -83,3 +83,12 @@
     assert.deepEqual(index.holders("s", "p", 200), new Set(["one"]));
     assert.equal(index.holders("s", "p", 60_000).size, 0);
 });
+
+testing.test("guards against a store's link that all servers wait for, when a server used the part of late", () => {
+    const target = { server: { id: "a", address: "10.0.0.1:8000" } } as Parameters<typeof plans.planCache>[1];
+    const holder = { id: "b", address: "10.0.0.2:8000" } as fleet.BackendServer;
+    const plan = plans.planCache({ store: STORE, isInStore: true, holder }, target);
+    assert.deepEqual(plan, { fetchFrom: holder.address, saveTo: undefined });
+    const itself = plans.planCache({ store: STORE, isInStore: true, holder: { ...holder, id: "a" } }, target);
+    assert.equal(itself.fetchFrom, STORE.address);
+});
