--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -297,7 +297,7 @@
             outputTokens: head.expectedOutputTokens,
             tried: this.tried,
             dataCentre: this.ports.settings.dataCentre,
-            isPlain: head.model === undefined,
+            isPlain: head.model === undefined || !this.ports.view.servesModels(service),
         };
         const pace = this.ports.paces.of(service);
         return selection.choose(candidates, demand, pace, this.ports.settings.selection, this.ports.clock.random());
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -95,12 +95,19 @@
             }),
         );
         const entryBeats = this.entryBeats(now);
+        const comparedModel = this.servesModels(service) ? model : undefined;
         return this.servers.filter(server => server.service === service).map(server => {
             const report = reports.get(server.address);
-            return this.candidate(server, report, model, entryBeats, now);
+            return this.candidate(server, report, comparedModel, entryBeats, now);
         });
     }
 
+    /** False for a service without engines. A caller may name a model there too, but no weights are compared. */
+    servesModels(service: string): boolean {
+        const known = this.routing?.configuration.services.get(service);
+        return known === undefined || known.engine !== undefined;
+    }
+
     /** Fresh beats of the other entries. */
     entryBeats(now: number): readonly peering.Beat[] {
         return this.ports.members.recent(now, USE_FRESH_MS).map(({ beat }) => beat)
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -112,3 +112,21 @@
     view.sawVersion("a", 3);
     assert.equal(view.candidates("menu", "m", 9000)[0]?.outdatedForMs, undefined);
 });
+
+testing.test("guards against a plain service that is out of use for a caller that names a model", () => {
+    const { view } = create();
+    const service = { name: "menu", maximumConnections: 10, engine: undefined };
+    view.adoptConfiguration({
+        version: 1,
+        routes: [],
+        services: new Map([[service.name, service]]),
+        cacheStores: [],
+        customers: [],
+        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    });
+    view.adoptServers([{ ...server("desk", 1000), weights: new Map() }]);
+    view.nameWeights({ model: "m", version: 2, revision: 3 }, 0);
+    const [candidate] = view.candidates("menu", "m", 60_000);
+    assert.equal(candidate?.outdatedForMs, undefined);
+    assert.equal(view.servesModels("menu"), false);
+});
--- /dev/null
+++ b/test/platform/stand-ins.ts
@@ -0,0 +1,307 @@
+/** Stand-ins for the platform's store and workers, in the process of the test. They note what the rules are about. */
+import * as http from "node:http";
+
+const HTTP_CONFLICT = 409;
+const HTTP_MISDIRECTED = 421;
+const HTTP_UNAVAILABLE = 503;
+const EVENT_PAUSE_MS = 4;
+const LOAD_MS = 150;
+
+interface StoredObject {
+    readonly revision: number;
+    readonly spec: unknown;
+}
+
+interface StoreEvent {
+    readonly kind: string;
+    readonly revision: number;
+    readonly object: object;
+    readonly deleted: boolean;
+}
+
+abstract class StandIn implements AsyncDisposable {
+    private server: http.Server | undefined;
+
+    constructor(readonly address: string) {}
+
+    async listen(): Promise<void> {
+        const [host, port] = this.address.split(":");
+        const server = http.createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+            const chunks: Buffer[] = [];
+            request.on("data", (chunk: Buffer) => chunks.push(chunk));
+            request.on("end", () => void this.handle(request, response, Buffer.concat(chunks).toString("utf8")));
+        });
+        this.server = server;
+        await new Promise<void>(resolve => server.listen(Number(port), host, resolve));
+    }
+
+    /** Resets all connections; further ones are refused until `listen`. */
+    async close(): Promise<void> {
+        const { server } = this;
+        this.server = undefined;
+        server?.closeAllConnections();
+        await new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()));
+    }
+
+    [Symbol.asyncDispose](): Promise<void> {
+        return this.close();
+    }
+
+    protected abstract handle(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        body: string,
+    ): Promise<void> | void;
+}
+
+export class Store extends StandIn {
+    /** `busy` refuses calls, `silent` leaves them without an answer. */
+    mode: "good" | "busy" | "silent" = "good";
+    private revision = 1;
+    private readonly kinds = new Map<string, Map<string, StoredObject>>();
+    private readonly events: StoreEvent[] = [];
+    private readonly watchers = new Set<() => void>();
+
+    put(kind: string, name: string, spec: unknown): void {
+        const revision = ++this.revision;
+        this.objects(kind).set(name, { revision, spec });
+        this.report({ kind, revision, object: { metadata: { name, revision }, spec }, deleted: false });
+    }
+
+    remove(kind: string, name: string): void {
+        const revision = ++this.revision;
+        const spec = this.objects(kind).get(name)?.spec;
+        this.objects(kind).delete(name);
+        this.report({ kind, revision, object: { metadata: { name, revision }, spec }, deleted: true });
+    }
+
+    protected async handle(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        body: string,
+    ): Promise<void> {
+        if (this.mode === "silent") {
+            return;
+        }
+        if (this.mode === "busy") {
+            response.writeHead(HTTP_UNAVAILABLE).end();
+            return;
+        }
+        const url = new URL(request.url ?? "/", "http://store");
+        const [kind, name] = url.pathname.split("/").slice(3);
+        if (request.method !== "GET") {
+            const given = JSON.parse(body) as { metadata: { name: string; }; spec: unknown; };
+            const target = name === undefined ? given.metadata.name : decodeURIComponent(name);
+            if (request.method === "POST" && this.objects(kind!).has(target)) {
+                response.writeHead(HTTP_CONFLICT).end("{}");
+                return;
+            }
+            this.put(kind!, target, given.spec);
+            response.end("{}");
+            return;
+        }
+        if (url.searchParams.has("watch")) {
+            const after = Number(url.searchParams.get("watch"));
+            await this.waitFor(kind!, after, Number(url.searchParams.get("waitMs")));
+            const events = this.events.filter(event => event.kind === kind && event.revision > after);
+            response.end(JSON.stringify({ events, storeRevision: this.revision }));
+            return;
+        }
+        const items = [...this.objects(kind!)].map(([objectName, { revision, spec }]) => {
+            return { metadata: { name: objectName, revision }, spec };
+        });
+        response.end(JSON.stringify({ items, hasMore: false, storeRevision: this.revision }));
+    }
+
+    private objects(kind: string): Map<string, StoredObject> {
+        const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
+        this.kinds.set(kind, objects);
+        return objects;
+    }
+
+    private report(event: StoreEvent): void {
+        this.events.push(event);
+        this.watchers.forEach(wake => wake());
+    }
+
+    private async waitFor(kind: string, revision: number, waitMs: number): Promise<void> {
+        const endsAt = performance.now() + waitMs;
+        while (
+            performance.now() < endsAt
+            && !this.events.some(event => event.kind === kind && event.revision > revision)
+        ) {
+            await new Promise<void>(resolve => {
+                const wake = () => {
+                    clearTimeout(timer);
+                    this.watchers.delete(wake);
+                    resolve();
+                };
+                const timer = setTimeout(wake, Math.max(1, endsAt - performance.now()));
+                this.watchers.add(wake);
+            });
+        }
+    }
+}
+
+/** One run of a request at a worker. */
+export interface Run {
+    readonly requestId: string;
+    readonly tenant: string | undefined;
+    readonly authorization: string | undefined;
+    readonly path: string;
+}
+
+export interface Order {
+    readonly worker: string;
+    readonly holder: string;
+    readonly fence: number;
+}
+
+/** What all workers of a test have seen. */
+export interface Ledger {
+    readonly runs: Run[];
+    readonly orders: Order[];
+}
+
+export interface WorkerPlan {
+    readonly service: string;
+    readonly zone: string;
+    /** Model that the worker serves; none for a plain service. */
+    readonly model: string | undefined;
+}
+
+export class Worker extends StandIn {
+    private id = "";
+    private born = 0;
+    private boots = 0;
+    private version = 1;
+    private seq = 0;
+    private isBusy = false;
+    private running = 0;
+
+    constructor(
+        address: string,
+        private readonly plan: WorkerPlan,
+        private readonly store: Store,
+        private readonly ledger: Ledger,
+    ) {
+        super(address);
+    }
+
+    /** Starts with a new id and the weights that it had. */
+    async start(): Promise<void> {
+        this.born = Date.now();
+        this.id = `${this.plan.service}-${this.address}-${this.boots++}`;
+        this.seq = 0;
+        this.isBusy = false;
+        this.running = 0;
+        await this.listen();
+        this.register("ready");
+    }
+
+    /** Ends at once; its entry is removed by the time the platform has noticed. */
+    async crash(): Promise<void> {
+        const { id } = this;
+        await this.close();
+        setTimeout(() => this.store.remove("servers", id), 300);
+    }
+
+    drain(): void {
+        this.register("draining");
+    }
+
+    protected async handle(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        body: string,
+    ): Promise<void> {
+        const { url = "/", headers } = request;
+        if (url === "/-/report") {
+            const { born, seq, isBusy: busy, running } = this;
+            response.end(JSON.stringify({ models: this.models, busy, seq, running, waiting: 0, born }));
+            return;
+        }
+        if (url === "/-/order") {
+            this.order(JSON.parse(body) as Order & { readonly version: number; readonly expected?: number; }, response);
+            return;
+        }
+        const requestId = String(headers["request-id"]);
+        const versionExpected = headers["expect-version"];
+        const isMisdirected = headers["expect-instance"] !== this.id
+            || versionExpected !== undefined && Number(versionExpected) !== this.version;
+        if (isMisdirected || this.isBusy) {
+            const status = isMisdirected ? HTTP_MISDIRECTED : HTTP_UNAVAILABLE;
+            response.writeHead(status, { "Request-Id": requestId, "Not-Executed": "1" }).end();
+            return;
+        }
+        const tenant = headers["tenant"] as string | undefined;
+        this.ledger.runs.push({ requestId, tenant, authorization: headers.authorization, path: url });
+        this.running++;
+        try {
+            await this.run(request, response, requestId);
+        }
+        finally {
+            this.running--;
+        }
+    }
+
+    private async run(request: http.IncomingMessage, response: http.ServerResponse, requestId: string): Promise<void> {
+        const common = { "Request-Id": requestId, "Response-Seal": "seal" };
+        const output = Number(String(request.headers["token-count"] ?? "").split(",")[1] ?? 0);
+        if (this.plan.model === undefined) {
+            await pause(EVENT_PAUSE_MS * 4);
+            response.writeHead(200, common).end(requestId);
+            return;
+        }
+        response.writeHead(200, { ...common, "Content-Type": "text/event-stream", "Weight-Versions": this.version });
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        for (let event = first; event <= output && !response.destroyed; event++) {
+            await pause(EVENT_PAUSE_MS);
+            response.write(`id: ${event}\ndata: ${requestId}/${event}\n\n`);
+        }
+        response.end();
+    }
+
+    private order(
+        order: Order & { readonly version: number; readonly expected?: number; },
+        response: http.ServerResponse,
+    ): void {
+        const isConflict = this.isBusy || order.expected !== undefined && order.expected !== this.seq;
+        if (isConflict || order.version === this.version) {
+            response.writeHead(isConflict ? HTTP_CONFLICT : 200).end("{}");
+            return;
+        }
+        this.ledger.orders.push({ worker: this.id, holder: order.holder, fence: order.fence });
+        this.seq++;
+        this.isBusy = true;
+        response.writeHead(202).end("{}");
+        void this.load(order.version, this.id);
+    }
+
+    private async load(version: number, id: string): Promise<void> {
+        while (this.running > 0 && this.id === id) {
+            await pause(EVENT_PAUSE_MS);
+        }
+        await pause(LOAD_MS);
+        if (this.id === id) {
+            this.version = version;
+            this.isBusy = false;
+            this.register("ready");
+        }
+    }
+
+    private get models(): readonly object[] {
+        const { model } = this.plan;
+        return model === undefined ? [] : [{ name: model, version: this.version, adapters: [] }];
+    }
+
+    private register(state: "ready" | "draining"): void {
+        const { service, zone } = this.plan;
+        const { address, born, models } = this;
+        this.store.put("servers", this.id, { service, address, zone, version: 1, slots: 32, state, born, models });
+    }
+}
+
+export function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
--- a/tools/support/processes.ts
+++ b/tools/support/processes.ts
@@ -1,6 +1,7 @@
 /** Starts the processes of a demo or a test on loopback and ends exactly those. */
 import * as childProcess from "node:child_process";
 import * as path from "node:path";
+import * as process from "node:process";
 
 const ROOT = path.resolve(import.meta.dirname, "../..");
 /** Programs run from source when this module does, for tests, and compiled otherwise. */
@@ -20,12 +21,18 @@
     signal(name: NodeJS.Signals): void;
 }
 
-/** Starts a program; `program` is its path below the root without the extension. */
-export function launch(name: string, program: string, parameters: readonly string[]): Launched {
+/** Starts a program; `program` is its path below the root without the extension. The environment is added to. */
+export function launch(
+    name: string,
+    program: string,
+    parameters: readonly string[],
+    environment: Readonly<Record<string, string>> = {},
+): Launched {
     const file = path.join(ROOT, `${program}${FROM_SOURCE ? ".ts" : ".js"}`);
     const loader = FROM_SOURCE ? ["--import", "tsx"] : [];
     const child = childProcess.spawn(process.execPath, [...loader, file, ...parameters], {
         stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, ...environment },
     });
     const lines: string[] = [];
     const collect = (data: Buffer) => {
