--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -5,13 +5,12 @@
 import type * as failure from "../core/failure.js";
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
-import * as cachePlans from "../placement/cache-plan.js";
-import type * as readings from "../placement/readings.js";
 import * as selection from "../placement/selection.js";
 import type * as placement from "../placement/types.js";
 import * as answers from "./answer.js";
 import * as bodies from "./body-reader.js";
 import * as exchanges from "./exchange.js";
+import * as promptCaches from "./prompt-cache.js";
 import * as retries from "./retry-decision.js";
 import type * as types from "./types.js";
 
@@ -37,18 +36,9 @@
 /** Longest wait in milliseconds for shared parts that another call has read; reading them takes about as long. */
 const READING_WAIT_MS = 350;
 const READING_STEP_MS = 40;
-const NO_SERVERS: ReadonlySet<string> = new Set();
 
 type ServerChoice = placement.Choice & { readonly kind: "server"; };
 
-/** Where a call finds cached parts at the chosen server. */
-interface PlannedCache {
-    readonly scope: string | undefined;
-    readonly plan: cachePlans.CachePlan | undefined;
-    /** Tokens of the prompt that the server most likely need not read. */
-    readonly cachedTokens: number;
-}
-
 /** What the intake of a call found out. */
 interface Admission {
     readonly head: fleet.CallHead;
@@ -58,6 +48,7 @@
     readonly body: Buffer;
     readonly chargedTokens: number;
     readonly expiresAt: number;
+    readonly cache: promptCaches.PromptCache;
 }
 
 export class Call {
@@ -162,7 +153,8 @@
         }
         const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
         const expiresAt = this.arrivedAt + limitMs;
-        return { head, route, service, customer, body, chargedTokens, expiresAt };
+        const cache = new promptCaches.PromptCache(this.ports, head, customer);
+        return { head, route, service, customer, body, chargedTokens, expiresAt, cache };
     }
 
     /** Waits for a server that can take the call. Nothing when the call has been answered instead. */
@@ -210,7 +202,7 @@
         const since = this.ports.clock.now();
         let waitedMs = 0;
         while (choice.kind === "server" && this.attempts === 0 && !this.isOver && waitedMs < READING_WAIT_MS) {
-            if (!this.isBeingRead(admission, choice.candidate)) {
+            if (!admission.cache.isBeingRead(choice.candidate, this.ports.clock.now())) {
                 break;
             }
             await this.ports.clock.sleep(READING_STEP_MS);
@@ -223,51 +215,6 @@
         return choice;
     }
 
-    /** Another call has a server read a shared part of this one now, which the store will have in a moment. */
-    private isBeingRead(admission: Admission, candidate: placement.Candidate): boolean {
-        const now = this.ports.clock.now();
-        const version = candidate.weightsVersion;
-        return version !== undefined && this.missingParts(admission, candidate, now).some(part => {
-            const state = this.partState(admission, version, part, now);
-            return state.servers.size > 0 && !state.isRead;
-        });
-    }
-
-    /** Shared parts that the store does not have, as far as is known. */
-    private missingParts(
-        admission: Admission,
-        candidate: placement.Candidate,
-        now: number,
-    ): readonly fleet.PromptPart[] {
-        const { head, customer } = admission;
-        const shared = cachePlans.lastSharedPart(head.parts);
-        const store = this.storeOf(shared);
-        if (head.model === undefined || candidate.weightsVersion === undefined || store === undefined) {
-            return [];
-        }
-        const scope = cachePlans.cacheScope(head.model, candidate.weightsVersion, customer);
-        const isMissing = (part: fleet.PromptPart) => {
-            return !this.ports.caches.isInStore(store.address, scope, part.id, now);
-        };
-        return head.parts.slice(0, -1).filter(isMissing);
-    }
-
-    private storeOf(shared: fleet.PromptPart | undefined): fleet.CacheStore | undefined {
-        const stores = this.ports.view.table?.configuration.cacheStores ?? [];
-        return shared === undefined ? undefined : cachePlans.storeOf(shared.id, stores);
-    }
-
-    private partState(
-        { head, customer }: Admission,
-        version: number,
-        part: fleet.PromptPart,
-        now: number,
-    ): readings.PartState {
-        const scope = cachePlans.cacheScope(head.model ?? "", version, customer);
-        const place = readingPlace(scope, this.storeOf(cachePlans.lastSharedPart(head.parts)));
-        return this.ports.readings.stateOf(place, part.id, this.ports.view.entryBeats(now), now);
-    }
-
     private refuseWaiting(admission: Admission, reason: placement.Unavailable): void {
         if (this.ran === 0) {
             this.refund(admission);
@@ -284,16 +231,12 @@
         if (candidates.length > 0 && candidates.every(candidate => this.tried.has(candidate.server.id))) {
             this.tried.clear();
         }
-        const shared = cachePlans.lastSharedPart(head.parts);
-        const wall = admission.customer?.isolated === true ? admission.customer.name : "";
-        const newest = this.ports.view.namedWeights().find(weights => weights.model === head.model)?.version;
+        const { cache } = admission;
         const demand: placement.Demand = {
-            affinityKey: shared === undefined ? undefined : `${wall}/${shared.id}`,
-            readers: shared === undefined || newest === undefined
-                ? NO_SERVERS
-                : this.partState(admission, newest, shared, now).servers,
-            sharedTokens: cachePlans.sharedTokens(head.parts),
-            ownTokens: Math.max(0, head.promptTokens - cachePlans.sharedTokens(head.parts)),
+            affinityKey: cache.affinityKey,
+            readers: cache.readers(now),
+            sharedTokens: cache.sharedTokens,
+            ownTokens: Math.max(0, head.promptTokens - cache.sharedTokens),
             outputTokens: head.expectedOutputTokens,
             tried: this.tried,
             dataCentre: this.ports.settings.dataCentre,
@@ -313,8 +256,8 @@
         if (this.attempts === 1) {
             budget.request(now);
         }
-        const cache = this.planCache(admission, choice, now);
-        const unread = Math.max(0, head.promptTokens - cache.cachedTokens);
+        const cached = admission.cache.useAt(candidate, now);
+        const unread = Math.max(0, head.promptTokens - cached.cachedTokens);
         this.log("call-placed", {
             backendServer: candidate.server.id,
             attempt: this.attempts,
@@ -322,17 +265,15 @@
             isHome: choice.isHome,
             calls: candidate.calls,
             unreadTokens: Math.round(candidate.unreadTokens),
-            cachedTokens: cache.cachedTokens,
-            part: cachePlans.lastSharedPart(head.parts)?.id,
-            fetchFrom: cache.plan?.fetchFrom,
-            saves: cache.plan?.saveTo !== undefined,
+            cachedTokens: cached.cachedTokens,
+            part: admission.cache.part,
+            fetchFrom: cached.plan?.fetchFrom,
+            saves: cached.plan?.saveTo !== undefined,
             weights: candidate.weightsVersion,
             configuration: this.ports.view.table?.configuration.version,
         });
         using use = this.ports.use.place(candidate.server.id, unread);
-        const missing = this.missingParts(admission, candidate, now);
-        const place = readingPlace(cache.scope ?? "", this.storeOf(cachePlans.lastSharedPart(head.parts)));
-        using reading = this.ports.readings.begin(place, missing, candidate.server.id, now);
+        using reading = admission.cache.beginReading(candidate, now);
         const exchange = new exchanges.Exchange(this.ports, {
             admission: { ...admission, priority: priorityOf(admission) },
             choice,
@@ -342,11 +283,11 @@
                 const readAt = this.ports.clock.now();
                 use.promptRead();
                 reading.finished(readAt);
-                this.noteCached(admission, candidate.server, cache, readAt);
+                admission.cache.noteRead(candidate.server, cached, readAt);
             },
             tokensAhead: candidate.unreadTokens + unread,
-            cacheScope: cache.scope,
-            cachePlan: cache.plan,
+            cacheScope: cached.scope,
+            cachePlan: cached.plan,
             hasAttemptLeft: this.ran + 1 < admission.route.maximumAttempts,
         });
         this.interrupt = () => exchange.abort();
@@ -357,43 +298,6 @@
         return end;
     }
 
-    /** Notes that a server holds the shared parts of the prompt, and saves them as planned. */
-    private noteCached(admission: Admission, server: fleet.BackendServer, cache: PlannedCache, now: number): void {
-        const { scope, plan } = cache;
-        if (scope === undefined) {
-            return;
-        }
-        for (const part of admission.head.parts.slice(0, -1)) {
-            this.ports.caches.noteHeld(scope, part.id, server.id, now);
-            if (plan?.saveTo !== undefined) {
-                this.ports.caches.noteSaved(scope, part.id, now);
-            }
-        }
-    }
-
-    /** Looks up the shared parts of the prompt for a server. */
-    private planCache(admission: Admission, choice: ServerChoice, now: number): PlannedCache {
-        const { head, customer } = admission;
-        const { candidate } = choice;
-        const shared = cachePlans.lastSharedPart(head.parts);
-        if (head.model === undefined || candidate.weightsVersion === undefined) {
-            return { scope: undefined, plan: undefined, cachedTokens: 0 };
-        }
-        const scope = cachePlans.cacheScope(head.model, candidate.weightsVersion, customer);
-        if (shared === undefined) {
-            return { scope, plan: undefined, cachedTokens: 0 };
-        }
-        const { caches } = this.ports;
-        const holders = caches.holders(scope, shared.id, now);
-        const holder = this.ports.view.listed().find(server => server.state === "ready" && holders.has(server.id));
-        const store = this.storeOf(shared);
-        const isInStore = store !== undefined && (caches.isInStore(store.address, scope, shared.id, now)
-            || this.partState(admission, candidate.weightsVersion, shared, now).isRead);
-        const plan = cachePlans.planCache({ store, isInStore, holder }, candidate);
-        const isCached = isInStore || holders.size > 0;
-        return { scope, plan, cachedTokens: isCached ? cachePlans.sharedTokens(head.parts) : 0 };
-    }
-
     /** Decides what follows an attempt that brought no answer. True when the call tries again. */
     private continueAfter(admission: Admission, choice: ServerChoice, end: exchanges.ExchangeEnd): boolean {
         if (end.kind === "answered" || this.isOver) {
@@ -551,11 +455,6 @@
     }
 }
 
-/** Parts that several last parts share are read once for each store. */
-function readingPlace(scope: string, store: fleet.CacheStore | undefined): string {
-    return `${scope} ${store?.address}`;
-}
-
 function priorityOf(admission: Admission): number {
     return admission.customer?.priority ?? admission.route.priority;
 }
--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -18,6 +18,7 @@
 export class CacheIndex {
     /** Parts by the address of the store; stores without an entry are not followed. */
     private readonly stored = new Map<string, Set<string>>();
+    /** Moment of saving, by store and part. */
     private readonly saved = new Map<string, number>();
     /** Moment at which a server last began to hold a part, by part and server. */
     private readonly held = new Map<string, Map<string, number>>();
@@ -57,8 +58,8 @@
     }
 
     /** A server has read the part and saves it to the store. */
-    noteSaved(scope: string, part: string, now: number): void {
-        const name = key(scope, part);
+    noteSaved(store: string, scope: string, part: string, now: number): void {
+        const name = `${store} ${key(scope, part)}`;
         this.saved.delete(name);
         this.saved.set(name, now);
         dropFirst(this.saved);
@@ -69,7 +70,7 @@
         const name = key(scope, part);
         const parts = this.stored.get(store);
         // A part that was just saved may not have shown up in the changes yet.
-        const savedAt = this.saved.get(name) ?? Number.NEGATIVE_INFINITY;
+        const savedAt = this.saved.get(`${store} ${name}`) ?? Number.NEGATIVE_INFINITY;
         return parts === undefined
             ? now - savedAt < STORE_RETENTION_MS
             : parts.has(name) || now - savedAt < SAVE_DELAY_MS;
--- a/src/quota/ledger.ts
+++ b/src/quota/ledger.ts
@@ -30,6 +30,11 @@
 
     constructor(private readonly settings: LedgerSettings) {}
 
+    /** Begins to count for customers, so that their buckets fill and the spending of peers is known before a call. */
+    follow(customers: readonly fleet.Customer[], now: number): void {
+        customers.filter(customer => customer.tokensPerSecond > 0).forEach(customer => this.bucket(customer, now));
+    }
+
     /** Charges a call. Returns 0 when it is admitted, otherwise the milliseconds after which it would be. */
     admit(customer: fleet.Customer, tokens: number, now: number): number {
         if (customer.tokensPerSecond <= 0) {
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -248,6 +248,7 @@
             if (this.view.adoptConfiguration(configuration)) {
                 this.server.setIdleTimeout(configuration.limits.idleTimeoutMs);
                 this.followStores(configuration.cacheStores);
+                this.quotas.follow(configuration.customers, this.clock.now());
                 this.journal.emit("configuration-in-force", {
                     version: configuration.version,
                     revision: copy.revision,
--- a/test/placement/cache.test.ts
+++ b/test/placement/cache.test.ts
@@ -44,7 +44,8 @@
 
 testing.test("a store that is not followed is estimated from what this entry had saved", () => {
     const index = new indexes.CacheIndex();
-    index.noteSaved("s", "p", 0);
+    index.noteSaved(STORE.address, "s", "p", 0);
+    assert.equal(index.isInStore("10.9.0.2:8000", "s", "p", 5000), false);
     assert.equal(index.isInStore(STORE.address, "s", "p", 5000), true);
     assert.equal(index.isInStore(STORE.address, "s", "p", 60_000), false);
 });
--- a/test/quota/ledger.test.ts
+++ b/test/quota/ledger.test.ts
@@ -140,3 +140,19 @@
     }
     assert.ok(spent <= RATE / 4 * 20 + BURST / 4 + OVERDRAFT, `${spent}`);
 });
+
+testing.test("guards against refusals at the first calls of a customer that has spent nothing", () => {
+    const ledger = new ledgers.QuotaLedger(SETTINGS);
+    ledger.follow([CUSTOMER], 0);
+    assert.equal(ledger.admit(CUSTOMER, BURST + OVERDRAFT, 2000), 0);
+    const unprepared = new ledgers.QuotaLedger(SETTINGS);
+    assert.ok(unprepared.admit(CUSTOMER, BURST + OVERDRAFT, 2000) > 0);
+});
+
+testing.test("guards against spending of peers that is not counted before the first own call", () => {
+    const ledger = new ledgers.QuotaLedger(SETTINGS);
+    ledger.follow([CUSTOMER], 0);
+    ledger.hear("peer", "run", { [CUSTOMER.name]: 0 }, 2000);
+    ledger.hear("peer", "run", { [CUSTOMER.name]: BURST + OVERDRAFT }, 2100);
+    assert.ok(ledger.admit(CUSTOMER, 200, 2100) > 0);
+});
