--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -125,11 +125,14 @@
         model: "m",
         promptTokens: 1460,
         maximumOutputTokens: 80,
+        expectedOutputTokens: 80,
         hasTokenCounts: true,
         parts: [{ id: "5c1e07a2", tokens: 800 }, { id: "91bd3f06", tokens: 410 }],
         resumeAfter: 12,
     });
     assert.equal(dialect.decodeCall({}), undefined);
+    const hinted = dialects.dialect.decodeCall({ "request-id": "r1", "token-count": "1460,80", "length-hint": "12" });
+    assert.deepEqual([hinted?.maximumOutputTokens, hinted?.expectedOutputTokens], [80, 12]);
 });
 
 testing.test("a refusal tells in seconds when to come back", () => {
