--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -18,9 +18,9 @@
 export class CacheIndex {
     /** Parts by the address of the store; stores without an entry are not followed. */
     private readonly stored = new Map<string, Set<string>>();
-    /** Moment of saving, by store and part. */
+    /** Moment at which a part was saved, by store and part. */
     private readonly saved = new Map<string, number>();
-    /** Moment at which a server last began to hold a part, by part and server. */
+    /** Moment at which a server last answered a call with a part, by part and server. */
     private readonly held = new Map<string, Map<string, number>>();
 
     /** Begins to follow a store whose content is unknown. */
@@ -76,7 +76,7 @@
             : parts.has(name) || now - savedAt < SAVE_DELAY_MS;
     }
 
-    /** Servers that answered a call of this entry with the part of late. */
+    /** Servers that lately answered a call of this entry with the part. */
     holders(scope: string, part: string, now: number): types.Holders {
         const servers = this.held.get(key(scope, part));
         if (servers === undefined) {
--- a/src/weights/turn.ts
+++ b/src/weights/turn.ts
@@ -13,7 +13,7 @@
 /** Time in milliseconds on older weights after which a server moves without waiting for the others. */
 const LONGEST_WAIT_MS = 5500;
 
-/** Longest time in milliseconds that a server winds down before it moves without waiting for the others. */
+/** Last part of that time in milliseconds, in which the server winds down. */
 const LAST_WIND_DOWN_MS = 800;
 
 /**
