--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -16,6 +16,20 @@
         .map(scored => scored.node);
 }
 
+/** The first node in the order of `rank`, without sorting; undefined without nodes. */
+export function best<Candidate extends Node>(key: string, nodes: readonly Candidate[]): Candidate | undefined {
+    let winner: Candidate | undefined;
+    let highest = Number.NEGATIVE_INFINITY;
+    for (const node of nodes) {
+        const current = node.weight > 0 ? score(key, node) : Number.NEGATIVE_INFINITY;
+        if (current > highest || winner !== undefined && current === highest && node.id < winner.id) {
+            winner = node;
+            highest = current;
+        }
+    }
+    return winner;
+}
+
 /** Score of a node for a key; the highest one wins. */
 export function score(key: string, node: Node): number {
     return -node.weight / Math.log(hashing.unitHash(`${key}\u0000${node.id}`));
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -21,6 +21,8 @@
     readonly timeoutMs: number;
     /** Latency target in milliseconds: until the response or, for streams, until the first event. */
     readonly targetLatencyMs: number;
+    /** Longest pause in milliseconds between two events for which a stream is on time; 0 for other calls. */
+    readonly targetGapMs: number;
     /** Maximum number of servers that may run one call. */
     readonly maximumAttempts: number;
     /** 0 is the most urgent. */
--- a/src/forwarding/call-queue.ts
+++ b/src/forwarding/call-queue.ts
@@ -9,6 +9,11 @@
     /** 0 is the most urgent. */
     readonly priority: number;
     readonly arrivedAt: number;
+    /**
+     * Calls with the same requirements can be placed only under the same conditions, so that a pass tries one of them.
+     * Undefined for a call whose requirements are its own, such as one that has already tried some servers.
+     */
+    readonly requirements: string | undefined;
     /** Tries to place the call; false keeps it waiting. */
     readonly tryPlace: () => boolean;
     /** Called when the call leaves the queue without a server. */
@@ -24,23 +29,30 @@
     }
 
     enqueue(call: QueuedCall): void {
-        const index = this.calls.findIndex(other => isBefore(call, other));
-        this.calls.splice(index < 0 ? this.calls.length : index, 0, call);
+        this.calls.splice(this.positionOf(call), 0, call);
     }
 
     remove(call: QueuedCall): void {
-        this.calls = this.calls.filter(other => other !== call);
+        const index = this.calls.indexOf(call);
+        if (index >= 0) {
+            this.calls.splice(index, 1);
+        }
     }
 
     /** Tries to place each call in order, and removes the calls whose wait has timed out. */
     dispatch(now: number): void {
+        const unplaceable = new Set<string>();
         const pending = this.calls;
         this.calls = [];
         const remaining: QueuedCall[] = [];
         for (const call of pending) {
-            if (call.tryPlace()) {
+            const isUnplaceable = call.requirements !== undefined && unplaceable.has(call.requirements);
+            if (!isUnplaceable && call.tryPlace()) {
                 continue;
             }
+            if (call.requirements !== undefined) {
+                unplaceable.add(call.requirements);
+            }
             if (now >= call.timeoutAt) {
                 call.onTimeout();
                 continue;
@@ -52,6 +64,22 @@
         this.calls = remaining;
         added.forEach(call => this.enqueue(call));
     }
+
+    /** Position behind all calls that go before this one or are of equal order, by binary search. */
+    private positionOf(call: QueuedCall): number {
+        let low = 0;
+        let high = this.calls.length;
+        while (low < high) {
+            const middle = Math.floor((low + high) / 2);
+            if (isBefore(call, this.calls[middle]!)) {
+                high = middle;
+            }
+            else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
 }
 
 function isBefore(left: QueuedCall, right: QueuedCall): boolean {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -13,11 +13,8 @@
 import * as promptCacheAccess from "./prompt-cache-access.js";
 import * as retries from "./retry-decision.js";
 import type * as types from "./types.js";
+import * as waitLimits from "./wait-limit.js";
 
-/** Longest wait for a server, as a share of the time from the arrival of the call to its deadline. */
-const QUEUE_WAIT_SHARE = 0.4;
-/** Longest wait for a server in milliseconds. */
-const MAXIMUM_QUEUE_WAIT_MS = 1000;
 /** Retry delay in milliseconds for the caller, by the reason why no server is available. */
 const RETRY_AFTER_MS: Readonly<Record<placement.UnplacedReason, number>> = {
     "no-server": 500,
@@ -172,20 +169,20 @@
             return firstChoice.kind === "server" ? firstChoice : undefined;
         }
         const now = this.ports.clock.now();
-        const waitMs = Math.min(MAXIMUM_QUEUE_WAIT_MS, QUEUE_WAIT_SHARE * (admission.deadlineAt - this.arrivedAt));
-        const timeoutAt = Math.max(now, this.arrivedAt + waitMs);
+        const timeoutAt = this.waitEndsAt(admission, now);
         let reason: placement.UnplacedReason = firstChoice.kind === "none" ? firstChoice.reason : "all-full";
         this.log("call-waits", {
             reason,
             waiting: queue.size,
             service: admission.service,
-            limitMs: Math.round(waitMs),
+            limitMs: Math.round(timeoutAt - now),
         });
         return new Promise(resolve => {
             const queuedCall = {
                 priority: priorityOf(admission),
                 arrivedAt: this.arrivedAt,
                 timeoutAt,
+                requirements: this.triedServers.size === 0 ? admission.head.model ?? "" : undefined,
                 tryPlace: () => {
                     const choice = this.choose(admission);
                     if (choice.kind === "none") {
@@ -208,6 +205,22 @@
         });
     }
 
+    /** Time until which the call waits for a server. */
+    private waitEndsAt(admission: Admission, now: number): number {
+        return waitLimits.waitEndsAt(
+            {
+                kind: admission.route.kind,
+                arrivedAt: this.arrivedAt,
+                deadlineAt: admission.deadlineAt,
+                executedAttempts: this.executedAttempts,
+                lastProgressAt: this.callerResponse.lastEventAt ?? this.arrivedAt,
+                targetLatencyMs: admission.route.targetLatencyMs,
+                targetGapMs: admission.route.targetGapMs,
+            },
+            now,
+        );
+    }
+
     /** Chooses a server, after a short wait for shared parts that are being prefilled for another call. */
     private async chooseAfterPrefill(admission: Admission): Promise<placement.PlacementDecision> {
         let choice = this.choose(admission);
--- a/src/forwarding/caller-response.ts
+++ b/src/forwarding/caller-response.ts
@@ -23,6 +23,8 @@
     startedAt: number | undefined;
     /** Id of the last event that was relayed. */
     lastEventId: number | undefined;
+    /** Time at which the last event was relayed. */
+    lastEventAt: number | undefined;
     private hasEnded = false;
 
     constructor(private readonly response: http.ServerResponse, private readonly ports: CallerResponsePorts) {}
@@ -66,6 +68,7 @@
 
     /** Writes stream data. Returns false when the write buffer is full; continue after `onDrain`. */
     write(bytes: Buffer): boolean {
+        this.lastEventAt = this.ports.clock.now();
         return this.response.write(bytes);
     }
 
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -1,22 +1,23 @@
 /** An entry's view of the deployment: configuration, servers, weights, agent reports and heartbeats of peers. */
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
-import type * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLoads from "../placement/server-load.js";
 import type * as placement from "../placement/types.js";
 import * as desiredVersions from "../weights/desired-versions.js";
 
-/** Maximum age in milliseconds of a heartbeat from which the load of a peer's calls is used. */
-const MAXIMUM_LOAD_AGE_MS = 1000;
 /** Maximum age in milliseconds of a heartbeat from which an agent's report on its server is used. */
 const MAXIMUM_REPORT_AGE_MS = 2500;
 /** Assumed age in milliseconds of the weights versions that the entry finds when it starts. */
 const INITIAL_WEIGHTS_AGE_MS = 3000;
 
+interface ReceivedReport {
+    readonly report: peering.ServerReport;
+    readonly receivedAt: number;
+}
+
 export interface ViewPorts {
-    readonly members: memberTables.MemberTable;
     readonly serverLoad: serverLoads.ServerLoadTracker;
     readonly serverHealth: serverHealth.ServerHealth;
 }
@@ -24,6 +25,9 @@
 export class FleetView {
     private routing: routingTables.RoutingTable | undefined;
     private servers: readonly fleet.BackendServer[] = [];
+    private serversByService: ReadonlyMap<string, readonly fleet.BackendServer[]> = new Map();
+    /** Latest report of each agent by the address of its server. */
+    private readonly reports = new Map<string, ReceivedReport>();
     private hasServers = false;
     private readonly histories = new Map<string, desiredVersions.DesiredVersionHistory>();
     /** Weights versions from response headers, by server id. */
@@ -53,15 +57,20 @@
 
     /** Replaces the list of servers. Earlier incarnations at the address of a later one are left out. */
     updateServers(servers: readonly fleet.BackendServer[]): void {
-        this.servers = servers.filter(server => !servers.some(other => isLaterIncarnation(other, server)));
+        this.servers = latestIncarnations(servers);
+        this.serversByService = groupByService(this.servers);
         this.hasServers = true;
         const ids = new Set(servers.map(server => server.id));
+        const addresses = new Set(servers.map(server => server.address));
         this.ports.serverHealth.retain(ids);
-        for (const id of this.observedVersions.keys()) {
-            if (!ids.has(id)) {
-                this.observedVersions.delete(id);
-            }
-        }
+        retain(this.observedVersions, ids);
+        retain(this.mismatchedUntil, ids);
+        retain(this.reports, addresses);
+    }
+
+    /** Records an agent's report of its server. */
+    applyReport(report: peering.ServerReport, now: number): void {
+        this.reports.set(report.address, { report, receivedAt: now });
     }
 
     /** Records desired weights. Returns true if their version is newer than the known ones. */
@@ -94,17 +103,9 @@
 
     /** Servers of a service with their current load and state, as input for server selection. */
     candidates(service: string, model: string | undefined, now: number): readonly placement.Candidate[] {
-        const reports = new Map(
-            this.ports.members.recentHeartbeats(now, MAXIMUM_REPORT_AGE_MS).flatMap(({ heartbeat }) => {
-                return heartbeat.report === undefined ? [] : [[heartbeat.report.address, heartbeat.report] as const];
-            }),
-        );
-        const entryHeartbeats = this.entryHeartbeats(now);
         const modelOfWeights = this.servesModels(service) ? model : undefined;
-        return this.servers.filter(server => server.service === service).map(server => {
-            const report = reports.get(server.address);
-            return this.candidate(server, report, modelOfWeights, entryHeartbeats, now);
-        });
+        const servers = this.serversByService.get(service) ?? [];
+        return servers.map(server => this.candidate(server, modelOfWeights, now));
     }
 
     /** False for a service without engines. Its callers may name a model as well, but no weights are compared. */
@@ -113,23 +114,12 @@
         return knownService === undefined || knownService.engine !== undefined;
     }
 
-    /** Recent heartbeats of the other entries. */
-    entryHeartbeats(now: number): readonly peering.Heartbeat[] {
-        return this.ports.members.recentHeartbeats(now, MAXIMUM_LOAD_AGE_MS).map(({ heartbeat }) => heartbeat)
-            .filter(heartbeat => heartbeat.member.role === "entry");
-    }
-
-    private candidate(
-        server: fleet.BackendServer,
-        reportAtAddress: peering.ServerReport | undefined,
-        model: string | undefined,
-        entryHeartbeats: readonly peering.Heartbeat[],
-        now: number,
-    ): placement.Candidate {
+    private candidate(server: fleet.BackendServer, model: string | undefined, now: number): placement.Candidate {
+        const reportAtAddress = this.recentReport(server.address, now);
         const report = isSameIncarnation(server, reportAtAddress) ? reportAtAddress : undefined;
         const hasLaterIncarnation = reportAtAddress !== undefined &&
             isLaterStart(reportAtAddress.startedAt, server.startedAt);
-        const load = this.ports.serverLoad.totalLoad(server.id, entryHeartbeats);
+        const load = this.ports.serverLoad.totalLoad(server.id, now);
         const isDead = report !== undefined && !report.isAlive || hasLaterIncarnation;
         const weightsVersion = model === undefined ? undefined : this.weightsVersionOf(server, report, model);
         const history = model === undefined ? undefined : this.histories.get(model);
@@ -146,6 +136,13 @@
         };
     }
 
+    private recentReport(address: string, now: number): peering.ServerReport | undefined {
+        const received = this.reports.get(address);
+        return received !== undefined && now - received.receivedAt <= MAXIMUM_REPORT_AGE_MS
+            ? received.report
+            : undefined;
+    }
+
     /** Version from the report of the server's agent; without one, the newest version from registry and responses. */
     private weightsVersionOf(
         server: fleet.BackendServer,
@@ -164,14 +161,40 @@
     }
 }
 
+function groupByService(
+    servers: readonly fleet.BackendServer[],
+): ReadonlyMap<string, readonly fleet.BackendServer[]> {
+    const groups = new Map<string, fleet.BackendServer[]>();
+    for (const server of servers) {
+        const group = groups.get(server.service) ?? [];
+        group.push(server);
+        groups.set(server.service, group);
+    }
+    return groups;
+}
+
+function retain(records: Map<string, unknown>, keys: ReadonlySet<string>): void {
+    for (const key of records.keys()) {
+        if (!keys.has(key)) {
+            records.delete(key);
+        }
+    }
+}
+
 /** Whether a report is about this incarnation of the server. Incarnations with an unknown start count as the same. */
 function isSameIncarnation(server: fleet.BackendServer, report: peering.ServerReport | undefined): boolean {
     return report?.startedAt === undefined || server.startedAt === undefined || report.startedAt === server.startedAt;
 }
 
-/** Whether `other` is a later incarnation at the same address. The registry lists the earlier one for some seconds. */
-function isLaterIncarnation(other: fleet.BackendServer, server: fleet.BackendServer): boolean {
-    return other.address === server.address && isLaterStart(other.startedAt, server.startedAt);
+/** Leaves out the earlier incarnations at an address. The registry lists them for some seconds. */
+function latestIncarnations(servers: readonly fleet.BackendServer[]): readonly fleet.BackendServer[] {
+    const latestStart = new Map<string, number>();
+    for (const { address, startedAt } of servers) {
+        if (isLaterStart(startedAt, latestStart.get(address) ?? Number.NEGATIVE_INFINITY)) {
+            latestStart.set(address, startedAt!);
+        }
+    }
+    return servers.filter(server => !isLaterStart(latestStart.get(server.address), server.startedAt));
 }
 
 function isLaterStart(start: number | undefined, other: number | undefined): boolean {
--- a/src/forwarding/prompt-cache-access.ts
+++ b/src/forwarding/prompt-cache-access.ts
@@ -93,10 +93,12 @@
         if (scope === undefined) {
             return;
         }
+        const uniqueTokens = this.head.parts.at(-1)?.tokens ?? 0;
         for (const part of this.head.parts.slice(0, -1)) {
             this.ports.cacheIndex.recordServerHit(scope, part.id, server.id, now);
             if (plan?.saveTo !== undefined) {
-                this.ports.cacheIndex.recordStoreSave(plan.saveTo, scope, part.id, now);
+                const savedTokens = part.tokens + (part === this.lastSharedPart ? uniqueTokens : 0);
+                this.ports.cacheIndex.recordStoreSave(plan.saveTo, scope, part.id, savedTokens, now);
             }
         }
     }
@@ -117,12 +119,7 @@
     }
 
     private prefillState(part: fleet.PromptPart, version: number, now: number): prefills.PrefillState {
-        return this.ports.prefills.stateOf(
-            this.storeScope(version),
-            part.id,
-            this.ports.view.entryHeartbeats(now),
-            now,
-        );
+        return this.ports.prefills.stateOf(this.storeScope(version), part.id, now);
     }
 
     /** Shared parts that, as far as is known, are missing in the store. */
--- a/src/forwarding/retry-decision.ts
+++ b/src/forwarding/retry-decision.ts
@@ -34,8 +34,11 @@
  */
 export type RetryDecision = "retry" | "fail-not-run" | "fail-unknown" | "pass-answer";
 
-/** Unexecuted attempts after which the call fails; more of them would only add load when all servers are full. */
-const MAXIMUM_UNEXECUTED_ATTEMPTS = 4;
+/**
+ * Unexecuted attempts after which the call fails; more of them would only add load when all servers are full. A call that
+ * has run gets more, since it cannot be refused as not run any more.
+ */
+const MAXIMUM_UNEXECUTED_ATTEMPTS = { beforeRun: 4, afterRun: 10 } as const;
 /** Time in milliseconds below which another attempt cannot complete before the deadline. */
 const MINIMUM_REMAINING_MS = 30;
 
@@ -53,8 +56,8 @@
 };
 
 function decideUnexecuted(history: AttemptHistory, isAllowed: boolean): RetryDecision {
-    const canRetry = isAllowed && history.unexecutedAttempts < MAXIMUM_UNEXECUTED_ATTEMPTS &&
-        history.remainingMs > MINIMUM_REMAINING_MS;
+    const limit = MAXIMUM_UNEXECUTED_ATTEMPTS[history.executedAttempts === 0 ? "beforeRun" : "afterRun"];
+    const canRetry = isAllowed && history.unexecutedAttempts < limit && history.remainingMs > MINIMUM_REMAINING_MS;
     if (canRetry) {
         return "retry";
     }
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -1,7 +1,10 @@
 /** Encodes heartbeats as JSON arrays without keys, which keeps the frequent traffic between data centres small. */
 import type * as types from "./types.js";
 
-/** Incremented with each change of the layout: processes ignore heartbeats of another layout version. */
+/**
+ * Processes ignore heartbeats of another layout version. Elements that are appended keep the version: older processes
+ * ignore them, and the decoder accepts heartbeats without them, so that a rolling restart needs no interruption.
+ */
 const LAYOUT_VERSION = 3;
 
 type HeartbeatTuple = readonly [
@@ -23,6 +26,8 @@
     desiredWeights: readonly (readonly [model: string, version: number, revision: number])[],
     /** 0 for an entry. */
     report: ReportTuple | 0,
+    /** Alternating part hashes and tokens. */
+    savedParts?: readonly number[],
 ];
 
 type ReportTuple = readonly [
@@ -57,6 +62,7 @@
         heartbeat.prefills.map(({ partHash, server, isComplete }) => [partHash, server, isComplete ? 1 : 0]),
         heartbeat.desiredWeights.map(({ model, version, revision }) => [model, version, revision]),
         report === undefined ? 0 : encodeReport(report),
+        heartbeat.savedParts.flatMap(({ partHash, tokens }) => [partHash, tokens]),
     ];
     return Buffer.from(JSON.stringify(tuple));
 }
@@ -74,15 +80,24 @@
 }
 
 function fromTuple(tuple: HeartbeatTuple): types.Heartbeat {
-    const [, name, role, beatAddress, documentAddress, serverAddress, incarnation, sequence, isLeaving] = tuple;
-    const [changeRevisions, spentTokens, serverLoads, prefills, desiredWeights, report] = [
-        tuple[9],
-        tuple[10],
-        tuple[11],
-        tuple[12],
-        tuple[13],
-        tuple[14],
-    ];
+    const [
+        ,
+        name,
+        role,
+        beatAddress,
+        documentAddress,
+        serverAddress,
+        incarnation,
+        sequence,
+        isLeaving,
+        changeRevisions,
+        spentTokens,
+        serverLoads,
+        prefills,
+        desiredWeights,
+        report,
+        savedParts = [],
+    ] = tuple;
     return {
         member: {
             name,
@@ -106,9 +121,15 @@
         })),
         desiredWeights: desiredWeights.map(([model, version, revision]) => ({ model, version, revision })),
         report: report === 0 ? undefined : decodeReport(report),
+        savedParts: decodeSavedParts(savedParts),
     };
 }
 
+function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
+    const hashes = values.filter((_, index) => index % 2 === 0);
+    return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
+}
+
 function encodeReport(report: types.ServerReport): ReportTuple {
     return [
         report.address,
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -13,7 +13,7 @@
  * sending rate of a process stays constant.
  */
 const MAXIMUM_PEERS_AT_BASE_PERIOD = 40;
-/** Time in milliseconds without a heartbeat after which a peer is logged as silent; several periods. */
+/** Time in milliseconds without a heartbeat after which a peer is logged as silent, at the base period. */
 const PEER_SILENCE_MS = 2500;
 
 export interface HeartbeatPorts {
@@ -58,10 +58,15 @@
         await new Promise<void>(resolve => this.socket.close(resolve));
     }
 
+    /** Factor by which the periods are longer than the configured ones. */
+    get periodFactor(): number {
+        return Math.max(1, this.ports.members.peers().length / MAXIMUM_PEERS_AT_BASE_PERIOD);
+    }
+
     private tick(): void {
         const now = this.ports.clock.now();
         const peers = this.ports.members.peers();
-        const periodFactor = Math.max(1, peers.length / MAXIMUM_PEERS_AT_BASE_PERIOD);
+        const { periodFactor } = this;
         const due = peers.filter(peer => {
             const sentAt = this.lastSentAt.get(peer.name) ?? Number.NEGATIVE_INFINITY;
             return now - sentAt > this.ports.periodMs(peer) * periodFactor - TICK_MS / 2;
@@ -97,18 +102,18 @@
         if (!this.ports.members.receive(heartbeat, now)) {
             return;
         }
-        if (
-            previous?.heartbeat.incarnation !== heartbeat.incarnation || this.silentPeers.delete(heartbeat.member.name)
-        ) {
+        const wasSilent = this.silentPeers.delete(heartbeat.member.name);
+        if (previous?.heartbeat.incarnation !== heartbeat.incarnation || wasSilent) {
             this.ports.journal.emit("peer-heard", { peer: heartbeat.member.name, incarnation: heartbeat.incarnation });
         }
         this.ports.onHeartbeat(heartbeat, now);
     }
 
     private logSilentPeers(now: number): void {
+        const silenceMs = PEER_SILENCE_MS * this.periodFactor;
         for (const member of this.ports.members.peers()) {
             const last = this.ports.members.lastHeartbeat(member.name);
-            if (last !== undefined && now - last.receivedAt > PEER_SILENCE_MS && !this.silentPeers.has(member.name)) {
+            if (last !== undefined && now - last.receivedAt > silenceMs && !this.silentPeers.has(member.name)) {
                 this.silentPeers.add(member.name);
                 this.ports.journal.emit("peer-silent", {
                     peer: member.name,
@@ -124,5 +129,5 @@
  * its size.
  */
 function withoutEntryState(heartbeat: types.Heartbeat): types.Heartbeat {
-    return { ...heartbeat, changeRevisions: {}, spentTokens: {}, serverLoads: {}, prefills: [] };
+    return { ...heartbeat, changeRevisions: {}, spentTokens: {}, serverLoads: {}, prefills: [], savedParts: [] };
 }
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -32,6 +32,14 @@
     readonly isComplete: boolean;
 }
 
+/** A prompt part that a server saved to a cache store. */
+export interface SavedPart {
+    /** Hash of the store, the scope under which the part is cached, and the part. */
+    readonly partHash: number;
+    /** Tokens that the store received with the part, those of the call's unique part included. */
+    readonly tokens: number;
+}
+
 export interface LoadedWeights {
     readonly model: string;
     readonly version: number;
@@ -80,6 +88,8 @@
     readonly serverLoads: Readonly<Record<string, ServerLoad>>;
     /** Prefills in progress or just completed for calls of this process; entries only. */
     readonly prefills: readonly Prefill[];
+    /** Parts just saved to cache stores for calls of this process; entries only. */
+    readonly savedParts: readonly SavedPart[];
     readonly desiredWeights: readonly DesiredWeights[];
     /** Agents only. */
     readonly report: ServerReport | undefined;
--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -1,4 +1,6 @@
 /** Index of cached prompt parts: those in cache stores and those in the memory of servers. */
+import * as hashing from "../core/hashing.js";
+import type * as peering from "../peering/types.js";
 import type * as types from "./types.js";
 
 /**
@@ -6,10 +8,21 @@
  * within seconds.
  */
 const SERVER_RETENTION_MS = 2500;
-/** Time in milliseconds for which a part is assumed to remain in a store that is not followed. */
-const STORE_RETENTION_MS = 12_000;
+/** Time in milliseconds for which a part is assumed to remain in a store that is not followed, if nothing evicts it. */
+const STORE_RETENTION_MS = 60_000;
+/** Time in milliseconds from the end of a part's prefill until the store's change feed shows the part. */
+const SAVE_DELAY_MS = 600;
+/** Time in milliseconds for which heartbeats announce a save, so that a single lost datagram does not hide it. */
+const ANNOUNCEMENT_MS = 1200;
 /** Size limit of each map; the largest deployment has about ten thousand parts in use. */
 const MAXIMUM_TRACKED_PARTS = 50_000;
+const NO_SERVERS: types.ServerIds = new Set();
+
+interface Save {
+    /** Tokens saved until then, by all entries, this part included. */
+    readonly position: number;
+    readonly savedAt: number;
+}
 
 /** A part stored in or evicted from a cache store. */
 export interface CacheChange {
@@ -21,8 +34,13 @@
 export class CacheIndex {
     /** Parts by store address; a store without an entry is not followed. */
     private readonly partsByStore = new Map<string, Set<string>>();
-    /** Time at which a part was last saved, by store and part. */
-    private readonly savedAt = new Map<string, number>();
+    /** Parts that this entry or a peer saved, by part hash, the oldest first. */
+    private readonly saves = new Map<number, Save>();
+    private savedTokens = 0;
+    /** Capacity of all stores together in tokens. */
+    private capacityTokens = Number.POSITIVE_INFINITY;
+    /** Saves of this entry's calls, for its heartbeats. */
+    private announcements: readonly (peering.SavedPart & { readonly savedAt: number; })[] = [];
     /** Time at which a server last responded to a call with a part, by part and server. */
     private readonly lastHitAt = new Map<string, Map<string, number>>();
 
@@ -63,23 +81,48 @@
         evictOldest(this.lastHitAt);
     }
 
-    /** Records that a server has prefilled the part and saves it to the store. */
-    recordStoreSave(store: string, scope: string, part: string, now: number): void {
-        const key = `${store} ${cacheKey(scope, part)}`;
-        this.savedAt.delete(key);
-        this.savedAt.set(key, now);
-        evictOldest(this.savedAt);
+    /** Sets the capacity of all stores together in tokens, which bounds how many saved parts they can still hold. */
+    setCapacity(tokens: number): void {
+        this.capacityTokens = tokens;
+    }
+
+    /** Records that a server has prefilled the part for a call of this entry and saves `tokens` with it to the store. */
+    recordStoreSave(store: string, scope: string, part: string, tokens: number, now: number): void {
+        const partHash = savedPartHash(store, scope, part);
+        this.announcements = [...this.announcements, { partHash, tokens, savedAt: now }];
+        this.recordSave(partHash, tokens, now);
+    }
+
+    /** Saves of this entry's calls in the last moments, for the next heartbeat. */
+    announcedSaves(now: number): readonly peering.SavedPart[] {
+        this.announcements = this.announcements.filter(({ savedAt }) => now - savedAt < ANNOUNCEMENT_MS);
+        return this.announcements.map(({ partHash, tokens }) => ({ partHash, tokens }));
     }
 
-    /** The store holds the part, as far as this entry knows. */
+    /** Records the saves that a peer announces. Entries that do not follow a store know its content from them. */
+    applyPeerSaves(parts: readonly peering.SavedPart[], now: number): void {
+        for (const { partHash, tokens } of parts) {
+            const known = this.saves.get(partHash);
+            if (known === undefined || now - known.savedAt >= ANNOUNCEMENT_MS) {
+                this.recordSave(partHash, tokens, now);
+            }
+        }
+    }
+
+    /**
+     * The store holds the part, as far as this entry knows. The content of a store that is not followed is estimated: it
+     * evicts a part at the earliest when as many tokens as it can hold have been saved after the part.
+     */
     isInStore(store: string, scope: string, part: string, now: number): boolean {
-        const key = cacheKey(scope, part);
         const parts = this.partsByStore.get(store);
-        // A part that was just saved may not have appeared in the change feed yet.
-        const savedAt = this.savedAt.get(`${store} ${key}`) ?? Number.NEGATIVE_INFINITY;
-        return parts === undefined
-            ? now - savedAt < STORE_RETENTION_MS
-            : parts.has(key) || now - savedAt < SAVE_DELAY_MS;
+        const save = this.saves.get(savedPartHash(store, scope, part));
+        const ageMs = now - (save?.savedAt ?? Number.NEGATIVE_INFINITY);
+        if (parts !== undefined) {
+            // A part that was just saved may not have appeared in the change feed yet.
+            return parts.has(cacheKey(scope, part)) || ageMs < SAVE_DELAY_MS;
+        }
+        return save !== undefined && ageMs < STORE_RETENTION_MS
+            && this.savedTokens - save.position < this.capacityTokens;
     }
 
     /** Servers that recently responded to a call of this entry with the part. */
@@ -90,17 +133,25 @@
         }
         return new Set([...servers].filter(([, at]) => now - at < SERVER_RETENTION_MS).map(([server]) => server));
     }
+
+    private recordSave(partHash: number, tokens: number, now: number): void {
+        this.savedTokens += tokens;
+        // Re-inserting the key keeps the map in the order of the saves.
+        this.saves.delete(partHash);
+        this.saves.set(partHash, { position: this.savedTokens, savedAt: now });
+        evictOldest(this.saves);
+    }
 }
 
-/** Time in milliseconds from the end of a part's prefill until the store's change feed shows the part. */
-const SAVE_DELAY_MS = 600;
-const NO_SERVERS: types.ServerIds = new Set();
+function savedPartHash(store: string, scope: string, part: string): number {
+    return hashing.hash32(`${store} ${scope} ${part}`);
+}
 
 function cacheKey(scope: string, part: string): string {
     return `${scope} ${part}`;
 }
 
-function evictOldest(map: Map<string, unknown>): void {
+function evictOldest<Key>(map: Map<Key, unknown>): void {
     if (map.size > MAXIMUM_TRACKED_PARTS) {
         map.delete(map.keys().next().value!);
     }
--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -27,7 +27,7 @@
 /** Assigns each part to one store by rendezvous hashing, so that the stores pool their capacity. */
 export function storeForPart(part: string, stores: readonly fleet.CacheStore[]): fleet.CacheStore | undefined {
     const nodes = stores.map(store => ({ id: store.address, weight: Math.max(1, store.memoryTokens), store }));
-    return rendezvous.rank(part, nodes)[0]?.store;
+    return rendezvous.best(part, nodes)?.store;
 }
 
 /** Number of tokens in the parts that calls share, which are all but the final one. */
--- a/src/placement/prefills.ts
+++ b/src/placement/prefills.ts
@@ -14,6 +14,8 @@
 const MAXIMUM_PREFILL_MS = 2000;
 /** Time in milliseconds from the end of a prefill until all entries learn from the store's change feed that it has the part. */
 const SAVE_DELAY_MS = 600;
+/** Time in milliseconds after which the prefills that a silent peer reported no longer count. */
+const MAXIMUM_HEARTBEAT_AGE_MS = 1000;
 
 /** Records the progress of the prefill of a call's parts at a server. */
 export interface PrefillHandle extends Disposable {
@@ -29,13 +31,17 @@
     readonly isComplete: boolean;
 }
 
-interface OwnPrefill {
+interface PrefillRecord {
     readonly entries: readonly peering.Prefill[];
     readonly endsAt: number;
 }
 
 export class PrefillTracker {
-    private readonly own = new Map<object, OwnPrefill>();
+    private readonly own = new Map<object, PrefillRecord>();
+    /** Prefills of the peers' calls, by peer. */
+    private readonly peers = new Map<string, PrefillRecord>();
+    /** The prefills of this entry and its peers by the hash of their part. */
+    private readonly byPart = new Map<number, Set<PrefillRecord>>();
 
     /**
      * Records that a server starts to prefill parts that no store has. Disposing of the result before it is complete
@@ -48,7 +54,7 @@
         const record = (isComplete: boolean, endsAt: number) => {
             const entries = large.map(part => ({ partHash: hashOf(scope, part.id), server, isComplete }));
             if (entries.length > 0) {
-                this.own.set(identity, { entries, endsAt });
+                this.replace(this.own, identity, { entries, endsAt });
             }
         };
         record(false, now + MAXIMUM_PREFILL_MS);
@@ -59,34 +65,70 @@
             },
             [Symbol.dispose]: () => {
                 if (!isCompleted) {
-                    this.own.delete(identity);
+                    this.remove(this.own, identity);
                 }
             },
         };
     }
 
+    /** Replaces the prefills of a peer with those of its latest heartbeat. */
+    applyPeer(peer: string, entries: readonly peering.Prefill[], now: number): void {
+        this.remove(this.peers, peer);
+        if (entries.length > 0) {
+            this.replace(this.peers, peer, { entries, endsAt: now + MAXIMUM_HEARTBEAT_AGE_MS });
+        }
+    }
+
     /** Prefills of this entry's calls, for the next heartbeat. */
     snapshot(now: number): readonly peering.Prefill[] {
         for (const [identity, { endsAt }] of this.own) {
             if (now >= endsAt) {
-                this.own.delete(identity);
+                this.remove(this.own, identity);
             }
         }
         return [...this.own.values()].flatMap(({ entries }) => entries);
     }
 
     /** State of a part, from the calls of this entry and the heartbeats of its peers. */
-    stateOf(scope: string, part: string, heartbeats: readonly peering.Heartbeat[], now: number): PrefillState {
+    stateOf(scope: string, part: string, now: number): PrefillState {
         const hash = hashOf(scope, part);
-        const all = [...this.snapshot(now), ...heartbeats.flatMap(heartbeat => heartbeat.prefills)];
-        const matching = all.filter(prefill => prefill.partHash === hash);
+        const records = this.byPart.get(hash);
+        if (records === undefined) {
+            return NO_PREFILL;
+        }
+        const current = [...records].filter(record => now < record.endsAt);
+        const matching = current.flatMap(({ entries }) => entries.filter(prefill => prefill.partHash === hash));
         return {
             servers: new Set(matching.map(prefill => prefill.server)),
             isComplete: matching.some(prefill => prefill.isComplete),
         };
     }
+
+    private replace<Key>(records: Map<Key, PrefillRecord>, key: Key, record: PrefillRecord): void {
+        this.remove(records, key);
+        records.set(key, record);
+        for (const { partHash } of record.entries) {
+            const known = this.byPart.get(partHash) ?? new Set();
+            known.add(record);
+            this.byPart.set(partHash, known);
+        }
+    }
+
+    private remove<Key>(records: Map<Key, PrefillRecord>, key: Key): void {
+        const record = records.get(key);
+        records.delete(key);
+        for (const { partHash } of record?.entries ?? []) {
+            const known = this.byPart.get(partHash);
+            known?.delete(record!);
+            if (known?.size === 0) {
+                this.byPart.delete(partHash);
+            }
+        }
+    }
 }
 
+const NO_PREFILL: PrefillState = { servers: new Set(), isComplete: false };
+
 function hashOf(scope: string, part: string): number {
     return hashing.hash32(`${scope} ${part}`);
 }
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -99,7 +99,7 @@
         return undefined;
     }
     const nodes = ready.map(candidate => ({ id: candidate.server.id, weight: 1, candidate }));
-    return rendezvous.rank(request.affinityKey, nodes)[0]?.candidate;
+    return rendezvous.best(request.affinityKey, nodes)?.candidate;
 }
 
 function costMs(
--- a/src/quota/ledger.ts
+++ b/src/quota/ledger.ts
@@ -8,8 +8,11 @@
 export interface LedgerSettings {
     /** Tokens that all entries together may spend beyond rate and burst. */
     readonly overdraftTokens: number;
-    /** Time in milliseconds without a heartbeat after which a peer is unreachable and its spending unknown. */
-    readonly silenceMs: number;
+    /**
+     * Time in milliseconds without a heartbeat after which a peer is unreachable and its spending unknown. Several
+     * periods of the heartbeats, which grow with the number of processes.
+     */
+    readonly silenceMs: () => number;
     /**
      * Time in milliseconds without a heartbeat after which an entry that reaches other peers removes a peer, which
      * raises the shares of the others. A peer that is partitioned for longer spends its share in excess of the rate.
@@ -67,7 +70,7 @@
     applyPeerSpending(peer: string, incarnation: string, spending: Spending, now: number): void {
         const previous = this.peers.get(peer);
         if (previous !== undefined) {
-            const silentMs = Math.max(0, now - previous.receivedAt - this.settings.silenceMs);
+            const silentMs = Math.max(0, now - previous.receivedAt - this.settings.silenceMs());
             const share = 1 / (this.peers.size + 1);
             for (const [customer, total] of Object.entries(spending)) {
                 const before = previous.incarnation === incarnation ? previous.totals.get(customer) ?? 0 : 0;
@@ -99,7 +102,7 @@
     private reachableShare(now: number): number {
         this.removeExpiredPeers(now);
         const reachable =
-            [...this.peers.values()].filter(peer => now - peer.receivedAt <= this.settings.silenceMs).length;
+            [...this.peers.values()].filter(peer => now - peer.receivedAt <= this.settings.silenceMs()).length;
         return (reachable + 1) / (this.peers.size + 1);
     }
 
@@ -109,7 +112,7 @@
      */
     private removeExpiredPeers(now: number): void {
         const peers = [...this.peers];
-        const reachesOthers = peers.some(([, peer]) => now - peer.receivedAt <= this.settings.silenceMs);
+        const reachesOthers = peers.some(([, peer]) => now - peer.receivedAt <= this.settings.silenceMs());
         for (const [name, peer] of peers) {
             if (reachesOthers && now - peer.receivedAt > this.settings.expiryMs) {
                 this.peers.delete(name);
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -120,6 +120,7 @@
             spentTokens: {},
             serverLoads: {},
             prefills: [],
+            savedParts: [],
             desiredWeights: this.updater.desiredWeights(),
             report: this.updater.report(),
         };
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -42,7 +42,10 @@
 /** Heartbeat periods in milliseconds by receiver: entries share spent tokens and load, agents need only new weights. */
 const ENTRY_HEARTBEAT_MS = 150;
 const AGENT_HEARTBEAT_MS = 1000;
-/** Times in milliseconds without heartbeats after which a peer's spending is unknown, and after which it no longer counts. */
+/**
+ * Times in milliseconds without heartbeats after which a peer's spending is unknown, at the base period of the
+ * heartbeats, and after which it no longer counts.
+ */
 const PEER_SILENCE_MS = 700;
 const PEER_EXPIRY_MS = 30_000;
 /** Share of the quota slack that may be overdrawn; the rest covers spending that peers have not yet reported. */
@@ -99,10 +102,10 @@
         this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
         const health = new serverHealth.ServerHealth();
-        this.view = new views.FleetView({ members: this.members, serverLoad: this.serverLoad, serverHealth: health });
+        this.view = new views.FleetView({ serverLoad: this.serverLoad, serverHealth: health });
         this.quotas = new ledgers.QuotaLedger({
             overdraftTokens: settings.quotaSlackTokens * OVERDRAFT_SHARE,
-            silenceMs: PEER_SILENCE_MS,
+            silenceMs: () => PEER_SILENCE_MS * this.heartbeats.periodFactor,
             expiryMs: PEER_EXPIRY_MS,
         });
         this.queues = new serviceQueues.ServiceQueues(clock);
@@ -152,7 +155,7 @@
             clock,
             journal,
             members: this.members,
-            compose: sequence => this.composeHeartbeat(sequence),
+            compose: (sequence, now) => this.composeHeartbeat(sequence, now),
             onHeartbeat: (heartbeat, now) => this.receiveHeartbeat(heartbeat, now),
             periodMs: member => member.role === "entry" ? ENTRY_HEARTBEAT_MS : AGENT_HEARTBEAT_MS,
         });
@@ -324,6 +327,7 @@
 
     /** Starts followers for the cache stores in the configuration and stops those of removed ones. */
     private followCacheStores(stores: readonly fleet.CacheStore[]): void {
+        this.cacheIndex.setCapacity(stores.reduce((sum, store) => sum + store.memoryTokens, 0));
         for (const [address, follower] of this.cacheStoreFollowers) {
             if (!stores.some(store => store.address === address)) {
                 void follower[Symbol.asyncDispose]();
@@ -348,13 +352,12 @@
 
     /** Rank of this entry by name among the live ones. A cache store serves few followers, so only the first follow it. */
     private followerRank(): number {
-        const members = this.members.recentHeartbeats(this.clock.now(), PEER_SILENCE_MS).map(({ heartbeat }) =>
-            heartbeat.member
-        );
+        const members = this.members.recentHeartbeats(this.clock.now(), PEER_SILENCE_MS * this.heartbeats.periodFactor)
+            .map(({ heartbeat }) => heartbeat.member);
         return members.filter(member => member.role === "entry" && member.name < this.settings.name).length;
     }
 
-    private composeHeartbeat(sequence: number): peering.Heartbeat {
+    private composeHeartbeat(sequence: number, now: number): peering.Heartbeat {
         const revisions = Object.values(this.watches).map(watch =>
             [watch.kind, watch.copy.lastChangeRevision] as const
         );
@@ -366,7 +369,8 @@
             changeRevisions: Object.fromEntries(revisions),
             spentTokens: this.quotas.spending(),
             serverLoads: this.serverLoad.snapshot(),
-            prefills: this.prefills.snapshot(this.clock.now()),
+            prefills: this.prefills.snapshot(now),
+            savedParts: this.cacheIndex.announcedSaves(now),
             desiredWeights: this.view.desiredWeights(),
             report: undefined,
         };
@@ -374,11 +378,17 @@
 
     private receiveHeartbeat(heartbeat: peering.Heartbeat, now: number): void {
         heartbeat.desiredWeights.forEach(weights => this.adoptDesiredWeights(weights));
-        if (heartbeat.member.role === "entry") {
-            this.quotas.applyPeerSpending(heartbeat.member.name, heartbeat.incarnation, heartbeat.spentTokens, now);
+        const { name, role } = heartbeat.member;
+        if (role === "entry") {
+            this.quotas.applyPeerSpending(name, heartbeat.incarnation, heartbeat.spentTokens, now);
+            this.serverLoad.applyPeer(name, heartbeat.serverLoads, now);
+            this.prefills.applyPeer(name, heartbeat.prefills, now);
+            this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
             this.documents.compare(heartbeat, now);
         }
-        this.queues.dispatch();
+        if (heartbeat.report !== undefined) {
+            this.view.applyReport(heartbeat.report, now);
+        }
     }
 }
 
--- a/test/fleet/routing-table.test.ts
+++ b/test/fleet/routing-table.test.ts
@@ -18,6 +18,7 @@
         resumable: false,
         targets,
         timeoutMs: 1000,
+        targetGapMs: 250,
         targetLatencyMs: 100,
         maximumAttempts: 1,
         priority: 0,
--- a/test/forwarding/call-queue.test.ts
+++ b/test/forwarding/call-queue.test.ts
@@ -16,6 +16,7 @@
             priority,
             arrivedAt,
             timeoutAt: arrivedAt + 1000,
+            requirements: undefined,
             tryPlace: () => {
                 if (freeSlots === 0) {
                     return false;
@@ -63,3 +64,47 @@
     dispatch(1, 1000);
     assert.deepEqual([placed, timedOut], [["call"], []]);
 });
+
+testing.test("overload: a pass tries one call of those with the same requirements, and the others that may fit", () => {
+    const queue = new callQueues.CallQueue();
+    const tried: string[] = [];
+    const enqueue = (name: string, requirements: string | undefined, isPlaceable: boolean) => {
+        const tryPlace = () => {
+            tried.push(name);
+            return isPlaceable;
+        };
+        queue.enqueue({
+            priority: 0,
+            arrivedAt: tried.length,
+            timeoutAt: 1000,
+            requirements,
+            tryPlace,
+            onTimeout: () => undefined,
+        });
+    };
+    enqueue("menu 1", "menu", false);
+    enqueue("menu 2", "menu", false);
+    enqueue("menu, tried one server", undefined, false);
+    enqueue("note", "note", true);
+    queue.dispatch(10);
+    assert.deepEqual(tried, ["menu 1", "menu, tried one server", "note"]);
+    assert.equal(queue.size, 3);
+});
+
+testing.test("guards against a call that stays queued because another one could not be placed", () => {
+    const queue = new callQueues.CallQueue();
+    const timedOut: string[] = [];
+    for (const name of ["one", "two"]) {
+        const onTimeout = () => void timedOut.push(name);
+        queue.enqueue({
+            priority: 0,
+            arrivedAt: 0,
+            timeoutAt: 100,
+            requirements: "menu",
+            tryPlace: () => false,
+            onTimeout,
+        });
+    }
+    queue.dispatch(100);
+    assert.deepEqual(timedOut, ["one", "two"]);
+});
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -3,7 +3,6 @@
 import * as testing from "node:test";
 import type * as fleet from "../../src/fleet/types.js";
 import * as views from "../../src/forwarding/fleet-view.js";
-import * as memberTables from "../../src/peering/member-table.js";
 import type * as peering from "../../src/peering/types.js";
 import * as serverHealth from "../../src/placement/server-health.js";
 import * as serverLoads from "../../src/placement/server-load.js";
@@ -23,28 +22,6 @@
     };
 }
 
-function heartbeat(name: string, changes: Partial<peering.Heartbeat>): peering.Heartbeat {
-    return {
-        member: {
-            name,
-            role: "entry",
-            beatAddress: `${name}:1`,
-            documentAddress: `${name}:1`,
-            serverAddress: undefined,
-        },
-        incarnation: "run",
-        sequence: 0,
-        isLeaving: false,
-        changeRevisions: {},
-        spentTokens: {},
-        serverLoads: {},
-        prefills: [],
-        desiredWeights: [],
-        report: undefined,
-        ...changes,
-    };
-}
-
 function report(startedAt: number, version: number, changes: Partial<peering.ServerReport> = {}): peering.ServerReport {
     const weights = [{ model: "m", version }];
     return {
@@ -61,12 +38,10 @@
 }
 
 function createView() {
-    const members = new memberTables.MemberTable("self");
     const serverLoad = new serverLoads.ServerLoadTracker();
     return {
-        members,
         serverLoad,
-        view: new views.FleetView({ members, serverLoad, serverHealth: new serverHealth.ServerHealth() }),
+        view: new views.FleetView({ serverLoad, serverHealth: new serverHealth.ServerHealth() }),
     };
 }
 
@@ -77,19 +52,19 @@
 });
 
 testing.test("full restart: an agent's report of a later incarnation excludes the registered incarnation", () => {
-    const { view, members } = createView();
+    const { view } = createView();
     view.updateServers([server("old", 1000)]);
     assert.equal(view.candidates("menu", "m", 0)[0]?.isSuspected, false);
-    members.receive(heartbeat("agent", { report: report(2000, 3) }), 0);
+    view.applyReport(report(2000, 3), 0);
     const [candidate] = view.candidates("menu", "m", 0);
     assert.equal(candidate?.isSuspected, true);
     assert.equal(candidate?.weightsVersion, 1);
 });
 
 testing.test("a recent report of the agent takes precedence over the registry, which lags behind", () => {
-    const { view, members } = createView();
+    const { view } = createView();
     view.updateServers([server("a", 1000, 1)]);
-    members.receive(heartbeat("agent", { report: report(1000, 2, { isUpdatingWeights: true }) }), 0);
+    view.applyReport(report(1000, 2, { isUpdatingWeights: true }), 0);
     const [fresh] = view.candidates("menu", "m", 100);
     assert.deepEqual([fresh?.weightsVersion, fresh?.isUpdatingWeights], [2, true]);
     const [old] = view.candidates("menu", "m", 5000);
@@ -97,10 +72,10 @@
 });
 
 testing.test("guards against an entry that counts only its own calls at a server", () => {
-    const { view, members, serverLoad } = createView();
+    const { view, serverLoad } = createView();
     view.updateServers([server("a", 1000)]);
     using _placement = serverLoad.place("a", 500);
-    members.receive(heartbeat("peer", { serverLoads: { a: { calls: 3, pendingPromptTokens: 700 } } }), 0);
+    serverLoad.applyPeer("peer", { a: { calls: 3, pendingPromptTokens: 700 } }, 0);
     const [candidate] = view.candidates("menu", "m", 100);
     assert.deepEqual([candidate?.calls, candidate?.pendingPromptTokens], [4, 1200]);
     assert.equal(view.candidates("menu", "m", 5000)[0]?.calls, 1);
--- a/test/forwarding/retry-decision.test.ts
+++ b/test/forwarding/retry-decision.test.ts
@@ -84,3 +84,17 @@
     assert.equal(retries.decide("broken", { ...call, executedAttempts: 1 }), "fail-unknown");
     assert.equal(retries.decide("not-sent", call), "retry");
 });
+
+testing.test("full servers: a stream that has begun is offered to more servers than a call that has not run", () => {
+    const call = {
+        kind: "stream",
+        isResumable: true,
+        maximumAttempts: 2,
+        remainingMs: 900,
+        hasRetryBudget: true,
+    } as const;
+    const decide = (executedAttempts: number, unexecutedAttempts: number) =>
+        retries.decide("not-executed", { ...call, executedAttempts, unexecutedAttempts });
+    assert.deepEqual([decide(0, 3), decide(0, 4)], ["retry", "fail-not-run"]);
+    assert.deepEqual([decide(1, 4), decide(1, 10)], ["retry", "fail-unknown"]);
+});
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -48,6 +48,7 @@
         spentTokens: {},
         serverLoads: {},
         prefills: [],
+        savedParts: [],
         desiredWeights: [],
         report: undefined,
     };
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -22,6 +22,7 @@
         spentTokens: { gallery: 100 },
         serverLoads: { server: { calls: 2, pendingPromptTokens: 300 } },
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
+        savedParts: [{ partHash: 4_000_000_000, tokens: 6670 }, { partHash: 5, tokens: 79 }],
         desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
         report: {
             address: "10.0.0.9:8000",
@@ -43,6 +44,13 @@
     assert.deepEqual(codec.decode(codec.encode(minimal)), minimal);
 });
 
+testing.test("rolling restart: heartbeats without the appended elements of newer processes are understood", () => {
+    const sent = heartbeat("a", "run", 1);
+    const withoutAppended = (JSON.parse(codec.encode(sent).toString()) as unknown[]).slice(0, 15);
+    const decoded = codec.decode(Buffer.from(JSON.stringify(withoutAppended)));
+    assert.deepEqual(decoded, { ...sent, savedParts: [] });
+});
+
 testing.test("guards against datagrams of other layouts or of other senders", () => {
     fastCheck.assert(
         fastCheck.property(fastCheck.uint8Array({ maxLength: 80 }), bytes => {
--- a/test/placement/cache.test.ts
+++ b/test/placement/cache.test.ts
@@ -44,12 +44,34 @@
 
 testing.test("the content of a store that is not followed is estimated from the saves of this entry", () => {
     const index = new cacheIndexes.CacheIndex();
-    index.recordStoreSave(STORE.address, "s", "p", 0);
+    index.recordStoreSave(STORE.address, "s", "p", 100, 0);
     assert.equal(index.isInStore("10.9.0.2:8000", "s", "p", 5000), false);
     assert.equal(index.isInStore(STORE.address, "s", "p", 5000), true);
     assert.equal(index.isInStore(STORE.address, "s", "p", 60_000), false);
 });
 
+testing.test("many entries: one that does not follow the store learns of its parts from the saves that its peers announce", () => {
+    const saving = new cacheIndexes.CacheIndex();
+    const other = new cacheIndexes.CacheIndex();
+    saving.recordStoreSave(STORE.address, "s", "p", 100, 0);
+    other.applyPeerSaves(saving.announcedSaves(500), 500);
+    assert.equal(other.isInStore(STORE.address, "s", "p", 20_000), true);
+    assert.equal(other.isInStore(STORE.address, "s", "q", 20_000), false);
+    assert.deepEqual(saving.announcedSaves(2000), []);
+});
+
+testing.test("many entries: a part counts as evicted once the stores have received as many tokens as they can hold", () => {
+    const index = new cacheIndexes.CacheIndex();
+    index.setCapacity(1000);
+    index.recordStoreSave(STORE.address, "s", "p", 400, 0);
+    index.applyPeerSaves([{ partHash: 1, tokens: 900 }], 100);
+    assert.equal(index.isInStore(STORE.address, "s", "p", 200), true);
+    index.applyPeerSaves([{ partHash: 1, tokens: 900 }], 200);
+    assert.equal(index.isInStore(STORE.address, "s", "p", 200), true);
+    index.applyPeerSaves([{ partHash: 2, tokens: 200 }], 300);
+    assert.equal(index.isInStore(STORE.address, "s", "p", 300), false);
+});
+
 testing.test("guards against saving the unique part of each call", () => {
     const target = { server: { id: "a", address: "10.0.0.1:8000" } } as Parameters<typeof cachePlans.planCache>[1];
     const stored = cachePlans.planCache({ store: STORE, isInStore: true, holder: undefined }, target);
--- a/test/placement/prefills.test.ts
+++ b/test/placement/prefills.test.ts
@@ -25,6 +25,7 @@
         spentTokens: {},
         serverLoads: {},
         prefills: entries,
+        savedParts: [],
         desiredWeights: [],
         report: undefined,
     };
@@ -35,29 +36,42 @@
     own.begin(SCOPE, PARTS, "one", 0);
     const heartbeat = codec.decode(codec.encode(heartbeatWith(own.snapshot(100))))!;
     const other = new prefills.PrefillTracker();
-    assert.deepEqual(other.stateOf(SCOPE, "wall", [heartbeat], 100).servers, new Set(["one"]));
-    assert.equal(other.stateOf(SCOPE, "wall", [heartbeat], 100).isComplete, false);
-    assert.deepEqual(other.stateOf(SCOPE, "garden", [heartbeat], 100).servers, new Set());
+    other.applyPeer("peer", heartbeat.prefills, 100);
+    assert.deepEqual(other.stateOf(SCOPE, "wall", 100).servers, new Set(["one"]));
+    assert.equal(other.stateOf(SCOPE, "wall", 100).isComplete, false);
+    assert.deepEqual(other.stateOf(SCOPE, "garden", 100).servers, new Set());
+});
+
+testing.test("guards against prefills of a peer that ended or fell silent", () => {
+    const own = new prefills.PrefillTracker();
+    own.applyPeer("peer", [{ partHash: 7, server: "one", isComplete: false }], 0);
+    const hash = new prefills.PrefillTracker();
+    hash.begin(SCOPE, PARTS, "two", 0);
+    own.applyPeer("peer", hash.snapshot(0), 100);
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 1000).servers, new Set(["two"]));
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 1200).servers, new Set());
+    own.applyPeer("peer", [], 1300);
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 1300).servers, new Set());
 });
 
 testing.test("guards against confusing parts of different weights versions", () => {
     const own = new prefills.PrefillTracker();
     own.begin("menu/1", PARTS, "one", 0).complete(100);
-    assert.deepEqual(own.stateOf(SCOPE, "wall", [], 200), { servers: new Set(), isComplete: false });
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 200), { servers: new Set(), isComplete: false });
 });
 
 testing.test("a finished prefill counts until the store shows the part, an unfinished one is dropped on disposal", () => {
     const own = new prefills.PrefillTracker();
     const first = own.begin(SCOPE, PARTS, "one", 0);
-    assert.equal(own.stateOf(SCOPE, "wall", [], 200).isComplete, false);
+    assert.equal(own.stateOf(SCOPE, "wall", 200).isComplete, false);
     first.complete(300);
-    assert.equal(own.stateOf(SCOPE, "wall", [], 300).isComplete, true);
+    assert.equal(own.stateOf(SCOPE, "wall", 300).isComplete, true);
     first[Symbol.dispose]();
-    assert.deepEqual(own.stateOf(SCOPE, "wall", [], 800).servers, new Set(["one"]));
-    assert.deepEqual(own.stateOf(SCOPE, "wall", [], 1000).servers, new Set());
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 800).servers, new Set(["one"]));
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 1000).servers, new Set());
     const rejected = own.begin(SCOPE, PARTS, "two", 1000);
     rejected[Symbol.dispose]();
-    assert.deepEqual(own.stateOf(SCOPE, "wall", [], 1000).servers, new Set());
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 1000).servers, new Set());
 });
 
 testing.test("guards against heartbeats that carry parts too small to matter", () => {
@@ -69,5 +83,5 @@
 testing.test("guards against waiting for a server that never responds", () => {
     const own = new prefills.PrefillTracker();
     own.begin(SCOPE, PARTS, "one", 0);
-    assert.deepEqual(own.stateOf(SCOPE, "wall", [], 2500).servers, new Set());
+    assert.deepEqual(own.stateOf(SCOPE, "wall", 2500).servers, new Set());
 });
--- a/test/quota/ledger.test.ts
+++ b/test/quota/ledger.test.ts
@@ -9,7 +9,7 @@
 const TOKENS_PER_SECOND = 1000;
 const BURST_TOKENS = 1000;
 const OVERDRAFT_TOKENS = 300;
-const SETTINGS = { overdraftTokens: OVERDRAFT_TOKENS, silenceMs: 700, expiryMs: 30_000 };
+const SETTINGS = { overdraftTokens: OVERDRAFT_TOKENS, silenceMs: () => 700, expiryMs: 30_000 };
 const CUSTOMER: fleet.Customer = {
     name: "gallery",
     keys: [],
--- a/tools/capacity/heartbeat.ts
+++ b/tools/capacity/heartbeat.ts
@@ -20,6 +20,7 @@
             names(servers, "i-5fc1d1dc2").map(id => [id, { calls: 3, pendingPromptTokens: 4567 }]),
         ),
         prefills: [],
+        savedParts: [],
         desiredWeights: [{ model: "model", version: 12, revision: 345 }],
         report: undefined,
     };
