Bound what a server in trouble can send, and isolate unexpected errors

Cause: a status outside 200 to 599 in a response head made the relay throw outside of any handler, which ended the process and all its calls; a test with real sockets shows it on the code before. Bodies of responses and of the store's and peers' answers had no limit, interim responses neither, and a caller's head and body limits were partly unenforced. Calls that cannot be repeated used connections that their server may be closing. A response without a call id on a reused connection belongs to nobody. Only repeatable calls reuse connections. Limits of the configuration on heads are enforced with 431.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -18,7 +18,12 @@
 const FIRST_EVENT_TIMEOUT_MS = 1500;
 /** Timeout in milliseconds between two events of a resumable stream. */
 const NEXT_EVENT_TIMEOUT_MS = 900;
+/** Limit of a buffered response in bytes; a server in trouble may send a body without end. */
+const MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
 const MISDIRECTED_REQUEST = 421;
+/** Statuses of final responses. */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 599;
 const EVENT_STREAM = "text/event-stream";
 
 export interface AttemptAdmission {
@@ -68,6 +73,7 @@
     private response: http.IncomingMessage | undefined;
     private hasReceivedEvent = false;
     private readonly chunks: Buffer[] = [];
+    private bufferedBytes = 0;
     private readonly splitter = new splitters.EventSplitter();
 
     constructor(private readonly ports: types.CallPorts, private readonly input: AttemptInput) {
@@ -93,7 +99,7 @@
                 path: request.url ?? "/",
                 headers,
                 body: admission.body,
-                mayReuseConnection: admission.route.kind !== "at-most-once",
+                mayReuseConnection: admission.route.kind === "idempotent" || this.isResumable,
             },
             this.ports.connectionPool,
             this,
@@ -108,12 +114,12 @@
         this.finish(undefined);
     }
 
-    head(response: http.IncomingMessage): void {
+    head(response: http.IncomingMessage, isReused: boolean): void {
         const responseHead = this.ports.dialect.decodeResponse(response.headers);
         const status = response.statusCode ?? 0;
         const now = this.ports.clock.now();
         this.response = response;
-        const fault = this.responseFault(status, responseHead, response);
+        const fault = this.responseFault(status, responseHead, response, isReused);
         if (fault !== undefined) {
             this.abandon("broken", fault);
             return;
@@ -139,7 +145,7 @@
 
     data(chunk: Buffer): void {
         if (this.mode === "buffering") {
-            this.chunks.push(chunk);
+            this.buffer(chunk);
             return;
         }
         if (this.mode === "streaming") {
@@ -162,6 +168,15 @@
         this.finish({ kind, reason: failure.reason, mismatch: undefined, response: undefined });
     }
 
+    private buffer(chunk: Buffer): void {
+        this.bufferedBytes += chunk.length;
+        if (this.bufferedBytes > MAXIMUM_RESPONSE_BYTES) {
+            this.abandon("broken", `a response of more than ${MAXIMUM_RESPONSE_BYTES} bytes`);
+            return;
+        }
+        this.chunks.push(chunk);
+    }
+
     private relay(chunk: Buffer): void {
         const events = this.splitter.push(chunk);
         if (events === undefined) {
@@ -183,7 +198,10 @@
         if (!this.hasReceivedEvent) {
             this.onFirstEvent();
         }
-        this.restartTimer(this.isResumable ? NEXT_EVENT_TIMEOUT_MS : undefined);
+        // Only numbered events are progress: a stalled server may still send comments.
+        if (event.id !== undefined) {
+            this.restartTimer(this.isResumable ? NEXT_EVENT_TIMEOUT_MS : undefined);
+        }
         if (!callerResponse.hasStarted) {
             callerResponse.startStream(this.response!.statusCode!, this.response!.rawHeaders);
         }
@@ -243,7 +261,14 @@
         status: number,
         responseHead: dialects.ResponseHead,
         response: http.IncomingMessage,
+        isReused: boolean,
     ): string | undefined {
+        if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+            return `status ${status}`;
+        }
+        if (isReused && responseHead.callId === undefined) {
+            return "response without a call id on a connection that was used before";
+        }
         if (responseHead.callId !== undefined && responseHead.callId !== this.input.admission.head.id) {
             return "response to another call";
         }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -37,6 +37,8 @@
 /** Longest wait in milliseconds for shared parts that another call prefills. Prefilling them takes about as long. */
 const MAXIMUM_PREFILL_WAIT_MS = 350;
 const PREFILL_POLL_MS = 40;
+/** Bytes of the separator after a header name, and of the line end after its value. */
+const SEPARATOR_BYTES = 2;
 
 type ServerChoice = placement.PlacementDecision & { readonly kind: "server"; };
 
@@ -114,12 +116,18 @@
             return this.refuse("call-invalid", "no request id");
         }
         this.callerResponse.callId = head.id;
+        const headLimitBytes = view.routingTable?.configuration.limits.headerBytes ?? Number.MAX_SAFE_INTEGER;
+        if (headBytes(this.request) > headLimitBytes) {
+            this.callerResponse.closeAfterResponse();
+            return this.refuse("call-head-too-large", `more than ${headLimitBytes} bytes`);
+        }
         const bodyLimitBytes = view.routingTable?.configuration.limits.bodyBytes ?? Number.MAX_SAFE_INTEGER;
         const body = await bodies.readBody(this.request, bodyLimitBytes);
         if (body.kind === "aborted" || this.isFinished) {
             return undefined;
         }
         if (body.kind === "too-large") {
+            this.callerResponse.closeAfterResponse();
             return this.refuse("call-too-large", `more than ${bodyLimitBytes} bytes`);
         }
         if (this.ports.isClosing()) {
@@ -503,6 +511,12 @@
     }
 }
 
+/** Size of the request line and the headers in bytes, as the caller sent them. */
+function headBytes(request: http.IncomingMessage): number {
+    const requestLine = (request.method ?? "").length + (request.url ?? "").length;
+    return request.rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, requestLine);
+}
+
 function priorityOf(admission: Admission): number {
     return admission.customer?.priority ?? admission.route.priority;
 }
--- a/src/forwarding/caller-response.ts
+++ b/src/forwarding/caller-response.ts
@@ -86,6 +86,11 @@
         this.response.destroy();
     }
 
+    /** Closes the connection once the response is sent: the rest of the request is not read. */
+    closeAfterResponse(): void {
+        this.response.shouldKeepAlive = false;
+    }
+
     private writeHead(status: number, headers: readonly string[]): void {
         if (this.ports.isDraining()) {
             this.response.shouldKeepAlive = false;
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -8,7 +8,7 @@
 }
 
 /** No backend server sends a larger event. */
-const MAXIMUM_EVENT_BYTES = 4 * 1024 * 1024;
+const MAXIMUM_EVENT_BYTES = 256 * 1024;
 const LINE_FEED = 0x0a;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 
--- a/src/forwarding/failures.ts
+++ b/src/forwarding/failures.ts
@@ -34,6 +34,14 @@
         message: detail => `the body is too large: ${detail}`,
         hint: "Send a smaller body.",
     },
+    "call-head-too-large": {
+        number: 3312,
+        status: 431,
+        execution: "not-run",
+        retry: "never",
+        message: detail => `the headers are too large: ${detail}`,
+        hint: "Send smaller headers.",
+    },
     "entry-not-configured": {
         number: 3305,
         status: 503,
--- a/src/forwarding/server-request.ts
+++ b/src/forwarding/server-request.ts
@@ -5,6 +5,10 @@
 
 /** Connect timeout in milliseconds. A server in the same region accepts a connection within two round trips. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Limit of a response head in bytes; a server in trouble may send one without end. */
+const MAXIMUM_HEAD_BYTES = 16 * 1024;
+/** Limit of the interim responses (1xx) before the final one; a server in trouble may send them without end. */
+const MAXIMUM_INTERIM_RESPONSES = 8;
 
 export interface RequestOptions {
     readonly address: string;
@@ -28,7 +32,8 @@
 
 /** Receives the response: `head`, `data` for each chunk, then `end`; or `failed` at any point, as the last call. */
 export interface ResponseListener {
-    head(response: http.IncomingMessage): void;
+    /** `isReused` is set when the connection has carried another call before. */
+    head(response: http.IncomingMessage, isReused: boolean): void;
     data(chunk: Buffer): void;
     /** The response is complete. */
     end(): void;
@@ -71,7 +76,17 @@
         headers: [...request.headers] as unknown as http.OutgoingHttpHeaders,
         agent: request.mayReuseConnection ? pool.keepAliveAgent(request.address) : pool.singleUseAgent(request.address),
         setHost: false,
+        maxHeaderSize: MAXIMUM_HEAD_BYTES,
     });
+    /** An error in the listener ends this request, not the process. */
+    const notify = (action: () => void) => {
+        try {
+            action();
+        }
+        catch (error) {
+            fail(`internal error: ${(error as Error).message}`);
+        }
+    };
     const connectTimer = setTimeout(() => fail("connect timeout"), CONNECT_TIMEOUT_MS);
     outgoing.on("socket", socket => {
         const onConnected = () => {
@@ -93,6 +108,13 @@
         }
     });
     outgoing.on("error", error => fail(jsonClient.errorCode(error)));
+    let interimResponses = 0;
+    outgoing.on("information", () => {
+        interimResponses++;
+        if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+            fail("too many interim responses");
+        }
+    });
     outgoing.on("response", incoming => {
         if (isDone) {
             return;
@@ -100,7 +122,7 @@
         response = incoming;
         incoming.on("data", (chunk: Buffer) => {
             if (!isDone) {
-                listener.data(chunk);
+                notify(() => listener.data(chunk));
             }
         });
         incoming.on("error", error => fail(jsonClient.errorCode(error)));
@@ -109,12 +131,12 @@
                 fail("incomplete response");
             }
             else if (!isDone) {
+                notify(() => listener.end());
                 isDone = true;
-                listener.end();
             }
         });
         incoming.on("close", () => fail("closed"));
-        listener.head(incoming);
+        notify(() => listener.head(incoming, outgoing.reusedSocket));
     });
     outgoing.end(request.body);
     return {
--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -26,7 +26,10 @@
     }
     | { readonly kind: "no-response"; readonly reason: string; };
 
-/** Sends a request. The promise never rejects. */
+/** Limit of a response body in bytes. The largest one is a page of a listing, about 1 MB. */
+const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+
+/** Sends a request. The promise never rejects. A response body above the limit counts as no response. */
 export function send(options: JsonRequest): Promise<JsonResult> {
     return new Promise(resolve => {
         const [host, port] = options.address.split(":");
@@ -54,7 +57,16 @@
         request.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
         request.on("response", response => {
             const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => void chunks.push(chunk));
+            let length = 0;
+            response.on("data", (chunk: Buffer) => {
+                length += chunk.length;
+                if (length > MAXIMUM_BODY_BYTES) {
+                    request.destroy();
+                    finish({ kind: "no-response", reason: `a body of more than ${MAXIMUM_BODY_BYTES} bytes` });
+                    return;
+                }
+                chunks.push(chunk);
+            });
             response.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
             response.on("end", () => finish(decode(response, Buffer.concat(chunks))));
         });
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -71,14 +71,24 @@
             timeoutMs: FETCH_TIMEOUT_MS,
         });
         this.fetching.delete(watch.kind);
-        if (result.kind === "response" && result.status === 200 && result.body !== undefined) {
-            watch.adopt(result.body as storeAccess.Listing, peer.name);
+        if (result.kind === "response" && result.status === 200 && isListing(result.body)) {
+            this.adoptSafely(watch, result.body, peer);
             return;
         }
-        const reason = result.kind === "response" ? `status ${result.status}` : result.reason;
+        const reason = result.kind === "response" ? `unusable response, status ${result.status}` : result.reason;
         this.ports.journal.emit("document-fetch-failed", { kind: watch.kind, peer: peer.name, reason });
     }
 
+    private adoptSafely(watch: watches.KindWatch, listing: storeAccess.Listing, peer: types.Member): void {
+        try {
+            watch.adopt(listing, peer.name);
+        }
+        catch (error) {
+            const { message: reason } = error as Error;
+            this.ports.journal.emit("document-fetch-failed", { kind: watch.kind, peer: peer.name, reason });
+        }
+    }
+
     private serve(request: http.IncomingMessage, response: http.ServerResponse): void {
         const kind = request.url?.startsWith(PATH_PREFIX) === true ? request.url.slice(PATH_PREFIX.length) : undefined;
         const watch = this.ports.watches.find(candidate => candidate.kind === kind);
@@ -92,3 +102,13 @@
         response.end(body);
     }
 }
+
+function isListing(value: unknown): value is storeAccess.Listing {
+    const listing = value as Partial<storeAccess.Listing> | undefined;
+    return typeof listing?.revision === "number" && Array.isArray(listing.records) && listing.records.every(isRecord);
+}
+
+function isRecord(value: unknown): value is storeAccess.StoredRecord {
+    const record = value as Partial<storeAccess.StoredRecord> | undefined;
+    return typeof record?.name === "string" && typeof record.revision === "number";
+}
--- a/src/peering/events.ts
+++ b/src/peering/events.ts
@@ -26,4 +26,10 @@
         message: fields => `failed to fetch the copy of ${fields.kind} from ${fields.peer}: ${fields.reason}`,
         hint: "The copy is fetched from another peer or from the store next.",
     },
+    "heartbeat-invalid": {
+        number: 3205,
+        level: "warn",
+        message: fields => `ignored a datagram that is not a usable heartbeat: ${fields.reason}`,
+        hint: "A process of another version or another program sends to the port. Find the sender if this persists.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -40,7 +40,7 @@
     /** Binds IP:PORT and starts sending. */
     start(address: string): void {
         const [host, port] = address.split(":");
-        this.socket.on("message", datagram => this.receive(datagram));
+        this.socket.on("message", datagram => this.receiveSafely(datagram));
         this.socket.on("error", error => {
             this.ports.journal.emit("peer-send-failed", { peer: "(socket)", reason: error.message });
         });
@@ -92,6 +92,16 @@
         }
     }
 
+    /** A heartbeat with unexpected content is ignored: the port accepts datagrams from any sender. */
+    private receiveSafely(datagram: Buffer): void {
+        try {
+            this.receive(datagram);
+        }
+        catch (error) {
+            this.ports.journal.emit("heartbeat-invalid", { reason: (error as Error).message });
+        }
+    }
+
     private receive(datagram: Buffer): void {
         const heartbeat = codec.decode(datagram);
         const now = this.ports.clock.now();
--- a/src/runtime/events.ts
+++ b/src/runtime/events.ts
@@ -44,4 +44,10 @@
         message: fields => `the settings cannot be used: ${fields.reason}`,
         hint: "The process exits. Correct the settings file and start it again.",
     },
+    "internal-error": {
+        number: 3508,
+        level: "error",
+        message: fields => `an unexpected error did not end the process: ${fields.reason}`,
+        hint: "Report this as a bug. The operation in which it occurred has failed; others go on.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/store-access/events.ts
+++ b/src/store-access/events.ts
@@ -21,4 +21,10 @@
         message: fields => `${fields.kind}: ${fields.change} at revision ${fields.revision}, from ${fields.source}`,
         hint: "",
     },
+    "store-kind-unusable": {
+        number: 3104,
+        level: "error",
+        message: fields => `records of kind ${fields.kind} could not be used: ${fields.reason}`,
+        hint: "The kind is listed again. Report this as a bug if it persists.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -74,13 +74,28 @@
 
     private async run(): Promise<void> {
         while (!this.stop.signal.aborted) {
-            const pauseMs = this.isListed ? await this.watchOnce() : await this.listOnce();
+            const pauseMs = await this.readSafely();
             if (pauseMs !== undefined) {
                 await this.ports.clock.sleep(pauseMs, this.stop.signal);
             }
         }
     }
 
+    /** Reads once. Records that cannot be used are listed again later, since the process goes on with its last copy. */
+    private async readSafely(): Promise<number | undefined> {
+        try {
+            return this.isListed ? await this.watchOnce() : await this.listOnce();
+        }
+        catch (error) {
+            this.isListed = false;
+            this.ports.journal.emit("store-kind-unusable", {
+                kind: this.options.kind,
+                reason: (error as Error).stack ?? String(error),
+            });
+            return this.recordFailure((error as Error).message);
+        }
+    }
+
     /** Lists all records. Returns the pause before the next call in milliseconds, if any. */
     private async listOnce(): Promise<number | undefined> {
         const listing = await this.ports.store.list(this.options.kind);
--- /dev/null
+++ b/test/support/entry-harness.ts
@@ -0,0 +1,221 @@
+/** An entry's HTTP server in this process, in front of backend servers that a test scripts byte by byte. */
+import * as http from "node:http";
+import * as net from "node:net";
+import * as dialects from "../../platform/dialect.js";
+import * as clocks from "../../src/clock/clock.js";
+import type * as event from "../../src/core/event.js";
+import type * as fleet from "../../src/fleet/types.js";
+import * as connectionPools from "../../src/forwarding/connection-pool.js";
+import * as entryServers from "../../src/forwarding/entry-server.js";
+import * as views from "../../src/forwarding/fleet-view.js";
+import * as serviceQueues from "../../src/forwarding/service-queues.js";
+import * as serviceRetryBudgets from "../../src/forwarding/service-retry-budgets.js";
+import type * as forwarding from "../../src/forwarding/types.js";
+import * as cacheIndexes from "../../src/placement/cache-index.js";
+import * as latencyEstimates from "../../src/placement/latency-estimates.js";
+import * as prefills from "../../src/placement/prefills.js";
+import * as serverHealth from "../../src/placement/server-health.js";
+import * as serverLoads from "../../src/placement/server-load.js";
+import * as ledgers from "../../src/quota/ledger.js";
+
+export const HOST = "calls.example";
+
+/** A request as a scripted server reads it. */
+export interface ReceivedRequest {
+    readonly id: string;
+    /** Number of the request on its connection, from 1. */
+    readonly number: number;
+}
+
+export type ServerScript = (socket: net.Socket, request: ReceivedRequest) => void;
+
+export interface CallerResult {
+    readonly status: number;
+    readonly body: string;
+    /** The response ended as complete. */
+    readonly isComplete: boolean;
+    readonly headers: http.IncomingHttpHeaders;
+}
+
+const ROUTES: readonly Pick<fleet.Route, "name" | "pathPrefix" | "kind" | "resumable" | "maximumAttempts">[] = [
+    { name: "lookup", pathPrefix: "/lookup/", kind: "idempotent", resumable: false, maximumAttempts: 2 },
+    { name: "booking", pathPrefix: "/booking/", kind: "at-most-once", resumable: false, maximumAttempts: 1 },
+    { name: "review", pathPrefix: "/review/", kind: "stream", resumable: true, maximumAttempts: 2 },
+    { name: "note", pathPrefix: "/note/", kind: "stream", resumable: false, maximumAttempts: 1 },
+];
+/** Timeout of all routes in milliseconds. */
+const ROUTE_TIMEOUT_MS = 1500;
+const SERVICE = "service";
+
+export class EntryHarness implements AsyncDisposable {
+    readonly events: { readonly name: event.EventName; readonly fields: event.Fields; }[] = [];
+    private readonly servers: net.Server[] = [];
+    private readonly sockets = new Set<net.Socket>();
+    private readonly pool = new connectionPools.ConnectionPool();
+    private readonly queues = new serviceQueues.ServiceQueues(clocks.systemClock);
+    private readonly serverLoad = new serverLoads.ServerLoadTracker();
+    private readonly health = new serverHealth.ServerHealth();
+    readonly view = new views.FleetView({ serverLoad: this.serverLoad, serverHealth: this.health });
+    isDraining = false;
+    readonly entry: entryServers.EntryServer;
+    private port = 0;
+
+    private constructor() {
+        this.entry = new entryServers.EntryServer(this.ports());
+    }
+
+    /** Starts one server for each script, and the entry. */
+    static async start(scripts: readonly ServerScript[]): Promise<EntryHarness> {
+        const harness = new EntryHarness();
+        const addresses = await Promise.all(scripts.map(script => harness.listen(script)));
+        harness.view.applyConfiguration({
+            version: 1,
+            routes: ROUTES.map(route => ({
+                ...route,
+                host: HOST,
+                targets: [{ service: SERVICE, weight: 1 }],
+                timeoutMs: ROUTE_TIMEOUT_MS,
+                targetLatencyMs: 300,
+                targetGapMs: 200,
+                priority: 1,
+                open: true,
+            })),
+            services: new Map([[SERVICE, { name: SERVICE, maximumConnections: 100, engine: undefined }]]),
+            cacheStores: [],
+            customers: [],
+            limits: { headerBytes: 4096, bodyBytes: 4096, headerTimeoutMs: 1000, idleTimeoutMs: 5000 },
+        });
+        harness.view.updateServers(addresses.map((address, index) => ({
+            id: `server-${index}`,
+            startedAt: 1,
+            service: SERVICE,
+            address,
+            dataCentre: "one",
+            slots: 8,
+            state: "ready",
+            weights: new Map(),
+        })));
+        const probe = net.createServer();
+        await new Promise<void>(resolve => probe.listen(0, "127.0.0.1", resolve));
+        harness.port = (probe.address() as net.AddressInfo).port;
+        await new Promise<void>(resolve => probe.close(() => resolve()));
+        await harness.entry.listen(`127.0.0.1:${harness.port}`);
+        return harness;
+    }
+
+    /** Sends a call with a fresh connection, or on the agent's. */
+    call(route: string, options: {
+        readonly id?: string;
+        readonly headers?: Readonly<Record<string, string>>;
+        readonly body?: string;
+        readonly agent?: http.Agent;
+    } = {}): Promise<CallerResult> {
+        return new Promise((resolve, reject) => {
+            const request = http.request({
+                host: "127.0.0.1",
+                port: this.port,
+                method: options.body === undefined ? "GET" : "POST",
+                path: `/${route}/item`,
+                headers: {
+                    Host: HOST,
+                    "Request-Id": options.id ?? clocks.systemClock.identifier(),
+                    ...options.headers,
+                },
+                agent: options.agent ?? false,
+            });
+            request.on("error", reject);
+            request.on("response", response => {
+                let body = "";
+                const finish = () => {
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        body,
+                        isComplete: response.complete,
+                        headers: response.headers,
+                    });
+                };
+                response.on("data", (chunk: Buffer) => {
+                    body += chunk.toString("latin1");
+                });
+                response.on("end", finish);
+                response.on("error", finish);
+            });
+            request.end(options.body);
+        });
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.entry[Symbol.asyncDispose]();
+        this.queues[Symbol.dispose]();
+        this.pool[Symbol.dispose]();
+        this.sockets.forEach(socket => socket.destroy());
+        await Promise.all(this.servers.map(server => new Promise(resolve => server.close(resolve))));
+    }
+
+    /** Number of open connections between the entry and the scripted servers. */
+    get openConnections(): number {
+        return this.sockets.size;
+    }
+
+    private async listen(script: ServerScript): Promise<string> {
+        const server = net.createServer(socket => {
+            this.sockets.add(socket);
+            socket.on("close", () => void this.sockets.delete(socket));
+            socket.on("error", () => undefined);
+            let pending = "";
+            let number = 0;
+            socket.on("data", (chunk: Buffer) => {
+                pending += chunk.toString("latin1");
+                const end = pending.indexOf("\r\n\r\n");
+                if (end >= 0) {
+                    const id = /^request-id: *(\S+)$/im.exec(pending.slice(0, end))?.[1] ?? "";
+                    pending = "";
+                    script(socket, { id, number: ++number });
+                }
+            });
+        });
+        this.servers.push(server);
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    }
+
+    private ports(): forwarding.CallPorts {
+        const clock = clocks.systemClock;
+        return {
+            clock,
+            journal: { emit: (name, fields = {}) => void this.events.push({ name, fields }) },
+            meter: { finished: () => undefined, refused: () => undefined },
+            dialect: dialects.dialect,
+            view: this.view,
+            serverLoad: this.serverLoad,
+            cacheIndex: new cacheIndexes.CacheIndex(),
+            prefills: new prefills.PrefillTracker(),
+            serverHealth: this.health,
+            latencyEstimates: new latencyEstimates.LatencyEstimates(),
+            quotas: new ledgers.QuotaLedger({ overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 }),
+            retryBudgets: new serviceRetryBudgets.ServiceRetryBudgets(
+                { retriesPerRequest: 0.2, extraRetriesPerWindow: 50 },
+                () => 1,
+            ),
+            queues: this.queues,
+            connectionPool: this.pool,
+            settings: {
+                dataCentre: "one",
+                selection: { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 },
+            },
+            isDraining: () => this.isDraining,
+            isClosing: () => false,
+        };
+    }
+}
+
+/** Head and body of a complete response to the call with this id. */
+export function response(id: string, body: string, status = "200 OK"): string {
+    return `HTTP/1.1 ${status}\r\nRequest-Id: ${id}\r\nResponse-Seal: seal\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Head of a stream without a length, which ends with its connection. */
+export function streamHead(id: string): string {
+    return `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n`
+        + "Connection: close\r\n\r\n";
+}
