Plan transfers of cached parts within each entry's share of the stores' links

Calls waited up to 2 s for their fetches at servers with a handful of calls; 892 of 3,800 callers left between 37 s and 45 s, and no call was refused. Change: each entry spends its share of a link, fetches before saves, shared parts before unique ones. A part is fetched from a server that holds it rather than from a store; heartbeats tell for two seconds which server holds one. Unknown parts are tried at the store only after a restart of the entry.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -73,6 +73,8 @@
     readonly dataCentre: string;
     /** Capacity in tokens. */
     readonly memoryTokens: number;
+    /** Bandwidth of its network link, which all servers share, in tokens per millisecond. */
+    readonly linkTokensPerMs: number;
     /** Maximum number of processes that may follow the store's changes at once. */
     readonly maximumFollowers: number;
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -317,7 +317,7 @@
             configuration: this.ports.view.routingTable?.configuration.version,
         });
         using load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
-        using prefill = admission.cache.beginPrefill(candidate, now);
+        using prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
         const attempt = new callAttempts.CallAttempt(this.ports, {
             admission: { ...admission, priority: priorityOf(admission) },
             choice,
--- a/src/forwarding/prompt-cache-access.ts
+++ b/src/forwarding/prompt-cache-access.ts
@@ -56,7 +56,7 @@
         const version = candidate.weightsVersion;
         return version !== undefined && this.missingParts(version, now).some(part => {
             const state = this.prefillState(part, version, now);
-            return state.servers.size > 0 && !state.isComplete;
+            return state.servers.size > 0 && state.holders.size === 0;
         });
     }
 
@@ -70,22 +70,41 @@
         if (this.lastSharedPart === undefined) {
             return { scope, plan: undefined, cachedTokens: 0 };
         }
-        const { cacheIndex, view } = this.ports;
-        const holders = cacheIndex.holders(scope, this.lastSharedPart.id, now);
-        const holder = view.listedServers().find(server => server.state === "ready" && holders.has(server.id));
         const { store } = this;
-        const isInStore = store !== undefined &&
-            (cacheIndex.isInStore(store.address, scope, this.lastSharedPart.id, now)
-                || this.prefillState(this.lastSharedPart, version, now).isComplete);
-        const plan = cachePlans.planCache({ store, isInStore, holder }, candidate);
-        return { scope, plan, cachedTokens: isInStore || holders.size > 0 ? this.sharedTokens : 0 };
+        const isInStore = store !== undefined
+            && this.ports.cacheIndex.isInStore(store.address, scope, this.lastSharedPart.id, now);
+        const holders = this.holders(scope, this.lastSharedPart, version, now);
+        const isHolder = holders.has(candidate.server.id);
+        const holder = this.ports.view.listedServers().find(server => {
+            return server.state === "ready" && server.id !== candidate.server.id && holders.has(server.id);
+        });
+        const plan = cachePlans.planCache({
+            store,
+            isInStore,
+            isStoreKnown: store !== undefined && this.ports.cacheIndex.isKnown(store.address, now),
+            holder,
+            isHolder,
+            sharedTokens: this.sharedTokens,
+            promptTokens: this.head.promptTokens,
+        }, { budget: this.ports.transferBudget, now });
+        const isCached = isHolder || plan.fetchFrom !== undefined && (isInStore || holder !== undefined);
+        return { scope, plan, cachedTokens: isCached ? this.sharedTokens : 0 };
+    }
+
+    /** Servers that hold the part: they answered a call with it recently, or have just prefilled it. */
+    private holders(scope: string, part: fleet.PromptPart, version: number, now: number): ReadonlySet<string> {
+        const { holders } = this.prefillState(part, version, now);
+        const recent = this.ports.cacheIndex.holders(scope, part.id, now);
+        return holders.size === 0 ? recent : new Set([...holders, ...recent]);
     }
 
-    /** Announces to other calls that a server prefills the parts that are missing in the store. */
-    beginPrefill(candidate: placement.Candidate, now: number): prefills.PrefillHandle {
+    /** Announces to other calls that a server prefills the parts that no store has, and then that it holds all parts. */
+    beginPrefill(candidate: placement.Candidate, lookup: CacheLookup, now: number): prefills.PrefillHandle {
         const version = candidate.weightsVersion;
-        const missing = version === undefined ? [] : this.missingParts(version, now);
-        return this.ports.prefills.begin(this.storeScope(version ?? 0), missing, candidate.server.id, now);
+        const isMissing = version !== undefined && lookup.cachedTokens < this.sharedTokens;
+        const missing = isMissing ? this.missingParts(version, now) : [];
+        const shared = version === undefined ? [] : this.head.parts.slice(0, -1);
+        return this.ports.prefills.begin(this.storeScope(version ?? 0), missing, candidate.server.id, now, shared);
     }
 
     /** Records that the server has prefilled the prompt and saves the parts as planned. */
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -7,6 +7,7 @@
 import type * as selection from "../placement/selection.js";
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLoads from "../placement/server-load.js";
+import type * as transferBudgets from "../placement/transfer-budget.js";
 import type * as ledgers from "../quota/ledger.js";
 import type * as connectionPools from "./connection-pool.js";
 import type * as dialects from "./dialect.js";
@@ -42,6 +43,7 @@
     readonly serverLoad: serverLoads.ServerLoadTracker;
     readonly cacheIndex: cacheIndexes.CacheIndex;
     readonly prefills: prefills.PrefillTracker;
+    readonly transferBudget: transferBudgets.TransferBudget;
     readonly serverHealth: serverHealth.ServerHealth;
     readonly latencyEstimates: latencyEstimates.LatencyEstimates;
     readonly quotas: ledgers.QuotaLedger;
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -22,13 +22,13 @@
     readonly pendingPromptTokens: number;
 }
 
-/** A shared part of prompts that a server prefills because no cache store has it yet. */
+/** A shared part of prompts that a server prefills or has just prefilled, since no cache store has it. */
 export interface Prefill {
     /** Hash of the part and of the scope under which it is cached. */
     readonly partHash: number;
     /** Id of the server. */
     readonly server: string;
-    /** The server has prefilled the part and is saving it to the cache store. */
+    /** The server has prefilled the part. */
     readonly isComplete: boolean;
 }
 
--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -1,7 +1,10 @@
 /** Plans from where a server fetches cached prompt parts for a call, and to which store it saves them. */
 import * as rendezvous from "../core/rendezvous.js";
 import type * as fleet from "../fleet/types.js";
-import type * as types from "./types.js";
+import type * as transferBudgets from "./transfer-budget.js";
+
+/** Share of the calls whose parts a store holds although a restarted entry does not know of them. */
+const UNKNOWN_PART_SHARE = 0.25;
 
 export interface CachePlan {
     /** IP:PORT of the store or server from which to fetch parts that the chosen server does not hold. */
@@ -15,8 +18,21 @@
     readonly store: fleet.CacheStore | undefined;
     /** The store holds the shared parts, as far as this entry knows. */
     readonly isInStore: boolean;
-    /** A server that most likely holds the shared parts. */
+    /** False while the store may hold parts that this entry does not know of, such as after a restart of the entry. */
+    readonly isStoreKnown: boolean;
+    /** Another server that most likely holds the shared parts. */
     readonly holder: fleet.BackendServer | undefined;
+    /** The chosen server itself most likely holds the shared parts. */
+    readonly isHolder: boolean;
+    /** Tokens of the shared parts, and of the whole prompt. */
+    readonly sharedTokens: number;
+    readonly promptTokens: number;
+}
+
+/** The budget for the links of the stores, and the present time. */
+export interface TransferLimit {
+    readonly budget: transferBudgets.TransferBudget;
+    readonly now: number;
 }
 
 /** The last shared part of a prompt. The final part is unique to the call. */
@@ -45,17 +61,27 @@
 }
 
 /**
- * Plans the cache transfers of a call at a server.
+ * Plans the cache transfers of a call at the server that was chosen for it.
  *
- * Parts are saved only when the store lacks them: a server saves the call's unique part along with the shared ones, and
- * saving it with every call would evict the shared parts from the store.
+ * Parts are fetched from another server that holds them rather than from a store, whose link all servers share and
+ * saturate under load. They are saved only when the store lacks them: a server saves the call's unique part along with
+ * the shared ones, and saving it with every call would evict the shared parts from the store.
  */
-export function planCache(availability: CacheAvailability, target: types.Candidate): CachePlan {
-    const { store, holder } = availability;
-    const otherHolder = holder?.id === target.server.id ? undefined : holder;
-    if (store !== undefined && availability.isInStore) {
-        // Fetching from another server relieves the store's network link, which all servers share and saturate under load.
-        return { fetchFrom: otherHolder?.address ?? store.address, saveTo: undefined };
+export function planCache(availability: CacheAvailability, { budget, now }: TransferLimit): CachePlan {
+    const { store, isInStore, holder, isHolder, sharedTokens, promptTokens } = availability;
+    const mayFetch = (from: fleet.CacheStore) => budget.admitFetch(from, isHolder ? 0 : sharedTokens, now);
+    const fetchFrom = isHolder ? undefined : holder?.address;
+    if (store === undefined) {
+        return { fetchFrom, saveTo: undefined };
+    }
+    if (isInStore) {
+        return { fetchFrom: fetchFrom ?? (mayFetch(store) ? store.address : undefined), saveTo: undefined };
     }
-    return { fetchFrom: otherHolder?.address ?? store?.address, saveTo: store?.address };
+    const mayTry = fetchFrom === undefined && !isHolder && !availability.isStoreKnown
+        && budget.admitFetch(store, sharedTokens * UNKNOWN_PART_SHARE, now);
+    const isSaved = budget.admitSave(store, promptTokens, sharedTokens, now);
+    return {
+        fetchFrom: fetchFrom ?? (mayTry ? store.address : undefined),
+        saveTo: isSaved ? store.address : undefined,
+    };
 }
--- a/src/placement/prefills.ts
+++ b/src/placement/prefills.ts
@@ -12,23 +12,23 @@
 const MINIMUM_PART_TOKENS = 1000;
 /** Time in milliseconds after which a call without a first event no longer counts as prefilling its parts. */
 const MAXIMUM_PREFILL_MS = 2000;
-/** Time in milliseconds from the end of a prefill until all entries learn from the store's change feed that it has the part. */
-const SAVE_DELAY_MS = 600;
+/** Time in milliseconds for which a server is known to hold a part that it has prefilled. */
+const COMPLETE_RETENTION_MS = 2000;
 /** Time in milliseconds after which the prefills that a silent peer reported no longer count. */
 const MAXIMUM_HEARTBEAT_AGE_MS = 1000;
 
 /** Records the progress of the prefill of a call's parts at a server. */
 export interface PrefillHandle extends Disposable {
-    /** Records that the server has prefilled the parts and saves them to the store. */
+    /** Records that the server has prefilled the parts. */
     complete(now: number): void;
 }
 
 /** Prefill state of one part. */
 export interface PrefillState {
-    /** Servers that are prefilling the part or have just done so. */
+    /** Servers that are prefilling the part or hold it. */
     readonly servers: ReadonlySet<string>;
-    /** A server has prefilled the part, so that the store has it or receives it shortly. */
-    readonly isComplete: boolean;
+    /** Servers that hold the part, so that it can be fetched from there. */
+    readonly holders: ReadonlySet<string>;
 }
 
 interface PrefillRecord {
@@ -45,13 +45,19 @@
 
     /**
      * Records that a server starts to prefill parts that no store has. Disposing of the result before it is complete
-     * removes the record, since the server has not prefilled them.
+     * removes the record, since the server has not prefilled them. `held` are the parts that the server holds afterwards.
      */
-    begin(scope: string, parts: readonly fleet.PromptPart[], server: string, now: number): PrefillHandle {
+    begin(
+        scope: string,
+        parts: readonly fleet.PromptPart[],
+        server: string,
+        now: number,
+        held: readonly fleet.PromptPart[] = parts,
+    ): PrefillHandle {
         const identity = {};
-        const large = parts.filter(part => part.tokens >= MINIMUM_PART_TOKENS);
         let isCompleted = false;
         const record = (isComplete: boolean, endsAt: number) => {
+            const large = (isComplete ? held : parts).filter(part => part.tokens >= MINIMUM_PART_TOKENS);
             const entries = large.map(part => ({ partHash: hashOf(scope, part.id), server, isComplete }));
             if (entries.length > 0) {
                 this.replace(this.own, identity, { entries, endsAt });
@@ -61,7 +67,7 @@
         return {
             complete: (at: number) => {
                 isCompleted = true;
-                record(true, at + SAVE_DELAY_MS);
+                record(true, at + COMPLETE_RETENTION_MS);
             },
             [Symbol.dispose]: () => {
                 if (!isCompleted) {
@@ -100,7 +106,7 @@
         const matching = current.flatMap(({ entries }) => entries.filter(prefill => prefill.partHash === hash));
         return {
             servers: new Set(matching.map(prefill => prefill.server)),
-            isComplete: matching.some(prefill => prefill.isComplete),
+            holders: new Set(matching.filter(prefill => prefill.isComplete).map(prefill => prefill.server)),
         };
     }
 
@@ -127,7 +133,7 @@
     }
 }
 
-const NO_PREFILL: PrefillState = { servers: new Set(), isComplete: false };
+const NO_PREFILL: PrefillState = { servers: new Set(), holders: new Set() };
 
 function hashOf(scope: string, part: string): number {
     return hashing.hash32(`${scope} ${part}`);
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -19,6 +19,7 @@
 import * as serverHealth from "../placement/server-health.js";
 import * as serverLoads from "../placement/server-load.js";
 import * as followers from "../placement/store-follower.js";
+import * as transferBudgets from "../placement/transfer-budget.js";
 import * as ledgers from "../quota/ledger.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
@@ -71,7 +72,7 @@
     private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
-    private readonly cacheIndex = new cacheIndexes.CacheIndex();
+    private readonly cacheIndex: cacheIndexes.CacheIndex;
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
     private readonly view: views.FleetView;
@@ -98,6 +99,7 @@
         private readonly journal: event.Journal,
     ) {
         this.startedAt = clock.now();
+        this.cacheIndex = new cacheIndexes.CacheIndex(this.startedAt);
         this.incarnation = clock.identifier();
         this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
@@ -122,6 +124,7 @@
             serverLoad: this.serverLoad,
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
+            transferBudget: new transferBudgets.TransferBudget(now => this.quotas.entryCount(now)),
             serverHealth: health,
             latencyEstimates: new latencyEstimates.LatencyEstimates(),
             quotas: this.quotas,
