Pass heartbeats on in each data centre, and read the store through stale copies in large deployments

Change: with more than 24 peers a heartbeat goes to the own data centre and to one entry in each other one, in turn of two, which passes it on; processes of older versions are told directly. All but a few entries for each kind, and the agents, read changes through stale copies, which cost a tenth; heartbeats tell them of newer revisions.

--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -6,6 +6,8 @@
  * ignore them, and the decoder accepts heartbeats without them, so that a rolling restart needs no interruption.
  */
 const LAYOUT_VERSION = 3;
+/** Position of the heartbeats that are passed on, behind those of the sender's own. */
+const PASSED_ON = 17;
 
 type HeartbeatTuple = readonly [
     layoutVersion: number,
@@ -28,6 +30,9 @@
     report: ReportTuple | 0,
     /** Alternating part hashes and tokens. */
     savedParts?: readonly number[],
+    /** Empty if unknown. */
+    dataCentre?: string,
+    passedOn?: readonly HeartbeatTuple[],
 ];
 
 type ReportTuple = readonly [
@@ -42,9 +47,13 @@
     waiting: number,
 ];
 
-export function encode(heartbeat: types.Heartbeat): Buffer {
+export function encode({ heartbeat, passedOn }: types.HeartbeatMessage): Buffer {
+    return Buffer.from(JSON.stringify([...toTuple(heartbeat), passedOn.map(toTuple)]));
+}
+
+function toTuple(heartbeat: types.Heartbeat): HeartbeatTuple {
     const { member, report } = heartbeat;
-    const tuple: HeartbeatTuple = [
+    return [
         LAYOUT_VERSION,
         member.name,
         member.role,
@@ -63,15 +72,18 @@
         heartbeat.desiredWeights.map(({ model, version, revision }) => [model, version, revision]),
         report === undefined ? 0 : encodeReport(report),
         heartbeat.savedParts.flatMap(({ partHash, tokens }) => [partHash, tokens]),
+        member.dataCentre ?? "",
     ];
-    return Buffer.from(JSON.stringify(tuple));
 }
 
 /** Returns `undefined` for a datagram that is not a heartbeat of this layout version. */
-export function decode(datagram: Buffer): types.Heartbeat | undefined {
+export function decode(datagram: Buffer): types.HeartbeatMessage | undefined {
     try {
         const value = JSON.parse(datagram.toString("utf8")) as HeartbeatTuple;
-        return Array.isArray(value) && value[0] === LAYOUT_VERSION ? fromTuple(value) : undefined;
+        if (!Array.isArray(value) || value[0] !== LAYOUT_VERSION) {
+            return undefined;
+        }
+        return { heartbeat: fromTuple(value), passedOn: (value[PASSED_ON] ?? []).map(fromTuple) };
     }
     catch {
         // The port accepts datagrams from any sender; those that are not valid heartbeats are ignored.
@@ -97,11 +109,13 @@
         desiredWeights,
         report,
         savedParts = [],
+        dataCentre = "",
     ] = tuple;
     return {
         member: {
             name,
             role,
+            dataCentre: dataCentre === "" ? undefined : dataCentre,
             beatAddress,
             documentAddress: documentAddress === "" ? beatAddress : documentAddress,
             serverAddress: serverAddress === "" ? undefined : serverAddress,
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -3,20 +3,24 @@
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import * as codec from "./codec.js";
+import * as fanOuts from "./fan-out.js";
 import type * as memberTables from "./member-table.js";
 import type * as types from "./types.js";
 
 /** Interval in milliseconds at which peers due for a heartbeat are looked up; the shortest possible period. */
 const TICK_MS = 150;
 /**
- * Number of peers up to which the configured periods apply. With more peers the periods grow in proportion, so that the
- * sending rate of a process stays constant.
+ * Number of direct recipients up to which the configured periods apply. With more of them the periods grow in proportion,
+ * so that the sending rate of a process stays constant.
  */
-const MAXIMUM_PEERS_AT_BASE_PERIOD = 40;
+const MAXIMUM_RECIPIENTS_AT_BASE_PERIOD = 16;
+/** Time in milliseconds without a heartbeat after which an entry no longer counts on another to pass heartbeats on. */
+const RELAY_SILENCE_MS = 1500;
 /** Time in milliseconds without a heartbeat after which a peer is logged as silent, at the base period. */
 const PEER_SILENCE_MS = 2500;
 
 export interface HeartbeatPorts {
+    readonly self: types.Member;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
     readonly members: memberTables.MemberTable;
@@ -34,6 +38,12 @@
     private timer: NodeJS.Timeout | undefined;
     private sequence = 0;
     private readonly lastSentAt = new Map<string, number>();
+    /** Heartbeats from other data centres since the last one to the peers of each role in the own one, by sender. */
+    private readonly toPassOn: Readonly<Record<types.Role, Map<string, types.Heartbeat>>> = {
+        entry: new Map(),
+        agent: new Map(),
+    };
+    private recipients = 0;
 
     constructor(private readonly ports: HeartbeatPorts) {}
 
@@ -47,8 +57,15 @@
         this.socket.bind(Number(port), host, () => this.tick());
     }
 
-    /** Sends a heartbeat to all peers immediately, for changes that should not wait for the next period. */
+    /** Sends a heartbeat at once, for changes that should not wait for the next period. */
     send(): void {
+        const now = this.ports.clock.now();
+        const { local, relays } = this.fanOut(now);
+        this.sendTo([...local, ...relays], now);
+    }
+
+    /** Sends a heartbeat to all peers at once, for rare changes that none of them may learn late. */
+    sendToAll(): void {
         this.sendTo(this.ports.members.peers(), this.ports.clock.now());
     }
 
@@ -60,63 +77,131 @@
 
     /** Factor by which the periods are longer than the configured ones. */
     get periodFactor(): number {
-        return Math.max(1, this.ports.members.peers().length / MAXIMUM_PEERS_AT_BASE_PERIOD);
+        return Math.max(1, this.recipients / MAXIMUM_RECIPIENTS_AT_BASE_PERIOD);
     }
 
     private tick(): void {
         const now = this.ports.clock.now();
-        const peers = this.ports.members.peers();
+        const { local, relays } = this.fanOut(now);
+        this.recipients = local.length + relays.length;
         const { periodFactor } = this;
-        const due = peers.filter(peer => {
-            const sentAt = this.lastSentAt.get(peer.name) ?? Number.NEGATIVE_INFINITY;
+        const isDue = (peer: types.Member) => {
+            const sentAt = this.lastSentAt.get(this.recipientKey(peer)) ?? Number.NEGATIVE_INFINITY;
             return now - sentAt > this.ports.periodMs(peer) * periodFactor - TICK_MS / 2;
-        });
+        };
+        const due = [...local, ...relays].filter(isDue);
         if (due.length > 0) {
             this.sendTo(due, now);
         }
+        this.forgetRemovedPeers();
         this.logSilentPeers(now);
         this.timer = setTimeout(() => this.tick(), TICK_MS);
     }
 
+    private fanOut(now: number): fanOuts.FanOut {
+        return fanOuts.fanOut({
+            self: this.ports.self,
+            peers: this.ports.members.peers(),
+            isLive: peer => this.isLive(peer, now),
+            sequence: this.sequence,
+        });
+    }
+
+    /** The entries of another data centre that pass heartbeats on take turns, so that they count as one recipient. */
+    private recipientKey(peer: types.Member): string {
+        return this.isRemote(peer) && peer.role === "entry" ? `data centre ${peer.dataCentre}` : peer.name;
+    }
+
+    private isRemote({ dataCentre }: types.Member): boolean {
+        return dataCentre !== undefined && dataCentre !== this.ports.self.dataCentre;
+    }
+
+    private isLive(peer: types.Member, now: number): boolean {
+        const last = this.ports.members.lastHeartbeat(peer.name);
+        return last !== undefined && !last.heartbeat.isLeaving && now - last.receivedAt <= RELAY_SILENCE_MS;
+    }
+
     private sendTo(peers: readonly types.Member[], now: number): void {
         const heartbeat = this.ports.compose(this.sequence++, now);
-        const datagrams = { entry: codec.encode(heartbeat), agent: codec.encode(withoutEntryState(heartbeat)) };
+        const content = { entry: heartbeat, agent: withoutEntryState(heartbeat) };
+        const datagrams = new Map<string, Buffer>();
+        const datagramTo = (peer: types.Member): Buffer => {
+            const isRemote = this.isRemote(peer);
+            const key = `${peer.role} ${isRemote}`;
+            // Peers of other data centres get what is passed on from their own entries.
+            const passedOn = isRemote ? [] : [...this.toPassOn[peer.role].values()];
+            const datagram = datagrams.get(key) ?? codec.encode({ heartbeat: content[peer.role], passedOn });
+            datagrams.set(key, datagram);
+            return datagram;
+        };
         for (const peer of peers) {
-            this.lastSentAt.set(peer.name, now);
+            this.lastSentAt.set(this.recipientKey(peer), now);
             const [host, port] = peer.beatAddress.split(":");
-            this.socket.send(datagrams[peer.role], Number(port), host, error => {
+            this.socket.send(datagramTo(peer), Number(port), host, error => {
                 if (error) {
                     this.ports.journal.emit("peer-send-failed", { peer: peer.name, reason: error.message });
                 }
             });
         }
+        for (const role of ["entry", "agent"] as const) {
+            if (datagrams.has(`${role} false`)) {
+                this.toPassOn[role].clear();
+            }
+        }
     }
 
-    /** A heartbeat with unexpected content is ignored: the port accepts datagrams from any sender. */
+    /** A datagram with unexpected content is ignored: the port accepts datagrams from any sender. */
     private receiveSafely(datagram: Buffer): void {
         try {
-            this.receive(datagram);
+            const message = codec.decode(datagram);
+            if (message === undefined) {
+                return;
+            }
+            const { member, report } = message.heartbeat;
+            if (this.receive(message.heartbeat) && this.ports.self.role === "entry" && this.isRemote(member)) {
+                this.toPassOn.entry.set(member.name, message.heartbeat);
+                if (report !== undefined) {
+                    this.toPassOn.agent.set(member.name, message.heartbeat);
+                }
+            }
+            message.passedOn.forEach(heartbeat => this.receive(heartbeat));
         }
         catch (error) {
             this.ports.journal.emit("heartbeat-invalid", { reason: (error as Error).message });
         }
     }
 
-    private receive(datagram: Buffer): void {
-        const heartbeat = codec.decode(datagram);
+    /** Returns false for a heartbeat that is not newer than the last one of its sender. */
+    private receive(heartbeat: types.Heartbeat): boolean {
         const now = this.ports.clock.now();
-        if (heartbeat === undefined) {
-            return;
+        const { name } = heartbeat.member;
+        if (name === this.ports.self.name) {
+            return false;
         }
-        const previous = this.ports.members.lastHeartbeat(heartbeat.member.name);
+        const previous = this.ports.members.lastHeartbeat(name);
         if (!this.ports.members.receive(heartbeat, now)) {
-            return;
+            return false;
         }
-        const wasSilent = this.silentPeers.delete(heartbeat.member.name);
+        const wasSilent = this.silentPeers.delete(name);
         if (previous?.heartbeat.incarnation !== heartbeat.incarnation || wasSilent) {
-            this.ports.journal.emit("peer-heard", { peer: heartbeat.member.name, incarnation: heartbeat.incarnation });
+            this.ports.journal.emit("peer-heard", { peer: name, incarnation: heartbeat.incarnation });
         }
         this.ports.onHeartbeat(heartbeat, now);
+        return true;
+    }
+
+    /** Drops the state of peers that were replaced. */
+    private forgetRemovedPeers(): void {
+        if (this.lastSentAt.size <= 2 * this.ports.members.peers().length) {
+            return;
+        }
+        const names = new Set(this.ports.members.peers().map(peer => peer.name));
+        for (const name of this.lastSentAt.keys()) {
+            if (!names.has(name)) {
+                this.lastSentAt.delete(name);
+                this.silentPeers.delete(name);
+            }
+        }
     }
 
     private logSilentPeers(now: number): void {
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -6,6 +6,8 @@
 export interface Member {
     readonly name: string;
     readonly role: Role;
+    /** Undefined for a seed and for a process of a version that does not tell it. */
+    readonly dataCentre: string | undefined;
     /** IP:PORT for heartbeats (UDP). */
     readonly beatAddress: string;
     /** IP:PORT from which peers fetch copies of the store's kinds (HTTP). */
@@ -71,6 +73,12 @@
     readonly revision: number;
 }
 
+/** A datagram: the heartbeat of its sender, and heartbeats from other data centres that the sender passes on. */
+export interface HeartbeatMessage {
+    readonly heartbeat: Heartbeat;
+    readonly passedOn: readonly Heartbeat[];
+}
+
 /** Periodic message of a process to its peers. */
 export interface Heartbeat {
     readonly member: Member;
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -16,8 +16,10 @@
 /** Heartbeat periods in milliseconds by receiver; a change of the server's state is sent immediately. */
 const ENTRY_HEARTBEAT_MS = 400;
 const AGENT_HEARTBEAT_MS = 800;
+/** Number of peers from which an agent reads changes from stale copies of the store. */
+const MINIMUM_PEERS_FOR_STALE_READS = 20;
 /** Age in milliseconds up to which the report of another agent's server is used. */
-const REPORT_MAXIMUM_AGE_MS = 2500;
+const REPORT_MAXIMUM_AGE_MS = 3500;
 
 export class Agent implements AsyncDisposable {
     private readonly member: peering.Member;
@@ -45,7 +47,7 @@
             engine: platform.engine(address),
             address,
             neighbours: model => this.neighbours(model),
-            announce: () => this.heartbeats.send(),
+            announce: () => this.heartbeats.sendToAll(),
         });
         this.watch = new watches.KindWatch(
             {
@@ -53,10 +55,13 @@
                 waitMs: () => WATCH_WAIT_MS,
                 batchDelayMs: () => 0,
                 ownersReregister: false,
+                // Heartbeats of many entries announce new weights sooner than a read of the store.
+                mayBeStale: () => this.members.peers().length >= MINIMUM_PEERS_FOR_STALE_READS,
             },
             { store: platform.store, clock, journal, onChange: copy => this.adoptWeights(copy) },
         );
         this.heartbeats = new heartbeatExchanges.HeartbeatExchange({
+            self: this.member,
             clock,
             journal,
             members: this.members,
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -1,6 +1,7 @@
 /** Entry process: accepts calls, forwards them to backend servers, and shares state with its peers and the store. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import * as rendezvous from "../core/rendezvous.js";
 import type * as fleet from "../fleet/types.js";
 import * as connectionPools from "../forwarding/connection-pool.js";
 import * as entryServers from "../forwarding/entry-server.js";
@@ -40,9 +41,12 @@
  */
 const MAXIMUM_ENTRIES_AT_BASE_WAIT = 8;
 const MAXIMUM_WAIT_FACTOR = 3;
+/** Number of entries that read changes of a kind from the store at once, and their share of many entries. */
+const MINIMUM_DIRECT_READERS = 8;
+const DIRECT_READER_SHARE = 0.15;
 /** Heartbeat periods in milliseconds by receiver: entries share spent tokens and load, agents need only new weights. */
 const ENTRY_HEARTBEAT_MS = 150;
-const AGENT_HEARTBEAT_MS = 1000;
+const AGENT_HEARTBEAT_MS = 500;
 /**
  * Times in milliseconds without heartbeats after which a peer's spending is unknown, at the base period of the
  * heartbeats, and after which it no longer counts.
@@ -155,6 +159,7 @@
         this.watches = this.createWatches();
         this.documents = new documents.DocumentExchange({ clock, journal, watches: Object.values(this.watches) });
         this.heartbeats = new heartbeatExchanges.HeartbeatExchange({
+            self: this.member,
             clock,
             journal,
             members: this.members,
@@ -238,22 +243,54 @@
         return {
             configuration: create(
                 kinds.configuration,
-                { waitMs, batchDelayMs: () => 0, ownersReregister: false },
+                {
+                    waitMs,
+                    batchDelayMs: () => 0,
+                    ownersReregister: false,
+                    mayBeStale: () => this.readsStale(kinds.configuration),
+                },
                 copy => this.adoptConfiguration(copy),
             ),
             servers: create(
                 kinds.servers,
-                { waitMs, batchDelayMs: () => SERVERS_BATCH_DELAY_MS * this.watchWaitFactor, ownersReregister: true },
+                {
+                    waitMs,
+                    batchDelayMs: () => SERVERS_BATCH_DELAY_MS * this.watchWaitFactor,
+                    ownersReregister: true,
+                    mayBeStale: () => this.readsStale(kinds.servers),
+                },
                 copy => this.adoptServers(copy),
             ),
             weights: create(
                 kinds.weights,
-                { waitMs, batchDelayMs: () => 0, ownersReregister: false },
+                {
+                    waitMs,
+                    batchDelayMs: () => 0,
+                    ownersReregister: false,
+                    mayBeStale: () => this.readsStale(kinds.weights),
+                },
                 copy => this.adoptWeights(copy),
             ),
         };
     }
 
+    /**
+     * Whether changes of a kind are read from stale copies of the store. In a large deployment some entries, chosen by
+     * rendezvous hashing for each kind, read them at once; the others learn of newer revisions from their heartbeats.
+     */
+    private readsStale(kind: string): boolean {
+        const now = this.clock.now();
+        const entries = this.members.recentHeartbeats(now, PEER_SILENCE_MS * this.heartbeats.periodFactor)
+            .map(({ heartbeat }) => heartbeat.member)
+            .filter(member => member.role === "entry");
+        const readers = Math.max(MINIMUM_DIRECT_READERS, Math.ceil(entries.length * DIRECT_READER_SHARE));
+        if (entries.length < readers) {
+            return false;
+        }
+        const own = rendezvous.score(kind, { id: this.settings.name, weight: 1 });
+        return entries.filter(({ name }) => rendezvous.score(kind, { id: name, weight: 1 }) > own).length >= readers;
+    }
+
     /** Factor by which the watches' waits grow with the number of entries. */
     private get watchWaitFactor(): number {
         const factor = this.quotas.entryCount(this.clock.now()) / MAXIMUM_ENTRIES_AT_BASE_WAIT;
@@ -400,6 +437,7 @@
     return {
         name: `seed ${beatAddress}`,
         role: "entry",
+        dataCentre: undefined,
         beatAddress,
         documentAddress: beatAddress,
         serverAddress: undefined,
--- a/src/runtime/member-directory.ts
+++ b/src/runtime/member-directory.ts
@@ -17,8 +17,8 @@
 
 /** Member record of a process, as stored and sent to peers. */
 export function memberOf(settings: types.ProcessSettings): peering.Member {
-    const { name, role, beatAddress, documentAddress, serverAddress } = settings;
-    return { name, role, beatAddress, documentAddress, serverAddress };
+    const { name, role, dataCentre, beatAddress, documentAddress, serverAddress } = settings;
+    return { name, role, dataCentre, beatAddress, documentAddress, serverAddress };
 }
 
 /**
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -12,11 +12,17 @@
 const MAXIMUM_BACKOFF_MS = 800;
 /** Long-poll wait in milliseconds while the store does not respond. */
 const PROBE_WAIT_MS = 1;
+/** Pause in milliseconds after an answer without changes that arrived before its wait was over. */
+const EMPTY_ANSWER_PAUSE_MS = 400;
+/** Time in milliseconds that a change may take longer to arrive through stale reads, before it is read from a peer. */
+const STALE_LAG_MS = 800;
 
 export interface WatchOptions extends copies.KindCopyOptions {
     readonly kind: string;
     /** Longest long-poll wait in milliseconds; also the time after which an unresponsive connection is detected. */
     readonly waitMs: () => number;
+    /** Whether changes may arrive seconds late, since peers tell of newer revisions. */
+    readonly mayBeStale: () => boolean;
     /** Pause in milliseconds after a change, so that a single call fetches several successive changes. */
     readonly batchDelayMs: () => number;
 }
@@ -50,9 +56,10 @@
         return this.isListed && this.disconnectedAt === undefined;
     }
 
-    /** Time in milliseconds by which batching delays the copy; 0 while disconnected. */
+    /** Time in milliseconds by which batching and stale reads delay the copy; 0 while disconnected. */
     get lagMs(): number {
-        return this.isConnected ? this.options.batchDelayMs() : 0;
+        const staleMs = this.options.mayBeStale() ? STALE_LAG_MS : 0;
+        return this.isConnected ? this.options.batchDelayMs() + staleMs : 0;
     }
 
     start(): void {
@@ -114,7 +121,9 @@
     private async watchOnce(): Promise<number | undefined> {
         // A long-poll call during an outage could hang and delay the detection of the recovery for its whole wait.
         const waitMs = this.disconnectedAt === undefined ? this.options.waitMs() : PROBE_WAIT_MS;
-        const batch = await this.ports.store.watch(this.options.kind, this.copy.revision, waitMs);
+        const mayBeStale = this.disconnectedAt === undefined && this.options.mayBeStale();
+        const startedAt = this.ports.clock.now();
+        const batch = await this.ports.store.watch(this.options.kind, this.copy.revision, { waitMs, mayBeStale });
         if (!batch.ok) {
             if (batch.failure.kind === "store-history-lost") {
                 this.isListed = false;
@@ -125,7 +134,9 @@
         this.recordSuccess();
         this.copy.apply(batch.value, this.ports.clock.now());
         if (batch.value.changes.length === 0) {
-            return undefined;
+            // A stale copy that is behind this one may answer at once; asking again would not help.
+            const hasWaited = this.ports.clock.now() - startedAt >= waitMs / 2;
+            return hasWaited ? undefined : EMPTY_ANSWER_PAUSE_MS;
         }
         const names = batch.value.changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
         this.reportChange(names.slice(0, 8).join(" "), "store");
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -27,12 +27,19 @@
     readonly changes: readonly Change[];
 }
 
+export interface WatchOptions {
+    /** Longest wait for a change in milliseconds. */
+    readonly waitMs: number;
+    /** The store may answer from a copy that is seconds old, which costs it less. */
+    readonly mayBeStale: boolean;
+}
+
 /** The platform's store. Each method fails with `store-unavailable` if the store did not respond. */
 export interface RecordStore {
     /** Lists all records of a kind. */
     list(kind: string): Promise<outcomes.Outcome<Listing>>;
-    /** Waits up to `waitMs` milliseconds for changes. Fails with `store-history-lost` if the revision is too old. */
-    watch(kind: string, afterRevision: number, waitMs: number): Promise<outcomes.Outcome<Changes>>;
+    /** Waits for changes. Fails with `store-history-lost` if the revision is too old. */
+    watch(kind: string, afterRevision: number, options: WatchOptions): Promise<outcomes.Outcome<Changes>>;
     /** Creates or replaces a record unconditionally. */
     put(kind: string, name: string, spec: unknown): Promise<outcomes.Outcome<undefined>>;
 }
--- a/tools/capacity/heartbeat.ts
+++ b/tools/capacity/heartbeat.ts
@@ -8,7 +8,7 @@
 
 function heartbeat(servers: number, customers: number): types.Heartbeat {
     const names = (count: number, prefix: string) => Array.from({ length: count }, (_, index) => `${prefix}${index}`);
-    const member = { name: "edge-one-1", role: "entry", beatAddress: "10.1.0.24:7600" } as const;
+    const member = { name: "edge-one-1", role: "entry", dataCentre: "one", beatAddress: "10.1.0.24:7600" } as const;
     return {
         member: { ...member, documentAddress: member.beatAddress, serverAddress: undefined },
         incarnation: "9c0b2df7d4cc8fe0fb43da7d",
@@ -28,7 +28,7 @@
 
 console.log("servers customers bytes encode-us decode-us");
 for (const { servers, customers } of SIZES) {
-    const message = heartbeat(servers, customers);
+    const message = { heartbeat: heartbeat(servers, customers), passedOn: [] };
     const datagram = codec.encode(message);
     const encodeUs = meanMicroseconds(() => codec.encode(message));
     const decodeUs = meanMicroseconds(() => codec.decode(datagram));
