Tell other entries of cache stores that are away or have restarted

Cause: entries that do not follow a cache store would fetch from a dead one, which costs some hundred milliseconds a call, and count parts as saved that a restarted store has lost. Change: the entries that follow a store put its incarnation, or that it does not respond, into their heartbeats. Result: unit tests; not measured alone.

--- a/src/forwarding/prompt-cache-access.ts
+++ b/src/forwarding/prompt-cache-access.ts
@@ -70,9 +70,12 @@
         if (this.lastSharedPart === undefined) {
             return { scope, plan: undefined, cachedTokens: 0 };
         }
-        const { store } = this;
+        const { cacheIndex } = this.ports;
+        const assignedStore = this.store;
+        const isReachable = assignedStore !== undefined && !cacheIndex.isUnreachable(assignedStore.address, now);
+        const store = isReachable ? assignedStore : undefined;
         const isInStore = store !== undefined
-            && this.ports.cacheIndex.isInStore(store.address, scope, this.lastSharedPart.id, now);
+            && cacheIndex.isInStore(store.address, scope, this.lastSharedPart.id, now);
         const holders = this.holders(scope, this.lastSharedPart, version, now);
         const isHolder = holders.has(candidate.server.id);
         const holder = this.ports.view.listedServers().find(server => {
@@ -81,7 +84,7 @@
         const plan = cachePlans.planCache({
             store,
             isInStore,
-            isStoreKnown: store !== undefined && this.ports.cacheIndex.isKnown(store.address, now),
+            isStoreKnown: store !== undefined && cacheIndex.isKnown(store.address, now),
             holder,
             isHolder,
             sharedTokens: this.sharedTokens,
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -7,7 +7,7 @@
  */
 const LAYOUT_VERSION = 3;
 /** Position of the heartbeats that are passed on, behind those of the sender's own. */
-const PASSED_ON = 17;
+const PASSED_ON = 18;
 
 type HeartbeatTuple = readonly [
     layoutVersion: number,
@@ -32,6 +32,8 @@
     savedParts?: readonly number[],
     /** Empty if unknown. */
     dataCentre?: string,
+    /** The incarnation is empty while the store does not respond. */
+    cacheStores?: readonly (readonly [address: string, incarnation: string])[],
     passedOn?: readonly HeartbeatTuple[],
 ];
 
@@ -73,6 +75,7 @@
         report === undefined ? 0 : encodeReport(report),
         heartbeat.savedParts.flatMap(({ partHash, tokens }) => [partHash, tokens]),
         member.dataCentre ?? "",
+        heartbeat.cacheStores.map(({ address, incarnation }) => [address, incarnation ?? ""]),
     ];
 }
 
@@ -110,6 +113,7 @@
         report,
         savedParts = [],
         dataCentre = "",
+        cacheStores = [],
     ] = tuple;
     return {
         member: {
@@ -136,6 +140,10 @@
         desiredWeights: desiredWeights.map(([model, version, revision]) => ({ model, version, revision })),
         report: report === 0 ? undefined : decodeReport(report),
         savedParts: decodeSavedParts(savedParts),
+        cacheStores: cacheStores.map(([address, store]) => ({
+            address,
+            incarnation: store === "" ? undefined : store,
+        })),
     };
 }
 
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -224,5 +224,13 @@
  * its size.
  */
 function withoutEntryState(heartbeat: types.Heartbeat): types.Heartbeat {
-    return { ...heartbeat, changeRevisions: {}, spentTokens: {}, serverLoads: {}, prefills: [], savedParts: [] };
+    return {
+        ...heartbeat,
+        changeRevisions: {},
+        spentTokens: {},
+        serverLoads: {},
+        prefills: [],
+        savedParts: [],
+        cacheStores: [],
+    };
 }
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -42,6 +42,14 @@
     readonly tokens: number;
 }
 
+/** What a process that follows the changes of a cache store knows of it. */
+export interface CacheStoreStatus {
+    /** IP:PORT. */
+    readonly address: string;
+    /** Differs after each restart of the store, which starts empty; undefined while the store does not respond. */
+    readonly incarnation: string | undefined;
+}
+
 export interface LoadedWeights {
     readonly model: string;
     readonly version: number;
@@ -98,6 +106,8 @@
     readonly prefills: readonly Prefill[];
     /** Parts just saved to cache stores for calls of this process; entries only. */
     readonly savedParts: readonly SavedPart[];
+    /** State of the cache stores that this process follows; entries only. */
+    readonly cacheStores: readonly CacheStoreStatus[];
     readonly desiredWeights: readonly DesiredWeights[];
     /** Agents only. */
     readonly report: ServerReport | undefined;
--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -14,6 +14,8 @@
 const SAVE_DELAY_MS = 600;
 /** Time in milliseconds after the start of an entry from which it has learned of most parts in use. */
 const LEARNING_MS = 10_000;
+/** Time in milliseconds for which a store is not used after it did not respond; it is tried again every second. */
+const UNREACHABLE_MS = 1500;
 /** Time in milliseconds for which heartbeats announce a save, so that a single lost datagram does not hide it. */
 const ANNOUNCEMENT_MS = 1200;
 /** Size limit of each map; the largest deployment has about ten thousand parts in use. */
@@ -39,6 +41,10 @@
     /** Parts that this entry or a peer saved, by part hash, the oldest first. */
     private readonly saves = new Map<number, Save>();
     private savedTokens = 0;
+    /** Latest known incarnation of each store, by address. */
+    private readonly incarnations = new Map<string, string>();
+    /** End of the time in which a store is not used, by address. */
+    private readonly unreachableUntil = new Map<string, number>();
     /** Capacity of all stores together in tokens. */
     private capacityTokens = Number.POSITIVE_INFINITY;
     /** Saves of this entry's calls, for its heartbeats. */
@@ -91,6 +97,26 @@
         evictOldest(this.lastHitAt);
     }
 
+    /** Records what this entry or a peer learned by following a store. A store that restarted has lost all parts. */
+    applyStoreStatus({ address, incarnation }: peering.CacheStoreStatus, now: number): void {
+        if (incarnation === undefined) {
+            this.unreachableUntil.set(address, now + UNREACHABLE_MS);
+            return;
+        }
+        this.unreachableUntil.delete(address);
+        const known = this.incarnations.get(address);
+        this.incarnations.set(address, incarnation);
+        if (known !== undefined && known !== incarnation) {
+            // A save does not tell its store; parts of the others are saved again in the worst case.
+            this.saves.clear();
+        }
+    }
+
+    /** The store did not respond to the entries that follow it. */
+    isUnreachable(store: string, now: number): boolean {
+        return now < (this.unreachableUntil.get(store) ?? Number.NEGATIVE_INFINITY);
+    }
+
     /** Sets the capacity of all stores together in tokens, which bounds how many saved parts they can still hold. */
     setCapacity(tokens: number): void {
         this.capacityTokens = tokens;
--- a/src/placement/store-follower.ts
+++ b/src/placement/store-follower.ts
@@ -1,6 +1,7 @@
 /** Keeps the cache index in step with a cache store by reading the store's change feed. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import type * as peering from "../peering/types.js";
 import type * as cacheIndexes from "./cache-index.js";
 
 /** Delay in milliseconds after a failed read, or while enough other entries follow the store. */
@@ -16,8 +17,18 @@
     readonly changes: readonly cacheIndexes.CacheChange[];
 }
 
-/** Reads a store's changes from a position. Resolves to `undefined` when the store does not respond. */
-export type CacheChangeSource = (address: string, since: number) => Promise<CacheChanges | undefined>;
+/**
+ * - `changes`: a batch of changes.
+ * - `refused`: the store responds, but not with changes; it serves few followers.
+ * - `unreachable`: the store does not respond.
+ */
+export type CacheChangeResult =
+    | { readonly kind: "changes"; readonly batch: CacheChanges; }
+    | { readonly kind: "refused"; }
+    | { readonly kind: "unreachable"; };
+
+/** Reads a store's changes from a position. */
+export type CacheChangeSource = (address: string, since: number) => Promise<CacheChangeResult>;
 
 export interface FollowerPorts {
     readonly clock: clocks.Clock;
@@ -32,10 +43,16 @@
 
 export class StoreFollower implements AsyncDisposable {
     private readonly stop = new AbortController();
+    private latestStatus: peering.CacheStoreStatus | undefined;
     private position: { readonly incarnation: string; readonly next: number; } | undefined;
 
     constructor(private readonly ports: FollowerPorts) {}
 
+    /** What this follower knows of the store, for heartbeats; undefined while it does not follow the store. */
+    get status(): peering.CacheStoreStatus | undefined {
+        return this.latestStatus;
+    }
+
     start(): void {
         void this.run();
     }
@@ -47,8 +64,11 @@
 
     private async run(): Promise<void> {
         while (!this.stop.signal.aborted) {
-            const isFollowed = this.ports.mayFollow() && await this.readChanges();
-            if (!isFollowed) {
+            const mayFollow = this.ports.mayFollow();
+            if (!mayFollow) {
+                this.latestStatus = undefined;
+            }
+            if (!mayFollow || !await this.readChanges()) {
                 this.markLost();
                 await this.ports.clock.sleep(RETRY_DELAY_MS, this.stop.signal);
             }
@@ -59,7 +79,14 @@
     private async readChanges(): Promise<boolean> {
         const { address, index } = this.ports;
         const previous = this.position;
-        const batch = await this.ports.source(address, previous?.next ?? 0);
+        const result = await this.ports.source(address, previous?.next ?? 0);
+        if (result.kind === "refused") {
+            this.latestStatus = undefined;
+            return false;
+        }
+        const batch = result.kind === "changes" ? result.batch : undefined;
+        this.latestStatus = { address, incarnation: batch?.incarnation };
+        index.applyStoreStatus(this.latestStatus, this.ports.clock.now());
         if (batch === undefined) {
             return false;
         }
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -126,6 +126,7 @@
             serverLoads: {},
             prefills: [],
             savedParts: [],
+            cacheStores: [],
             desiredWeights: this.updater.desiredWeights(),
             report: this.updater.report(),
         };
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -411,6 +411,7 @@
             serverLoads: this.serverLoad.snapshot(),
             prefills: this.prefills.snapshot(now),
             savedParts: this.cacheIndex.announcedSaves(now),
+            cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
             desiredWeights: this.view.desiredWeights(),
             report: undefined,
         };
@@ -424,6 +425,7 @@
             this.serverLoad.applyPeer(name, heartbeat.serverLoads, now);
             this.prefills.applyPeer(name, heartbeat.prefills, now);
             this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
+            heartbeat.cacheStores.forEach(status => this.cacheIndex.applyStoreStatus(status, now));
             this.documents.compare(heartbeat, now);
         }
         if (heartbeat.report !== undefined) {
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -56,6 +56,7 @@
         serverLoads: {},
         prefills: [],
         savedParts: [],
+        cacheStores: [],
         desiredWeights: [],
         report: undefined,
     };
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -30,6 +30,7 @@
         serverLoads: { server: { calls: 2, pendingPromptTokens: 300 } },
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
         savedParts: [{ partHash: 4_000_000_000, tokens: 6670 }, { partHash: 5, tokens: 79 }],
+        cacheStores: [{ address: "10.9.0.1:80", incarnation: "7" }, { address: "10.9.0.2:80", incarnation: undefined }],
         desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
         report: {
             address: "10.0.0.9:8000",
@@ -61,7 +62,7 @@
     const encoded = codec.encode({ heartbeat: sent, passedOn: [sent] });
     const withoutAppended = (JSON.parse(encoded.toString()) as unknown[]).slice(0, 15);
     const decoded = codec.decode(Buffer.from(JSON.stringify(withoutAppended)));
-    assert.deepEqual(decoded, { heartbeat: { ...sent, savedParts: [] }, passedOn: [] });
+    assert.deepEqual(decoded, { heartbeat: { ...sent, savedParts: [], cacheStores: [] }, passedOn: [] });
 });
 
 testing.test("guards against datagrams of other layouts or of other senders", () => {
--- a/test/placement/cache.test.ts
+++ b/test/placement/cache.test.ts
@@ -168,3 +168,24 @@
     assert.equal(isSaved(198, 826), false);
     assert.equal(isSaved(1500, 2000), true);
 });
+
+testing.test("store away: its followers tell the others, which do not use it until it responds again", () => {
+    const index = new cacheIndexes.CacheIndex(0);
+    index.applyStoreStatus({ address: STORE.address, incarnation: undefined }, 1000);
+    assert.equal(index.isUnreachable(STORE.address, 2400), true);
+    assert.equal(index.isUnreachable("10.9.0.2:8000", 2400), false);
+    assert.equal(index.isUnreachable(STORE.address, 2500), false);
+    index.applyStoreStatus({ address: STORE.address, incarnation: undefined }, 3000);
+    index.applyStoreStatus({ address: STORE.address, incarnation: "2" }, 3100);
+    assert.equal(index.isUnreachable(STORE.address, 3200), false);
+});
+
+testing.test("store restarted: what was saved before counts as lost", () => {
+    const index = new cacheIndexes.CacheIndex(0);
+    index.applyStoreStatus({ address: STORE.address, incarnation: "1" }, 0);
+    index.recordStoreSave(STORE.address, "s", "p", 100, 100);
+    index.applyStoreStatus({ address: STORE.address, incarnation: "1" }, 200);
+    assert.equal(index.isInStore(STORE.address, "s", "p", 200), true);
+    index.applyStoreStatus({ address: STORE.address, incarnation: "2" }, 300);
+    assert.equal(index.isInStore(STORE.address, "s", "p", 300), false);
+});
--- a/test/placement/prefills.test.ts
+++ b/test/placement/prefills.test.ts
@@ -27,6 +27,7 @@
         serverLoads: {},
         prefills: entries,
         savedParts: [],
+        cacheStores: [],
         desiredWeights: [],
         report: undefined,
     };
--- a/tools/capacity/heartbeat.ts
+++ b/tools/capacity/heartbeat.ts
@@ -21,6 +21,7 @@
         ),
         prefills: [],
         savedParts: [],
+        cacheStores: [],
         desiredWeights: [{ model: "model", version: 12, revision: 345 }],
         report: undefined,
     };
