Compare a few random servers for each call, and share calls between updated and outdated servers

Change: with 16 servers or more a call compares the preferred server and three random ones, and updated servers get at most the calls that fill 0.7 of their capacity; the rest goes to outdated ones in time.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -267,6 +267,7 @@
             this.triedServers.clear();
         }
         const { cache } = admission;
+        const latency = this.ports.latencyEstimates.get(service);
         const placementRequest: placement.PlacementRequest = {
             affinityKey: cache.affinityKey,
             prefillingServers: cache.prefillingServers(now),
@@ -275,15 +276,15 @@
             expectedOutputTokens: head.expectedOutputTokens,
             triedServers: this.triedServers,
             dataCentre: this.ports.settings.dataCentre,
+            utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
         };
-        const latency = this.ports.latencyEstimates.get(service);
         return selection.chooseServer(
             candidates,
             placementRequest,
             latency,
             this.ports.settings.selection,
-            this.ports.clock.random(),
+            () => this.ports.clock.random(),
         );
     }
 
@@ -316,6 +317,7 @@
             weights: candidate.weightsVersion,
             configuration: this.ports.view.routingTable?.configuration.version,
         });
+        this.ports.demand.record(service, uncachedTokens, now);
         using load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
         using prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
         const attempt = new callAttempts.CallAttempt(this.ports, {
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -2,6 +2,7 @@
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import type * as cacheIndexes from "../placement/cache-index.js";
+import type * as demands from "../placement/demand.js";
 import type * as latencyEstimates from "../placement/latency-estimates.js";
 import type * as prefills from "../placement/prefills.js";
 import type * as selection from "../placement/selection.js";
@@ -43,6 +44,7 @@
     readonly serverLoad: serverLoads.ServerLoadTracker;
     readonly cacheIndex: cacheIndexes.CacheIndex;
     readonly prefills: prefills.PrefillTracker;
+    readonly demand: demands.DemandEstimates;
     readonly transferBudget: transferBudgets.TransferBudget;
     readonly serverHealth: serverHealth.ServerHealth;
     readonly latencyEstimates: latencyEstimates.LatencyEstimates;
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -6,6 +6,7 @@
  * crossing data centres, outdated weights, failures, and delaying a server whose weights update is pending.
  */
 import * as rendezvous from "../core/rendezvous.js";
+import * as spread from "./spread.js";
 import type * as types from "./types.js";
 
 export interface SelectionSettings {
@@ -48,13 +49,13 @@
 /** Time in milliseconds that each running call adds to the engine steps of a short response, in total. */
 const STEP_MS_PER_RUNNING_CALL = 0.4;
 
-/** Chooses a server deterministically from the inputs; `random`, in [0, 1), breaks ties. */
+/** Chooses a server from the inputs and the numbers in [0, 1) that `random` returns. */
 export function chooseServer(
     candidates: readonly types.Candidate[],
     request: types.PlacementRequest,
     latency: types.LatencyEstimate,
     settings: SelectionSettings,
-    random: number,
+    random: () => number,
 ): types.PlacementDecision {
     const ready = candidates.filter(candidate => candidate.server.state === "ready");
     const filters: readonly (readonly [types.UnplacedReason, (candidate: types.Candidate) => boolean])[] = [
@@ -72,7 +73,12 @@
         }
     }
     const preferred = findPreferred(ready, request);
-    const costs = eligible.map(candidate => {
+    const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
+    const compared = spread.candidatesToCompare(
+        { eligible, preferred, busyServers: candidates.length * request.utilization, isOutdated },
+        random,
+    );
+    const costs = compared.map(candidate => {
         return {
             candidate,
             cost: costMs(candidate, request, latency, settings, candidate.server.id === preferred?.server.id),
@@ -80,7 +86,7 @@
     });
     const lowest = Math.min(...costs.map(entry => entry.cost));
     const ties = costs.filter(entry => entry.cost <= lowest);
-    const best = ties[Math.floor(random * ties.length)]!;
+    const best = ties[Math.floor(random() * ties.length)]!;
     return {
         kind: "server",
         candidate: best.candidate,
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -38,6 +38,8 @@
     readonly triedServers: ReadonlySet<string>;
     /** Data centre of this entry. */
     readonly dataCentre: string;
+    /** Load of all servers of the service together, relative to their capacity. */
+    readonly utilization: number;
     /** The target is an HTTP service rather than an inference engine. */
     readonly isHttpService: boolean;
 }
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -15,6 +15,7 @@
 import * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
 import * as cacheIndexes from "../placement/cache-index.js";
+import * as demands from "../placement/demand.js";
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
 import * as serverHealth from "../placement/server-health.js";
@@ -128,6 +129,7 @@
             serverLoad: this.serverLoad,
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
+            demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
             transferBudget: new transferBudgets.TransferBudget(now => this.quotas.entryCount(now)),
             serverHealth: health,
             latencyEstimates: new latencyEstimates.LatencyEstimates(),
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -45,11 +45,12 @@
     expectedOutputTokens: 10,
     triedServers: new Set(),
     dataCentre: "one",
+    utilization: 0.3,
     isHttpService: false,
 };
 
 function choose(candidates: readonly types.Candidate[], request = REVIEW): types.PlacementDecision {
-    return selection.chooseServer(candidates, request, LATENCY, SETTINGS, 0.5);
+    return selection.chooseServer(candidates, request, LATENCY, SETTINGS, () => 0.5);
 }
 
 function chosen(decision: types.PlacementDecision): string {
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -12,6 +12,7 @@
 import * as serviceRetryBudgets from "../../src/forwarding/service-retry-budgets.js";
 import type * as forwarding from "../../src/forwarding/types.js";
 import * as cacheIndexes from "../../src/placement/cache-index.js";
+import * as demands from "../../src/placement/demand.js";
 import * as latencyEstimates from "../../src/placement/latency-estimates.js";
 import * as prefills from "../../src/placement/prefills.js";
 import * as serverHealth from "../../src/placement/server-health.js";
@@ -191,6 +192,7 @@
             serverLoad: this.serverLoad,
             cacheIndex: new cacheIndexes.CacheIndex(0),
             prefills: new prefills.PrefillTracker(),
+            demand: new demands.DemandEstimates(() => 1),
             transferBudget: new transferBudgets.TransferBudget(() => 1),
             serverHealth: this.health,
             latencyEstimates: new latencyEstimates.LatencyEstimates(),
