Do not run requests that arrive on a connection the entry has ended

Cause: a planned stop ends idle connections by halves. A request that crossed the end was still read and run, and its answer could not be sent: the caller lost it, a booking ran unanswered. Change: requests on a connection that this side has ended are dropped without being run, so that the caller may repeat them; a connection that was just opened is kept until its first request arrives.

--- a/src/forwarding/entry-server.ts
+++ b/src/forwarding/entry-server.ts
@@ -11,10 +11,22 @@
 const ACCEPT_BACKLOG = 1024;
 const BAD_REQUEST_RESPONSE = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/** Time in milliseconds from the opening of a connection within which its first request arrives. */
+const FIRST_REQUEST_MS = 300;
+
+interface Connection {
+    readonly openedAt: number;
+    /** Calls that have not ended. */
+    calls: number;
+    /** A call on it has ended. */
+    hasServed: boolean;
+    /** This side has ended it; requests that arrive later cannot be answered. */
+    isClosing: boolean;
+}
+
 export class EntryServer implements AsyncDisposable {
     private readonly server: http.Server;
-    private readonly connections = new Set<net.Socket>();
-    private readonly callsBySocket = new Map<net.Socket, number>();
+    private readonly connections = new Map<net.Socket, Connection>();
     private inFlight = 0;
 
     constructor(private readonly ports: types.CallPorts) {
@@ -25,7 +37,7 @@
         });
         this.server.on("request", (request, response) => void this.handle(request, response));
         this.server.on("connection", (socket: net.Socket) => {
-            this.connections.add(socket);
+            this.connections.set(socket, { openedAt: ports.clock.now(), calls: 0, hasServed: false, isClosing: false });
             socket.on("close", () => void this.connections.delete(socket));
         });
         this.server.on("clientError", (_error: Error, socket: net.Socket) => {
@@ -52,11 +64,17 @@
         this.server.keepAliveTimeout = idleMs;
     }
 
+    /** A connection was opened a moment ago, and its first request is probably on the way. */
+    awaitsFirstRequest(now: number): boolean {
+        return [...this.connections.values()].some(connection => isFresh(connection, now));
+    }
+
     /** Stops accepting connections and closes idle ones. The others are closed after their response. */
-    close(): void {
+    close(now: number): void {
         this.server.close();
-        for (const socket of this.connections) {
-            if (!this.callsBySocket.has(socket)) {
+        for (const [socket, connection] of this.connections) {
+            if (connection.calls === 0 && !isFresh(connection, now)) {
+                connection.isClosing = true;
                 socket.end();
             }
         }
@@ -69,9 +87,14 @@
     }
 
     private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        const { socket } = request;
+        const connection = this.connections.get(request.socket);
+        if (connection === undefined || connection.isClosing) {
+            // The request crossed the end of the connection. It could not be answered, so it must not run.
+            request.socket.destroy();
+            return;
+        }
         this.inFlight++;
-        this.callsBySocket.set(socket, (this.callsBySocket.get(socket) ?? 0) + 1);
+        connection.calls++;
         try {
             await new calls.Call(this.ports, request, response).run();
         }
@@ -80,11 +103,12 @@
             response.destroy();
         }
         this.inFlight--;
-        const remaining = (this.callsBySocket.get(socket) ?? 1) - 1;
-        if (remaining > 0) {
-            this.callsBySocket.set(socket, remaining);
-            return;
-        }
-        this.callsBySocket.delete(socket);
+        connection.calls--;
+        connection.hasServed = true;
     }
 }
+
+function isFresh(connection: Connection, now: number): boolean {
+    return !connection.hasServed && connection.calls === 0 && !connection.isClosing
+        && now - connection.openedAt < FIRST_REQUEST_MS;
+}
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -207,10 +207,11 @@
         this.journal.emit("process-stopping", { signal, calls: this.server.callsInFlight });
         const endsAt = startedAt + this.settings.shutdownGraceMs - SHUTDOWN_MARGIN_MS;
         await this.clock.sleep(Math.min(KEEP_ACCEPTING_MS, this.settings.shutdownGraceMs / 2));
-        this.server.close();
-        while (this.server.callsInFlight > 0 && this.clock.now() < endsAt) {
+        this.server.close(this.clock.now());
+        const isBusy = () => this.server.callsInFlight > 0 || this.server.awaitsFirstRequest(this.clock.now());
+        while (isBusy() && this.clock.now() < endsAt) {
             await this.clock.sleep(DRAIN_POLL_MS);
-            this.server.close();
+            this.server.close(this.clock.now());
         }
         const elapsedMs = Math.round(this.clock.now() - startedAt);
         this.journal.emit("process-stopped", { elapsedMs, calls: this.server.callsInFlight });
