Ignore heartbeats without a usable sender

Cause: a datagram with an address that is no IP:PORT entered the member table, and each later heartbeat to it looked up a host name or threw in the timer, which ended the sending of heartbeats. A new test with 200 mutated datagrams over a real socket hung on the code before. Change: name, role, addresses, incarnation and sequence of the sender are checked when a heartbeat is decoded.

--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -9,6 +9,8 @@
 /** Position of the heartbeats that are passed on, behind those of the sender's own. */
 const PASSED_ON = 18;
 
+const ADDRESS = /^\d+\.\d+\.\d+\.\d+:\d+$/;
+
 type HeartbeatTuple = readonly [
     layoutVersion: number,
     name: string,
@@ -115,6 +117,12 @@
         dataCentre = "",
         cacheStores = [],
     ] = tuple;
+    const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
+        && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
+        && typeof sequence === "number" && typeof dataCentre === "string";
+    if (!isUsable) {
+        throw new TypeError("a heartbeat without a usable sender");
+    }
     return {
         member: {
             name,
@@ -147,6 +155,11 @@
     };
 }
 
+/** IP:PORT. A host name would be looked up with each heartbeat that is sent there. */
+function isAddress(value: unknown): boolean {
+    return typeof value === "string" && ADDRESS.test(value);
+}
+
 function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
     const hashes = values.filter((_, index) => index % 2 === 0);
     return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
--- /dev/null
+++ b/test/peering/malformed-messages.test.ts
@@ -0,0 +1,177 @@
+/** Guards against messages of peers that end a process or stop its exchange, over real sockets. */
+import * as fastCheck from "fast-check";
+import * as assert from "node:assert/strict";
+import * as dgram from "node:dgram";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as testing from "node:test";
+import * as clocks from "../../src/clock/clock.js";
+import type * as event from "../../src/core/event.js";
+import * as outcomes from "../../src/core/outcome.js";
+import * as journals from "../../src/logging/journal.js";
+import * as codec from "../../src/peering/codec.js";
+import * as documents from "../../src/peering/documents.js";
+import * as heartbeatExchanges from "../../src/peering/heartbeat-exchange.js";
+import * as memberTables from "../../src/peering/member-table.js";
+import type * as types from "../../src/peering/types.js";
+import * as cacheIndexes from "../../src/placement/cache-index.js";
+import * as prefills from "../../src/placement/prefills.js";
+import * as serverLoads from "../../src/placement/server-load.js";
+import * as ledgers from "../../src/quota/ledger.js";
+import * as watches from "../../src/store-access/kind-watch.js";
+
+const SEED = 12;
+const HOST = "127.0.0.1";
+const CUSTOMER = {
+    name: "gallery",
+    keys: [],
+    priority: undefined,
+    isolated: false,
+    rateUnit: "tokens" as const,
+    tokensPerSecond: 10,
+    burstTokens: 10,
+    defaultCallTokens: 1,
+};
+
+function member(name: string, beatAddress: string): types.Member {
+    return {
+        name,
+        role: "entry",
+        dataCentre: "one",
+        beatAddress,
+        documentAddress: beatAddress,
+        serverAddress: undefined,
+    };
+}
+
+function heartbeat(name: string, address: string, sequence: number): types.Heartbeat {
+    return {
+        member: member(name, address),
+        incarnation: "run",
+        sequence,
+        isLeaving: false,
+        changeRevisions: { config: 3 },
+        spentTokens: { gallery: 100 },
+        serverLoads: { server: { calls: 2, pendingPromptTokens: 300 } },
+        prefills: [{ partHash: 7, server: "server", isComplete: true }],
+        savedParts: [{ partHash: 8, tokens: 10 }],
+        cacheStores: [],
+        desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
+        report: undefined,
+    };
+}
+
+/** Consumes heartbeats as an entry does. */
+function consumer(received: string[]) {
+    const quotas = new ledgers.QuotaLedger({ overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 });
+    const loads = new serverLoads.ServerLoadTracker();
+    const tracker = new prefills.PrefillTracker();
+    const index = new cacheIndexes.CacheIndex(0);
+    quotas.track([CUSTOMER], 0);
+    return ({ member: { name }, incarnation, spentTokens, ...state }: types.Heartbeat, now: number) => {
+        quotas.applyPeerSpending(name, incarnation, spentTokens, now);
+        loads.applyPeer(name, state.serverLoads, now);
+        tracker.applyPeer(name, state.prefills, now);
+        index.applyPeerSaves(state.savedParts, now);
+        received.push(name);
+    };
+}
+
+async function freePort(): Promise<number> {
+    const socket = dgram.createSocket("udp4");
+    await new Promise<void>(resolve => socket.bind(0, HOST, resolve));
+    const { port } = socket.address();
+    await new Promise<void>(resolve => socket.close(() => resolve()));
+    return port;
+}
+
+testing.test("guards against datagrams of unexpected shape", async () => {
+    const received: string[] = [];
+    const logged: event.EventName[] = [];
+    const address = `${HOST}:${await freePort()}`;
+    const exchange = new heartbeatExchanges.HeartbeatExchange({
+        self: member("self", address),
+        clock: clocks.systemClock,
+        journal: { emit: name => void logged.push(name) },
+        members: new memberTables.MemberTable("self"),
+        compose: sequence => heartbeat("self", address, sequence),
+        onHeartbeat: consumer(received),
+        periodMs: () => 1000,
+    });
+    exchange.start(address);
+    const sender = dgram.createSocket("udp4");
+    const send = (datagram: Buffer | string) =>
+        new Promise<void>(resolve => sender.send(datagram, Number(address.split(":")[1]), HOST, () => resolve()));
+    const valid = JSON.parse(
+        codec.encode({ heartbeat: heartbeat("x", "127.0.0.1:9", 1), passedOn: [] }).toString(),
+    ) as unknown[];
+    const mutations = fastCheck.sample(
+        fastCheck.record({
+            position: fastCheck.integer({ min: 1, max: valid.length }),
+            value: fastCheck.jsonValue({ maxDepth: 2 }),
+        }),
+        { seed: SEED, numRuns: 200 },
+    );
+    for (const [index, { position, value }] of mutations.entries()) {
+        const mutated = [...valid];
+        mutated[1] = `peer-${index}`;
+        mutated[position] = value;
+        await send(JSON.stringify(mutated));
+    }
+    await send(Buffer.from([0xff, 0x00, 0x5b]));
+    await send(codec.encode({ heartbeat: heartbeat("last", "127.0.0.1:9", 1), passedOn: [] }));
+    const deadline = performance.now() + 5000;
+    while (!received.includes("last") && performance.now() < deadline) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    sender.close();
+    await exchange[Symbol.asyncDispose]();
+    assert.ok(received.includes("last"));
+    assert.ok(logged.includes("heartbeat-invalid"));
+});
+
+testing.test("guards against copies of peers of unexpected shape", async () => {
+    const bodies = [
+        "",
+        "{}",
+        "[]",
+        '"text"',
+        '{"revision":9}',
+        '{"revision":9,"records":[5]}',
+        '{"revision":"9","records":[]}',
+    ];
+    for (const body of bodies) {
+        const peer = http.createServer((_request, response) => void response.end(body));
+        await new Promise<void>(resolve => peer.listen(0, HOST, resolve));
+        const address = `${HOST}:${(peer.address() as net.AddressInfo).port}`;
+        const logged: event.EventName[] = [];
+        const unavailable = () => Promise.resolve(outcomes.fail("store-unavailable", "away"));
+        const watch = new watches.KindWatch(
+            {
+                kind: "config",
+                waitMs: () => 1,
+                batchDelayMs: () => 0,
+                ownersReregister: false,
+                mayBeStale: () => false,
+            },
+            {
+                store: { list: unavailable, watch: unavailable, put: unavailable },
+                clock: clocks.systemClock,
+                journal: journals.silentJournal,
+                onChange: () => undefined,
+            },
+        );
+        await using exchange = new documents.DocumentExchange({
+            clock: clocks.systemClock,
+            journal: { emit: name => void logged.push(name) },
+            watches: [watch],
+        });
+        exchange.compare(heartbeat("peer", address, 1), clocks.systemClock.now());
+        const deadline = performance.now() + 5000;
+        while (logged.length === 0 && performance.now() < deadline) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        await new Promise<void>(resolve => peer.close(() => resolve()));
+        assert.deepEqual([logged, watch.copy.isLoaded], [["document-fetch-failed"], false], body);
+    }
+});
