--- /dev/null
+++ b/src/peering/entry-state.ts
@@ -0,0 +1,11 @@
+/** The part of a heartbeat that entries share with each other. Agents neither send nor use it. */
+import type * as types from "./types.js";
+
+export const noEntryState = {
+    changeRevisions: {},
+    spentTokens: {},
+    serverLoads: {},
+    prefills: [],
+    savedParts: [],
+    cacheStores: [],
+} as const satisfies Partial<types.Heartbeat>;
--- a/src/peering/fan-out.ts
+++ b/src/peering/fan-out.ts
@@ -52,7 +52,7 @@
         const candidates = group.filter(peer => peer.role === "entry" && isLive(peer));
         const ranked = rendezvous.rank(self.name, candidates.map(peer => ({ id: peer.name, weight: 1, peer })));
         const first = ranked.slice(0, RELAYS_PER_SENDER);
-        // Without a live entry there, the peers are told directly until one is heard.
+        // Without a live entry there, the heartbeat goes directly to all peers of the data centre.
         return first.length === 0 ? group : [first[sequence % first.length]!.peer];
     });
     return { local, relays };
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -3,6 +3,7 @@
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import * as codec from "./codec.js";
+import * as entryStates from "./entry-state.js";
 import * as fanOuts from "./fan-out.js";
 import type * as memberTables from "./member-table.js";
 import type * as types from "./types.js";
@@ -224,13 +225,5 @@
  * its size.
  */
 function withoutEntryState(heartbeat: types.Heartbeat): types.Heartbeat {
-    return {
-        ...heartbeat,
-        changeRevisions: {},
-        spentTokens: {},
-        serverLoads: {},
-        prefills: [],
-        savedParts: [],
-        cacheStores: [],
-    };
+    return { ...heartbeat, ...entryStates.noEntryState };
 }
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -1,6 +1,7 @@
 /** Agent process: monitors the backend server on its instance and has it load new weights. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import * as entryStates from "../peering/entry-state.js";
 import * as heartbeatExchanges from "../peering/heartbeat-exchange.js";
 import * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
@@ -121,12 +122,7 @@
             incarnation: this.incarnation,
             sequence,
             isLeaving: this.isLeaving,
-            changeRevisions: {},
-            spentTokens: {},
-            serverLoads: {},
-            prefills: [],
-            savedParts: [],
-            cacheStores: [],
+            ...entryStates.noEntryState,
             desiredWeights: this.updater.desiredWeights(),
             report: this.updater.report(),
         };
