Ignore heartbeats of an incarnation that has ended

Cause: heartbeats that are passed on may arrive after the first one of their sender's next incarnation. The sender's spending would be subtracted twice. Change: the member table remembers the incarnation before the current one. Result: test/peering/heartbeats.test.ts, which fails on the code before.

--- a/src/peering/member-table.ts
+++ b/src/peering/member-table.ts
@@ -11,6 +11,9 @@
     private readonly members = new Map<string, types.Member>();
     private readonly lastHeartbeats = new Map<string, ReceivedHeartbeat>();
 
+    /** The incarnation before the current one, by name. A heartbeat that is passed on may arrive after its sender's restart. */
+    private readonly endedIncarnations = new Map<string, string>();
+
     /** `self` is the name of this process, which the table leaves out. */
     constructor(private readonly self: string) {}
 
@@ -27,12 +30,17 @@
         }
     }
 
-    /** Records a heartbeat. Returns false if a newer one of the same incarnation was received before. */
+    /** Records a heartbeat. Returns false if a newer one of the same or of the next incarnation was received before. */
     receive(heartbeat: types.Heartbeat, now: number): boolean {
-        const last = this.lastHeartbeats.get(heartbeat.member.name);
-        if (last?.heartbeat.incarnation === heartbeat.incarnation && last.heartbeat.sequence >= heartbeat.sequence) {
+        const { incarnation, member: { name } } = heartbeat;
+        const last = this.lastHeartbeats.get(name);
+        const isRepeated = last?.heartbeat.incarnation === incarnation && last.heartbeat.sequence >= heartbeat.sequence;
+        if (isRepeated || this.endedIncarnations.get(name) === incarnation) {
             return false;
         }
+        if (last !== undefined && last.heartbeat.incarnation !== incarnation) {
+            this.endedIncarnations.set(name, last.heartbeat.incarnation);
+        }
         this.add([heartbeat.member]);
         this.lastHeartbeats.set(heartbeat.member.name, { heartbeat, receivedAt: now });
         return true;
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -82,6 +82,15 @@
     assert.equal(table.receive(heartbeat("a", "next run", 0), 2), true);
 });
 
+testing.test("guards against a heartbeat that is passed on after its sender has restarted", () => {
+    const table = new memberTables.MemberTable("self");
+    table.receive(heartbeat("a", "first", 90), 0);
+    assert.equal(table.receive(heartbeat("a", "second", 0), 500), true);
+    assert.equal(table.receive(heartbeat("a", "first", 91), 600), false);
+    assert.equal(table.receive(heartbeat("a", "second", 1), 700), true);
+    assert.equal(table.receive(heartbeat("a", "third", 0), 900), true);
+});
+
 testing.test("a seed that reports its name, and a process that replaces another at its address, are counted once", () => {
     const table = new memberTables.MemberTable("self");
     table.add([member("seed 10.0.0.1:7600", "10.0.0.1:7600")]);
