Spend the budget of a store's link only on transfers that happen

Fetches at the preferred server were charged in full, although it mostly holds the parts, so that saves of short prompts were denied; unknown parts were no longer tried at the store; and calls followed any server that had used a stored part in the last two seconds instead of the preferred one. Change: a fetch at the preferred server counts a quarter, unknown parts are tried, saves need no reserve, and calls follow a holder only while no store has the part.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -301,7 +301,7 @@
         if (this.attempts === 1) {
             budget.recordRequest(now);
         }
-        const cacheLookup = admission.cache.lookUp(candidate, now);
+        const cacheLookup = admission.cache.lookUp(candidate, choice.isPreferred, now);
         const uncachedTokens = Math.max(0, head.promptTokens - cacheLookup.cachedTokens);
         this.log("call-placed", {
             backendServer: candidate.server.id,
--- a/src/forwarding/prompt-cache-access.ts
+++ b/src/forwarding/prompt-cache-access.ts
@@ -43,12 +43,14 @@
         return this.lastSharedPart === undefined ? undefined : `${isolationPrefix}/${this.lastSharedPart.id}`;
     }
 
-    /** Ids of the servers that are prefilling the last shared part with the newest weights. */
+    /** Ids of the servers that prefill or hold the last shared part with the newest weights, while no store has it. */
     prefillingServers(now: number): ReadonlySet<string> {
         const newest = this.ports.view.desiredWeights().find(weights => weights.model === this.head.model);
-        return this.lastSharedPart === undefined || newest === undefined
-            ? NO_SERVERS
-            : this.prefillState(this.lastSharedPart, newest.version, now).servers;
+        const part = this.lastSharedPart;
+        if (part === undefined || newest === undefined || !this.missingParts(newest.version, now).includes(part)) {
+            return NO_SERVERS;
+        }
+        return this.prefillState(part, newest.version, now).servers;
     }
 
     /** Whether a shared part of this call is being prefilled for another call. The store will have it shortly. */
@@ -61,7 +63,7 @@
     }
 
     /** Finds the cached parts for the call at a server, and plans from where to fetch and where to save parts. */
-    lookUp(candidate: placement.Candidate, now: number): CacheLookup {
+    lookUp(candidate: placement.Candidate, isPreferred: boolean, now: number): CacheLookup {
         const version = candidate.weightsVersion;
         if (this.head.model === undefined || version === undefined) {
             return { scope: undefined, plan: undefined, cachedTokens: 0 };
@@ -84,9 +86,9 @@
         const plan = cachePlans.planCache({
             store,
             isInStore,
-            isStoreKnown: store !== undefined && cacheIndex.isKnown(store.address, now),
             holder,
             isHolder,
+            isPreferred,
             sharedTokens: this.sharedTokens,
             promptTokens: this.head.promptTokens,
         }, { budget: this.ports.transferBudget, now });
--- a/src/placement/cache-index.ts
+++ b/src/placement/cache-index.ts
@@ -12,8 +12,6 @@
 const STORE_RETENTION_MS = 60_000;
 /** Time in milliseconds from the end of a part's prefill until the store's change feed shows the part. */
 const SAVE_DELAY_MS = 600;
-/** Time in milliseconds after the start of an entry from which it has learned of most parts in use. */
-const LEARNING_MS = 10_000;
 /** Time in milliseconds for which a store is not used after it did not respond; it is tried again every second. */
 const UNREACHABLE_MS = 1500;
 /** Time in milliseconds for which heartbeats announce a save, so that a single lost datagram does not hide it. */
@@ -52,14 +50,6 @@
     /** Time at which a server last responded to a call with a part, by part and server. */
     private readonly lastHitAt = new Map<string, Map<string, number>>();
 
-    /** `startedAt` is the start of this entry. */
-    constructor(private readonly startedAt: number) {}
-
-    /** The entry knows the content of the store: it follows it, or has run long enough to have learned of it. */
-    isKnown(store: string, now: number): boolean {
-        return this.partsByStore.has(store) || now - this.startedAt >= LEARNING_MS;
-    }
-
     /** Starts to follow a store. Its content counts as empty until changes arrive. */
     beginFollowing(store: string): void {
         this.partsByStore.set(store, new Set());
--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -3,8 +3,8 @@
 import type * as fleet from "../fleet/types.js";
 import type * as transferBudgets from "./transfer-budget.js";
 
-/** Share of the calls whose parts a store holds although a restarted entry does not know of them. */
-const UNKNOWN_PART_SHARE = 0.25;
+/** Share of the shared tokens that the preferred server has evicted since their last use. */
+const EVICTED_SHARE = 0.25;
 
 export interface CachePlan {
     /** IP:PORT of the store or server from which to fetch parts that the chosen server does not hold. */
@@ -18,12 +18,12 @@
     readonly store: fleet.CacheStore | undefined;
     /** The store holds the shared parts, as far as this entry knows. */
     readonly isInStore: boolean;
-    /** False while the store may hold parts that this entry does not know of, such as after a restart of the entry. */
-    readonly isStoreKnown: boolean;
     /** Another server that most likely holds the shared parts. */
     readonly holder: fleet.BackendServer | undefined;
     /** The chosen server itself most likely holds the shared parts. */
     readonly isHolder: boolean;
+    /** The chosen server is the preferred one of the parts. */
+    readonly isPreferred: boolean;
     /** Tokens of the shared parts, and of the whole prompt. */
     readonly sharedTokens: number;
     readonly promptTokens: number;
@@ -68,20 +68,17 @@
  * the shared ones, and saving it with every call would evict the shared parts from the store.
  */
 export function planCache(availability: CacheAvailability, { budget, now }: TransferLimit): CachePlan {
-    const { store, isInStore, holder, isHolder, sharedTokens, promptTokens } = availability;
-    const mayFetch = (from: fleet.CacheStore) => budget.admitFetch(from, isHolder ? 0 : sharedTokens, now);
+    const { store, isInStore, holder, isHolder, isPreferred, sharedTokens, promptTokens } = availability;
     const fetchFrom = isHolder ? undefined : holder?.address;
     if (store === undefined) {
         return { fetchFrom, saveTo: undefined };
     }
-    if (isInStore) {
-        return { fetchFrom: fetchFrom ?? (mayFetch(store) ? store.address : undefined), saveTo: undefined };
+    if (!isInStore) {
+        // The store may hold parts that this entry does not know of; a miss costs a millisecond.
+        const isSaved = budget.admitSave(store, promptTokens, now);
+        return { fetchFrom: fetchFrom ?? store.address, saveTo: isSaved ? store.address : undefined };
     }
-    const mayTry = fetchFrom === undefined && !isHolder && !availability.isStoreKnown
-        && budget.admitFetch(store, sharedTokens * UNKNOWN_PART_SHARE, now);
-    const isSaved = budget.admitSave(store, promptTokens, sharedTokens, now);
-    return {
-        fetchFrom: fetchFrom ?? (mayTry ? store.address : undefined),
-        saveTo: isSaved ? store.address : undefined,
-    };
+    const missingShare = isHolder ? 0 : isPreferred ? EVICTED_SHARE : 1;
+    const isAdmitted = fetchFrom === undefined && budget.admitFetch(store, sharedTokens * missingShare, now);
+    return { fetchFrom: isAdmitted ? store.address : fetchFrom, saveTo: undefined };
 }
--- a/src/placement/transfer-budget.ts
+++ b/src/placement/transfer-budget.ts
@@ -9,7 +9,7 @@
 import type * as fleet from "../fleet/types.js";
 
 /** Share of a link that is planned for; the rest absorbs bursts and transfers that are larger than estimated. */
-const USABLE_SHARE = 0.7;
+const USABLE_SHARE = 0.9;
 /** Unused budget that is kept, as milliseconds of an entry's share of the link. */
 const BURST_MS = 500;
 /** Fetches may overdraw the budget by as many milliseconds of an entry's share of the link. */
@@ -32,12 +32,9 @@
         return this.spend(store, tokens, -FETCH_OVERDRAFT_MS, now);
     }
 
-    /**
-     * Whether parts may be saved to the store now; if so, their tokens are spent. The smaller the part of them that other
-     * calls share, the more budget has to be unused: what is unique to a call is stored for nothing.
-     */
-    admitSave(store: fleet.CacheStore, tokens: number, sharedTokens: number, now: number): boolean {
-        return this.spend(store, tokens, BURST_MS * (1 - sharedTokens / Math.max(1, tokens)), now);
+    /** Whether parts may be saved to the store now; if so, their tokens are spent. */
+    admitSave(store: fleet.CacheStore, tokens: number, now: number): boolean {
+        return this.spend(store, tokens, 0, now);
     }
 
     /** Spends the tokens if the level is at least `requiredMs` of this entry's share of the link. */
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -77,7 +77,7 @@
     private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
-    private readonly cacheIndex: cacheIndexes.CacheIndex;
+    private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
     private readonly view: views.FleetView;
@@ -104,7 +104,6 @@
         private readonly journal: event.Journal,
     ) {
         this.startedAt = clock.now();
-        this.cacheIndex = new cacheIndexes.CacheIndex(this.startedAt);
         this.incarnation = clock.identifier();
         this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
