Log the parts of a lost attempt and whether its server had begun to answer

The lines of an attempt whose connection broke named only the last shared part of the call, in another line, and did not say whether the caller had received an event. So a part that crashes servers could not be told from retries or from overload.

attempt-ended now has hasBegun and, for a broken attempt, the ids of all parts; ibisstep_attempts_failed_total counts failed attempts by service, end and whether the server had begun.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -55,12 +55,17 @@
 export interface AttemptResult {
     readonly kind: "answered" | retries.AttemptFailure;
     readonly reason: string;
+    /** The server has begun to answer: the first event of a stream, or the head of another response, has arrived. */
+    readonly hasBegun: boolean;
     /** Expectation of the attempt that the server did not meet: its identity, or the version of its weights. */
     readonly mismatch: "server" | "weights" | undefined;
     /** Complete failure response of the server, for the kind `server-failure`. */
     readonly response: callerResponses.BufferedResponse | undefined;
 }
 
+/** How an attempt ended, with the fields that its kind has. */
+type AttemptEnd = Pick<AttemptResult, "kind" | "reason"> & Partial<Pick<AttemptResult, "mismatch" | "response">>;
+
 type Mode = "awaiting-head" | "buffering" | "streaming" | "finished";
 
 export class CallAttempt implements serverRequests.ResponseListener {
@@ -128,7 +133,7 @@
         if (responseHead.isNotExecuted || status === MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
             const mismatch = status !== MISDIRECTED_REQUEST ? undefined : isOtherServer ? "server" : "weights";
-            this.finish({ kind: "not-executed", reason: `status ${status}`, mismatch, response: undefined });
+            this.finish({ kind: "not-executed", reason: `status ${status}`, mismatch });
             return;
         }
         if (responseHead.weightsVersion !== undefined) {
@@ -165,7 +170,7 @@
 
     failed(failure: serverRequests.RequestFailure): void {
         const kind = failure.wasSent ? "broken" : "not-sent";
-        this.finish({ kind, reason: failure.reason, mismatch: undefined, response: undefined });
+        this.finish({ kind, reason: failure.reason });
     }
 
     private buffer(chunk: Buffer): void {
@@ -232,19 +237,14 @@
             this.input.callerResponse.startStream(this.response!.statusCode!, this.response!.rawHeaders);
         }
         this.input.callerResponse.endStream();
-        this.finish({ kind: "answered", reason: "", mismatch: undefined, response: undefined });
+        this.finish({ kind: "answered", reason: "" });
     }
 
     private endBuffered(): void {
         const status = this.response!.statusCode!;
         const buffered = { status, rawHeaders: this.response!.rawHeaders, body: Buffer.concat(this.chunks) };
         if (status >= 500) {
-            this.finish({
-                kind: "server-failure",
-                reason: `status ${status}`,
-                mismatch: undefined,
-                response: buffered,
-            });
+            this.finish({ kind: "server-failure", reason: `status ${status}`, response: buffered });
             return;
         }
         const now = this.ports.clock.now();
@@ -253,7 +253,7 @@
         if (!this.input.callerResponse.hasStarted) {
             this.input.callerResponse.forward(buffered);
         }
-        this.finish({ kind: "answered", reason: "", mismatch: undefined, response: undefined });
+        this.finish({ kind: "answered", reason: "" });
     }
 
     /** Reason why the response is not valid for this call; undefined if it is valid. */
@@ -286,13 +286,14 @@
 
     private abandon(kind: retries.AttemptFailure, reason: string): void {
         this.inFlight?.abort();
-        this.finish({ kind, reason, mismatch: undefined, response: undefined });
+        this.finish({ kind, reason });
     }
 
-    private finish(result: AttemptResult | undefined): void {
+    private finish(end: AttemptEnd | undefined): void {
+        const hasBegun = this.hasReceivedEvent || this.mode === "buffering";
         this.mode = "finished";
         clearTimeout(this.timer);
-        this.resolveResult(result);
+        this.resolveResult(end && { mismatch: undefined, response: undefined, ...end, hasBegun });
     }
 
     private get isResumable(): boolean {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -376,7 +376,10 @@
             decision,
             ran: this.executedAttempts,
             mismatch: result.mismatch,
+            hasBegun: result.hasBegun,
+            parts: result.kind === "broken" ? admission.head.parts.map(part => part.id).join(" ") : undefined,
         });
+        this.ports.meter.attemptFailed(admission.service, result.kind, result.hasBegun);
         if (decision === "retry") {
             // An attempt that reached no server adds no load to the service, so its retry is not counted.
             if (result.kind !== "not-sent") {
--- a/src/runtime/meter.ts
+++ b/src/runtime/meter.ts
@@ -48,6 +48,10 @@
         this.count(`ibisstep_refusals_total{customer="${customer}",failure="${failure}"}`);
     }
 
+    attemptFailed(service: string, end: string, hasBegun: boolean): void {
+        this.count(`ibisstep_attempts_failed_total{service="${service}",end="${end}",begun="${hasBegun}"}`);
+    }
+
     /** Renders all series in the Prometheus text format. */
     render(): string {
         const counts = [...this.counts].map(([series, value]) => `${series} ${value}`);
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -186,7 +186,7 @@
         return {
             clock,
             journal: { emit: (name, fields = {}) => void this.events.push({ name, fields }) },
-            meter: { finished: () => undefined, refused: () => undefined },
+            meter: { finished: () => undefined, refused: () => undefined, attemptFailed: () => undefined },
             dialect: dialects.dialect,
             view: this.view,
             serverLoad: this.serverLoad,
