Reproduce the prompt part that crashes server after server in a test

Three real entries, four stand-in workers that crash as they begin to answer on one part and come back after 0.8 s.

--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -58,7 +58,7 @@
 
 export class SoakFleet implements AsyncDisposable {
     readonly calls: Call[] = [];
-    readonly log: standIns.WorkerLog = { runs: [], orders: [] };
+    readonly log = standIns.createWorkerLog();
     private readonly nodes: Node[] = [];
     private readonly workers: standIns.Worker[] = [];
     private configurationVersion = 1;
@@ -105,15 +105,24 @@
     }
 
     /** Sends one call to a random entry and route and keeps its result in `calls`. */
-    async call(random: () => number): Promise<Call> {
-        const entry = this.entries[Math.floor(random() * ENTRY_COUNT)]!;
+    call(random: () => number): Promise<Call> {
         const route = ROUTES[Math.floor(random() * ROUTES.length)]!;
+        return this.send(route.path, [], random);
+    }
+
+    /** Sends a resumable stream whose prompt has these shared parts besides those of every call. */
+    review(extraParts: readonly string[], random: () => number): Promise<Call> {
+        return this.send("/review/", extraParts, random);
+    }
+
+    private async send(routePath: string, extraParts: readonly string[], random: () => number): Promise<Call> {
+        const entry = this.entries[Math.floor(random() * ENTRY_COUNT)]!;
         const id = `call-${this.callCount++}`;
-        const sharedPart = `wall${Math.floor(random() * 6)}`;
-        const call = await send(`${entry.ip}:${this.ports.front}`, id, `${route.path}${id}`, {
+        const parts = ["root:1200", `wall${Math.floor(random() * 6)}:1500`, ...extraParts.map(part => `${part}:100`)];
+        const call = await send(`${entry.ip}:${this.ports.front}`, id, `${routePath}${id}`, {
             "Model": MODEL,
             "Token-Count": `3000,${OUTPUT_TOKENS}`,
-            "Prompt-Prefix": `root:1200,${sharedPart}:1500,${id}:300`,
+            "Prompt-Prefix": [...parts, `${id}:300`].join(","),
         });
         this.calls.push(call);
         return call;
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -6,6 +6,9 @@
 const HTTP_UNAVAILABLE = 503;
 const EVENT_INTERVAL_MS = 4;
 const WEIGHTS_LOAD_MS = 150;
+/** Times in milliseconds until a request with a deadly part crashes its worker, and until the worker is back. */
+const DEADLY_PREFILL_MS = 20;
+const RESTART_MS = 800;
 
 interface StoredObject {
     readonly revision: number;
@@ -20,6 +23,7 @@
 }
 
 abstract class StandIn implements AsyncDisposable {
+    protected isDisposed = false;
     private server: http.Server | undefined;
 
     constructor(readonly address: string) {}
@@ -44,9 +48,14 @@
     }
 
     [Symbol.asyncDispose](): Promise<void> {
+        this.isDisposed = true;
         return this.close();
     }
 
+    protected get isListening(): boolean {
+        return this.server !== undefined;
+    }
+
     protected abstract handle(
         request: http.IncomingMessage,
         response: http.ServerResponse,
@@ -161,6 +170,15 @@
 export interface WorkerLog {
     readonly runs: Run[];
     readonly orders: Order[];
+    /** Prompt parts that crash each worker which begins to answer on them. */
+    readonly deadlyParts: Set<string>;
+    /** Times in milliseconds at which requests with such a part arrived, and at which workers crashed of them. */
+    readonly deadlyArrivals: number[];
+    readonly deadlyCrashes: number[];
+}
+
+export function createWorkerLog(): WorkerLog {
+    return { runs: [], orders: [], deadlyParts: new Set(), deadlyArrivals: [], deadlyCrashes: [] };
 }
 
 export interface WorkerOptions {
@@ -240,6 +258,10 @@
         this.log.runs.push({ requestId, tenant, authorization: headers.authorization, path: url });
         this.running++;
         try {
+            if (this.hasDeadlyPart(headers)) {
+                await this.crashOfRequest();
+                return;
+            }
             await this.run(request, response, requestId);
         }
         finally {
@@ -268,6 +290,28 @@
         response.end();
     }
 
+    /** The last part of a prompt belongs to the request alone and crashes nothing. */
+    private hasDeadlyPart(headers: http.IncomingHttpHeaders): boolean {
+        const parts = String(headers["prompt-prefix"] ?? "").split(",").slice(0, -1).map(part => part.split(":")[0]!);
+        return parts.some(part => this.log.deadlyParts.has(part));
+    }
+
+    /** Crashes as it begins to answer, and starts again under another id. */
+    private async crashOfRequest(): Promise<void> {
+        this.log.deadlyArrivals.push(performance.now());
+        const { id } = this;
+        await pause(DEADLY_PREFILL_MS);
+        if (this.id !== id || !this.isListening) {
+            return;
+        }
+        this.log.deadlyCrashes.push(performance.now());
+        await this.crash();
+        await pause(RESTART_MS);
+        if (!this.isDisposed) {
+            await this.start();
+        }
+    }
+
     private order(
         order: Order & { readonly version: number; readonly expected?: number; },
         response: http.ServerResponse,
