Keep a prompt part that crashes servers from them, found by all entries together

Cause: nothing on the users' platform path recorded which calls were in flight at a crash, and what the product's own edge has (src/quarantine) recognizes a request by its whole body. Class: a belief that each process holds alone, keyed by the whole request.

An entry now accuses the shared parts, and the request as a whole, of each call whose server crashed before it began to answer; a refused connection tells a crash from a reset. Records are those of src/quarantine: sets of crashes and clearances that merge in any order, exchanged with each heartbeat, at once when they change a verdict. An answer clears all fingerprints of its call. From two crashes on, one call at a time runs as a trial, announced to the others; a third crash in a trial refuses the fingerprint, clears what it explains, and withdraws calls that wait at servers. Refused ones are tried again after 15, 45, 135 s, earlier if another refused fingerprint explains the same crashes and is not in the call. They are kept in one record of the store, which each entry watches, so that they outlast a restart of all processes.

The thresholds are a policy now (src/quarantine/policy.ts); the own edge keeps its own. The schema of its documents moved out of record.ts, so that entries do not load the schema library at start.

test/peering/malformed-messages: the sample of mutations changed with the length of a heartbeat and no longer held one that fails in the consumer, so one is now sent explicitly; the larger datagrams overflowed the receiver's buffer, so the sender lets it read between two of them. All assertions are as before.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -24,6 +24,7 @@
 /** Statuses of final responses. */
 const MINIMUM_STATUS = 200;
 const MAXIMUM_STATUS = 599;
+const MINIMUM_FAILURE_STATUS = 500;
 const EVENT_STREAM = "text/event-stream";
 
 export interface AttemptAdmission {
@@ -43,6 +44,8 @@
     readonly callerResponse: callerResponses.CallerResponse;
     /** Called at the first event of the response, which shows that the server has prefilled the prompt. */
     readonly onPrefillDone: () => void;
+    /** Called when the server begins to answer, but not for a failure response. */
+    readonly onBegun: () => void;
     /** Prompt tokens that the server has to prefill before the first event of this call, including its own. */
     readonly prefillQueueTokens: number;
     /** Namespace of the cached prompt parts; undefined without a model or a known weights version. */
@@ -113,6 +116,13 @@
         return this.result;
     }
 
+    /** Ends the attempt if the call crashes servers and this one has not begun to answer. */
+    withdraw(): void {
+        if (this.mode !== "finished" && !this.hasReceivedEvent && this.mode !== "buffering") {
+            this.abandon("withdrawn", "calls like it crash servers");
+        }
+    }
+
     /** Cancels the attempt. */
     abort(): void {
         this.inFlight?.abort();
@@ -143,6 +153,9 @@
         this.mode = isStream ? "streaming" : "buffering";
         if (!isStream) {
             clearTimeout(this.timer);
+            if (status < MINIMUM_FAILURE_STATUS) {
+                this.input.onBegun();
+            }
             return;
         }
         this.ports.serverHealth.recordResponse(serverId, false, now);
@@ -219,6 +232,7 @@
 
     private onFirstEvent(): void {
         this.hasReceivedEvent = true;
+        this.input.onBegun();
         this.input.onPrefillDone();
         const elapsedMs = this.ports.clock.now() - this.startedAt;
         this.ports.latencyEstimates.recordFirstEvent(
@@ -243,7 +257,7 @@
     private endBuffered(): void {
         const status = this.response!.statusCode!;
         const buffered = { status, rawHeaders: this.response!.rawHeaders, body: Buffer.concat(this.chunks) };
-        if (status >= 500) {
+        if (status >= MINIMUM_FAILURE_STATUS) {
             this.finish({ kind: "server-failure", reason: `status ${status}`, response: buffered });
             return;
         }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -7,8 +7,11 @@
 import type * as fleet from "../fleet/types.js";
 import * as selection from "../placement/selection.js";
 import type * as placement from "../placement/types.js";
+import * as attribution from "../quarantine/attribution.js";
+import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import * as bodies from "./body-reader.js";
 import * as callAttempts from "./call-attempt.js";
+import * as callFingerprints from "./call-fingerprints.js";
 import * as callerResponses from "./caller-response.js";
 import * as promptCacheAccess from "./prompt-cache-access.js";
 import * as retries from "./retry-decision.js";
@@ -24,6 +27,7 @@
     "all-full": 400,
 };
 const RETRY_AFTER_REJECTION_MS = 300;
+const RETRY_AFTER_TRIAL_MS = 400;
 const RETRY_AFTER_STARTUP_MS = 500;
 const RETRY_AFTER_CLOSING_MS = 50;
 /**
@@ -42,6 +46,12 @@
 
 type ServerChoice = placement.PlacementDecision & { readonly kind: "server"; };
 
+/** Why a call is not placed: no server can take it, or calls like it are suspected of crashing servers. */
+type Placement =
+    | ServerChoice
+    | { readonly kind: "none"; readonly reason: placement.UnplacedReason | "on-trial"; }
+    | { readonly kind: "quarantined"; readonly fingerprint: string; readonly retryAfterMs: number; };
+
 /** A call that has passed the checks of `admit`. */
 interface Admission {
     readonly head: fleet.CallHead;
@@ -52,6 +62,11 @@
     readonly chargedTokens: number;
     readonly deadlineAt: number;
     readonly cache: promptCacheAccess.PromptCacheAccess;
+    readonly fingerprints: callFingerprints.CallFingerprints;
+}
+
+interface Trial extends Disposable {
+    readonly suspects: readonly string[];
 }
 
 export class Call {
@@ -69,6 +84,8 @@
     private unexecutedAttempts = 0;
     private attempts = 0;
     private readonly triedServers = new Set<string>();
+    /** Set while this call is the one that may run although calls like it are suspected of crashing servers. */
+    private trial: Trial | undefined;
 
     constructor(
         private readonly ports: types.CallPorts,
@@ -97,10 +114,12 @@
             }
             const result = await this.runAttempt(admission, choice);
             this.ports.queues.dispatch(admission.service);
+            this.endTrial();
             if (result === undefined || !this.handleFailedAttempt(admission, choice, result)) {
                 break;
             }
         }
+        this.endTrial();
         this.finish();
     }
 
@@ -156,6 +175,17 @@
         if (service === undefined) {
             return this.refuse("no-server-available", `route ${route.name} has no service`, RETRY_AFTER_STARTUP_MS);
         }
+        const fingerprints = new callFingerprints.CallFingerprints({
+            head,
+            customer,
+            method: this.request.method ?? "GET",
+            path,
+            body,
+        });
+        const standing = this.standingOf(fingerprints);
+        if (standing.kind === "refuse") {
+            return this.refuse("call-quarantined", standing.fingerprint, standing.retryAfterMs);
+        }
         const chargedTokens = customer === undefined ? 0 : routingTables.chargedTokens(customer, head);
         const quotaWaitMs = customer === undefined
             ? 0
@@ -166,7 +196,7 @@
         const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
         const deadlineAt = this.arrivedAt + limitMs;
         const cache = new promptCacheAccess.PromptCacheAccess(this.ports, head, customer);
-        return { head, route, service, customer, body, chargedTokens, deadlineAt, cache };
+        return { head, route, service, customer, body, chargedTokens, deadlineAt, cache, fingerprints };
     }
 
     /** Waits until a server is available for the call. Undefined if the call was refused or cancelled. */
@@ -176,9 +206,13 @@
         if (firstChoice.kind === "server" && queue.size === 0 || this.isFinished) {
             return firstChoice.kind === "server" ? firstChoice : undefined;
         }
+        if (firstChoice.kind === "quarantined") {
+            this.refuseQuarantined(admission, firstChoice.fingerprint, firstChoice.retryAfterMs);
+            return undefined;
+        }
         const now = this.ports.clock.now();
         const timeoutAt = this.waitEndsAt(admission, now);
-        let reason: placement.UnplacedReason = firstChoice.kind === "none" ? firstChoice.reason : "all-full";
+        let reason = firstChoice.kind === "none" ? firstChoice.reason : "all-full";
         this.log("call-waits", {
             reason,
             waiting: queue.size,
@@ -190,9 +224,16 @@
                 priority: priorityOf(admission),
                 arrivedAt: this.arrivedAt,
                 timeoutAt,
-                requirements: this.triedServers.size === 0 ? admission.head.model ?? "" : undefined,
+                requirements: this.triedServers.size === 0 && this.ports.suspects.isEmpty
+                    ? admission.head.model ?? ""
+                    : undefined,
                 tryPlace: () => {
                     const choice = this.choose(admission);
+                    if (choice.kind === "quarantined") {
+                        this.refuseQuarantined(admission, choice.fingerprint, choice.retryAfterMs);
+                        resolve(undefined);
+                        return true;
+                    }
                     if (choice.kind === "none") {
                         reason = choice.reason;
                         return false;
@@ -230,7 +271,7 @@
     }
 
     /** Chooses a server, after a short wait for shared parts that are being prefilled for another call. */
-    private async chooseAfterPrefill(admission: Admission): Promise<placement.PlacementDecision> {
+    private async chooseAfterPrefill(admission: Admission): Promise<Placement> {
         let choice = this.choose(admission);
         const startedAt = this.ports.clock.now();
         let waitedMs = 0;
@@ -250,19 +291,77 @@
         return choice;
     }
 
-    private refuseUnplaced(admission: Admission, reason: placement.UnplacedReason): void {
+    private refuseUnplaced(admission: Admission, reason: placement.UnplacedReason | "on-trial"): void {
         if (this.executedAttempts === 0) {
             this.refund(admission);
-            this.refuse("no-server-available", reason, RETRY_AFTER_MS[reason]);
+            const retryAfterMs = reason === "on-trial" ? RETRY_AFTER_TRIAL_MS : RETRY_AFTER_MS[reason];
+            this.refuse("no-server-available", reason, retryAfterMs);
             return;
         }
         this.refuse("call-outcome-unknown", `no server for another attempt: ${reason}`);
     }
 
-    private choose(admission: Admission): placement.PlacementDecision {
+    private refuseQuarantined(admission: Admission, fingerprint: string, retryAfterMs: number): void {
+        if (this.executedAttempts === 0) {
+            this.refund(admission);
+            this.refuse("call-quarantined", fingerprint, retryAfterMs);
+            return;
+        }
+        this.refuse("call-outcome-unknown", `calls like it crash servers: ${fingerprint}`);
+    }
+
+    /** Whether calls like this one are suspected of crashing servers. */
+    private standingOf(fingerprints: callFingerprints.CallFingerprints): suspectTrackers.Admission {
+        const { suspects, clock } = this.ports;
+        return suspects.isEmpty
+            ? attribution.RUN
+            : suspects.decide(fingerprints.all, { now: clock.now(), wallTime: clock.wallTime() });
+    }
+
+    /** Chooses a server, and reserves the trial of a suspected call for this one. */
+    private choose(admission: Admission): Placement {
+        const standing = this.trial === undefined ? this.standingOf(admission.fingerprints) : attribution.RUN;
+        if (standing.kind === "refuse") {
+            return { ...standing, kind: "quarantined" };
+        }
+        if (standing.kind === "wait") {
+            return { kind: "none", reason: "on-trial" };
+        }
+        const isTrial = standing.kind === "trial" || this.trial !== undefined;
+        const choice = isTrial ? this.chooseTrialServer(admission) : this.chooseServer(admission, undefined);
+        if (standing.kind === "trial" && choice.kind === "server") {
+            const { suspects } = standing;
+            const reservation = this.ports.suspects.beginTrial(suspects);
+            this.trial = { suspects, [Symbol.dispose]: () => reservation[Symbol.dispose]() };
+        }
+        return choice;
+    }
+
+    private endTrial(): void {
+        this.trial?.[Symbol.dispose]();
+        this.trial = undefined;
+    }
+
+    /** Prefers the servers with the fewest calls, so that a crash of one of them ends few. */
+    private chooseTrialServer(admission: Admission): placement.PlacementDecision {
+        const candidates = this.ports.view.candidates(admission.service, admission.head.model, this.ports.clock.now());
+        const untried = candidates.filter(({ server, isSuspected }) => {
+            return server.state === "ready" && !isSuspected && !this.triedServers.has(server.id);
+        });
+        const fewest = Math.min(...untried.map(candidate => candidate.calls));
+        const leastBusy = untried.filter(candidate => candidate.calls === fewest);
+        const choice = this.chooseServer(admission, leastBusy);
+        return choice.kind === "server" ? choice : this.chooseServer(admission, candidates);
+    }
+
+    /** `among` limits the servers to these. */
+    private chooseServer(
+        admission: Admission,
+        among: readonly placement.Candidate[] | undefined,
+    ): placement.PlacementDecision {
         const now = this.ports.clock.now();
         const { head, service } = admission;
-        const candidates = this.ports.view.candidates(service, head.model, now);
+        const candidates = among ?? this.ports.view.candidates(service, head.model, now);
         if (candidates.length > 0 && candidates.every(candidate => this.triedServers.has(candidate.server.id))) {
             this.triedServers.clear();
         }
@@ -334,16 +433,45 @@
             prefillQueueTokens: candidate.pendingPromptTokens + uncachedTokens,
             cacheScope: cacheLookup.scope,
             cachePlan: cacheLookup.plan,
+            onBegun: () => this.onBegun(admission),
             hasAttemptLeft: this.executedAttempts + 1 < admission.route.maximumAttempts,
         });
+        const mayWithdraw = admission.route.kind !== "at-most-once";
+        using _pending = this.ports.suspects.trackPending({
+            fingerprints: () => admission.fingerprints.all,
+            withdraw: () => void (mayWithdraw && this.trial === undefined && attempt.withdraw()),
+        });
         this.interrupt = () => attempt.abort();
         this.isAttempting = true;
         const result = await attempt.run();
+        await this.reportLoss(admission, choice, result);
         this.isAttempting = false;
         this.interrupt = undefined;
         return result;
     }
 
+    /** A server that has begun to answer did not crash of the call. */
+    private onBegun(admission: Admission): void {
+        const { suspects, clock } = this.ports;
+        if (!suspects.isEmpty) {
+            suspects.recordAnswer(admission.fingerprints.all, { now: clock.now(), wallTime: clock.wallTime() });
+        }
+        this.endTrial();
+    }
+
+    /** Accuses the call if its server crashed before it began to answer. */
+    private async reportLoss(
+        admission: Admission,
+        choice: ServerChoice,
+        result: callAttempts.AttemptResult | undefined,
+    ): Promise<void> {
+        if (result?.kind === "broken" && !result.hasBegun) {
+            const trials = this.trial?.suspects ?? [];
+            const lostCall = { fingerprints: admission.fingerprints.all, trials };
+            await this.ports.crashes.report(choice.candidate.server, lostCall);
+        }
+    }
+
     /** Handles an attempt without a usable response. Returns true if the call is to be retried. */
     private handleFailedAttempt(
         admission: Admission,
@@ -398,6 +526,9 @@
             }
             return;
         }
+        if (result.kind === "withdrawn") {
+            return;
+        }
         if (result.kind === "server-failure") {
             this.ports.serverHealth.recordResponse(server.id, true, now);
             return;
--- a/src/forwarding/failures.ts
+++ b/src/forwarding/failures.ts
@@ -82,6 +82,15 @@
         message: detail => `the servers did not run the call: ${detail}`,
         hint: "Retry after the stated time.",
     },
+    "call-quarantined": {
+        number: 3313,
+        status: 503,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `calls like this one crash servers: ${detail}`,
+        hint:
+            "Report the prompt part or request to the operators of the engine. It is tried again at growing intervals.",
+    },
     "call-outcome-unknown": {
         number: 3309,
         status: 502,
--- a/src/forwarding/retry-decision.ts
+++ b/src/forwarding/retry-decision.ts
@@ -8,9 +8,10 @@
  * - `not-executed`: the server states that it did not run the call.
  * - `broken`: the connection was lost, or the response was not valid for this call; the call may have run.
  * - `silent`: no response within the timeout of the attempt; the call may still be running.
+ * - `withdrawn`: the entry gave up the attempt, since calls like it crash servers; the server may have begun to run it.
  * - `server-failure`: the server responded with a 5xx status.
  */
-export type AttemptFailure = "not-sent" | "not-executed" | "broken" | "silent" | "server-failure";
+export type AttemptFailure = "not-sent" | "not-executed" | "broken" | "silent" | "withdrawn" | "server-failure";
 
 export interface AttemptHistory {
     readonly kind: fleet.CallKind;
@@ -52,6 +53,7 @@
     "not-executed": history => decideUnexecuted(history, history.hasRetryBudget),
     "broken": history => canRunAgain(history) ? "retry" : "fail-unknown",
     "silent": history => canRunAgain(history) ? "retry" : "fail-unknown",
+    "withdrawn": () => "fail-unknown",
     "server-failure": history => canRunAgain(history) ? "retry" : "pass-answer",
 };
 
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -9,8 +9,10 @@
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLoads from "../placement/server-load.js";
 import type * as transferBudgets from "../placement/transfer-budget.js";
+import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import type * as ledgers from "../quota/ledger.js";
 import type * as connectionPools from "./connection-pool.js";
+import type * as crashDetectors from "./crash-detector.js";
 import type * as dialects from "./dialect.js";
 import type * as views from "./fleet-view.js";
 import type * as serviceQueues from "./service-queues.js";
@@ -54,6 +56,8 @@
     readonly retryBudgets: serviceRetryBudgets.ServiceRetryBudgets;
     readonly queues: serviceQueues.ServiceQueues;
     readonly connectionPool: connectionPools.ConnectionPool;
+    readonly suspects: suspectTrackers.SuspectTracker;
+    readonly crashes: crashDetectors.CrashDetector;
     readonly settings: CallSettings;
     /** The process is shutting down; connections are closed after their current response. */
     readonly isDraining: () => boolean;
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -1,4 +1,6 @@
 /** Encodes heartbeats as JSON arrays without keys, which keeps the frequent traffic between data centres small. */
+import * as entryStates from "./entry-state.js";
+import * as suspectCodec from "./suspect-codec.js";
 import type * as types from "./types.js";
 
 /**
@@ -6,7 +8,8 @@
  * ignore them, and the decoder accepts heartbeats without them, so that a rolling restart needs no interruption.
  */
 const LAYOUT_VERSION = 3;
-/** Position of the heartbeats that are passed on, behind those of the sender's own. */
+
+/** Position of the heartbeats that are passed on. */
 const PASSED_ON = 18;
 
 const ADDRESS = /^\d+\.\d+\.\d+\.\d+:\d+$/;
@@ -37,6 +40,8 @@
     /** The incarnation is empty while the store does not respond. */
     cacheStores?: readonly (readonly [address: string, incarnation: string])[],
     passedOn?: readonly HeartbeatTuple[],
+    /** 0 without suspects. */
+    suspects?: suspectCodec.SuspectTuple | 0,
 ];
 
 type ReportTuple = readonly [
@@ -52,10 +57,10 @@
 ];
 
 export function encode({ heartbeat, passedOn }: types.HeartbeatMessage): Buffer {
-    return Buffer.from(JSON.stringify([...toTuple(heartbeat), passedOn.map(toTuple)]));
+    return Buffer.from(JSON.stringify(toTuple(heartbeat, passedOn.map(passed => toTuple(passed, [])))));
 }
 
-function toTuple(heartbeat: types.Heartbeat): HeartbeatTuple {
+function toTuple(heartbeat: types.Heartbeat, passedOn: readonly HeartbeatTuple[]): HeartbeatTuple {
     const { member, report } = heartbeat;
     return [
         LAYOUT_VERSION,
@@ -78,6 +83,8 @@
         heartbeat.savedParts.flatMap(({ partHash, tokens }) => [partHash, tokens]),
         member.dataCentre ?? "",
         heartbeat.cacheStores.map(({ address, incarnation }) => [address, incarnation ?? ""]),
+        passedOn,
+        suspectCodec.isEmpty(heartbeat.suspects) ? 0 : suspectCodec.toTuple(heartbeat.suspects),
     ];
 }
 
@@ -116,6 +123,8 @@
         savedParts = [],
         dataCentre = "",
         cacheStores = [],
+        ,
+        suspects = 0,
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
         && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
@@ -152,6 +161,7 @@
             address,
             incarnation: store === "" ? undefined : store,
         })),
+        suspects: suspects === 0 ? entryStates.noEntryState.suspects : suspectCodec.fromTuple(suspects),
     };
 }
 
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -8,4 +8,5 @@
     prefills: [],
     savedParts: [],
     cacheStores: [],
+    suspects: { records: [], trials: [] },
 } as const satisfies Partial<types.Heartbeat>;
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -1,4 +1,5 @@
 /** Messages between the processes of a deployment. */
+import type * as quarantine from "../quarantine/types.js";
 
 export type Role = "entry" | "agent";
 
@@ -108,6 +109,8 @@
     readonly savedParts: readonly SavedPart[];
     /** State of the cache stores that this process follows; entries only. */
     readonly cacheStores: readonly CacheStoreStatus[];
+    /** Calls and prompt parts that may crash servers; entries only. */
+    readonly suspects: quarantine.SuspectState;
     readonly desiredWeights: readonly DesiredWeights[];
     /** Agents only. */
     readonly report: ServerReport | undefined;
--- a/src/quarantine/controller.ts
+++ b/src/quarantine/controller.ts
@@ -4,6 +4,7 @@
 import type * as event from "../core/event.js";
 import type * as boards from "../daemon/board.js";
 import type * as gossip from "../gossip/types.js";
+import * as suspectDocuments from "./document.js";
 import * as records from "./record.js";
 import * as tables from "./table.js";
 import type * as types from "./types.js";
@@ -74,7 +75,7 @@
 
     private mergeDocument(document: gossip.Document): void {
         const fingerprint = document.name.slice(DOCUMENT_PREFIX.length);
-        const record = records.parse(fingerprint, document.value);
+        const record = suspectDocuments.parse(fingerprint, document.value);
         if (record === undefined) {
             this.options.journal.emit("suspect-document-invalid", { document: document.name });
             return;
--- a/src/quarantine/record.ts
+++ b/src/quarantine/record.ts
@@ -7,8 +7,8 @@
  * the same one wins in every process, and a process that knows facts missing in the winner publishes the union, whose
  * version is higher.
  */
-import * as zod from "zod";
 import * as hashing from "../core/hashing.js";
+import * as policies from "./policy.js";
 import type * as types from "./types.js";
 
 /** Time in milliseconds for which a crash makes a request a suspect. */
@@ -37,16 +37,6 @@
     readonly cleared: readonly string[];
 }
 
-const schema = zod.object({
-    crashes: zod.array(zod.object({
-        id: zod.string(),
-        server: zod.string(),
-        alone: zod.boolean(),
-        at: zod.number(),
-    })),
-    cleared: zod.array(zod.string()),
-});
-
 export function empty(fingerprint: string): SuspectRecord {
     return { fingerprint, crashes: [], cleared: [] };
 }
@@ -68,9 +58,16 @@
     return merge(record, { ...empty(record.fingerprint), crashes: [crash] });
 }
 
-/** Clears the crashes known so far after a completed trial; a crash of the request alone is never cleared. */
-export function withCompletion(record: SuspectRecord): SuspectRecord {
-    const cleared = record.crashes.filter(crash => !crash.alone).map(crash => crash.id);
+/** Clears the crashes known so far after an answer; whether this includes the crashes of trials is up to the policy. */
+export function withCompletion(
+    record: SuspectRecord,
+    policy: policies.Policy = policies.isolatedTrials,
+): SuspectRecord {
+    const clearable = record.crashes.filter(crash => policy.answerClearsTrials || !crash.alone);
+    return withCleared(record, clearable.map(crash => crash.id));
+}
+
+export function withCleared(record: SuspectRecord, cleared: readonly string[]): SuspectRecord {
     return merge(record, { ...empty(record.fingerprint), cleared });
 }
 
@@ -85,28 +82,29 @@
     return { crashes: record.crashes, cleared: record.cleared };
 }
 
-/** Parses the value of a document; undefined if it does not match the schema. */
-export function parse(fingerprint: string, documentValue: unknown): SuspectRecord | undefined {
-    const result = schema.safeParse(documentValue);
-    return result.success ? merge(empty(fingerprint), { fingerprint, ...result.data }) : undefined;
-}
-
 /** Crashes that are neither expired nor cleared. `wallTime` is in milliseconds. */
-export function activeCrashes(record: SuspectRecord, wallTime: number): readonly Crash[] {
+export function activeCrashes(
+    record: SuspectRecord,
+    wallTime: number,
+    policy: policies.Policy = policies.isolatedTrials,
+): readonly Crash[] {
     const cleared = new Set(record.cleared);
-    return record.crashes.filter(crash =>
-        crash.alone
-            ? wallTime - crash.at < QUARANTINE_MS
-            : wallTime - crash.at < SUSPECT_DURATION_MS && !cleared.has(crash.id)
-    );
+    return record.crashes.filter(crash => {
+        const isCleared = cleared.has(crash.id) && (policy.answerClearsTrials || !crash.alone);
+        return !isCleared && wallTime - crash.at < (crash.alone ? QUARANTINE_MS : SUSPECT_DURATION_MS);
+    });
 }
 
-export function verdict(record: SuspectRecord | undefined, wallTime: number): types.Verdict {
-    const active = record === undefined ? [] : activeCrashes(record, wallTime);
-    if (active.some(crash => crash.alone)) {
+export function verdict(
+    record: SuspectRecord | undefined,
+    wallTime: number,
+    policy: policies.Policy = policies.isolatedTrials,
+): types.Verdict {
+    const active = record === undefined ? [] : activeCrashes(record, wallTime, policy);
+    if (active.length >= policy.crashesForRefusal && active.some(crash => crash.alone)) {
         return "refuse";
     }
-    return active.length > 0 ? "run-alone" : "run";
+    return active.length >= policy.crashesForTrial ? "run-alone" : "run";
 }
 
 function mergeCrash(left: Crash, right: Crash): Crash {
--- a/src/quarantine/table.ts
+++ b/src/quarantine/table.ts
@@ -1,4 +1,5 @@
 /** Immutable table of suspects; each change returns a new table. Times are wall-clock milliseconds. */
+import * as policies from "./policy.js";
 import * as records from "./record.js";
 import type * as types from "./types.js";
 
@@ -22,19 +23,55 @@
 /** Makes the requests in flight at a crash suspects; a trial that ran alone is refused from then on. */
 export function recordCrash(table: Table, report: CrashReport, wallTime: number): Table {
     const fingerprints = [...new Set(report.inFlight)];
-    const alone = report.trial && fingerprints.length === 1;
-    const crash = { id: report.boot, server: report.server, alone, at: wallTime };
+    const trials = new Set(report.trial && fingerprints.length === 1 ? fingerprints : []);
+    return recordCrashWithTrials(table, { ...report, inFlight: fingerprints, trials }, wallTime);
+}
+
+/** Accuses the fingerprints in flight at a crash; `trials` are those of calls that ran as trials. */
+export function recordCrashWithTrials(
+    table: Table,
+    report: Omit<CrashReport, "trial"> & { readonly trials: ReadonlySet<string>; },
+    wallTime: number,
+): Table {
+    const crashOf = (fingerprint: string): records.Crash => {
+        return { id: report.boot, server: report.server, alone: report.trials.has(fingerprint), at: wallTime };
+    };
+    const accused = [...new Set(report.inFlight)];
     return update(
         table,
-        fingerprints.map(fingerprint => records.withCrash(get(table, fingerprint), crash)),
+        accused.map(fingerprint => records.withCrash(get(table, fingerprint), crashOf(fingerprint))),
         wallTime,
     );
 }
 
-/** Records that a trial completed without a crash. */
-export function recordCompletion(table: Table, fingerprint: string, wallTime: number): Table {
+/** Records that a suspect was answered without a crash. */
+export function recordCompletion(
+    table: Table,
+    fingerprint: string,
+    wallTime: number,
+    policy: policies.Policy = policies.isolatedTrials,
+): Table {
     const record = table.get(fingerprint);
-    return record === undefined ? table : update(table, [records.withCompletion(record)], wallTime);
+    return record === undefined ? table : update(table, [records.withCompletion(record, policy)], wallTime);
+}
+
+/**
+ * Clears the crashes that a refused fingerprint explains from the suspects that were only in flight at them. Refused
+ * ones are left as they are: fingerprints that always occur together cannot be told apart by their crashes.
+ */
+export function clearExplained(table: Table, wallTime: number, policy: policies.Policy): Table {
+    const all = [...table.values()];
+    const isRefused = (record: records.SuspectRecord) => records.verdict(record, wallTime, policy) === "refuse";
+    const refused = all.filter(isRefused);
+    const explained = new Set(refused.flatMap(record => {
+        return records.activeCrashes(record, wallTime, policy).map(crash => crash.id);
+    }));
+    const changed = all.filter(record => !isRefused(record)).flatMap(record => {
+        const ids = records.activeCrashes(record, wallTime, policy).map(crash => crash.id);
+        const cleared = ids.filter(id => explained.has(id));
+        return cleared.length === 0 ? [] : [records.withCleared(record, cleared)];
+    });
+    return changed.length === 0 ? table : update(table, changed, wallTime);
 }
 
 /** Merges the record that another process published. */
@@ -42,8 +79,13 @@
     return update(table, [records.merge(get(table, record.fingerprint), record)], wallTime);
 }
 
-export function verdict(table: Table, fingerprint: string, wallTime: number): types.Verdict {
-    return records.verdict(table.get(fingerprint), wallTime);
+export function verdict(
+    table: Table,
+    fingerprint: string,
+    wallTime: number,
+    policy: policies.Policy = policies.isolatedTrials,
+): types.Verdict {
+    return records.verdict(table.get(fingerprint), wallTime, policy);
 }
 
 /** Removes records without an active crash. Above the limit it removes the oldest too, refused requests last. */
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -4,6 +4,7 @@
 import * as rendezvous from "../core/rendezvous.js";
 import type * as fleet from "../fleet/types.js";
 import * as connectionPools from "../forwarding/connection-pool.js";
+import * as crashDetectors from "../forwarding/crash-detector.js";
 import * as entryServers from "../forwarding/entry-server.js";
 import * as views from "../forwarding/fleet-view.js";
 import * as serviceQueues from "../forwarding/service-queues.js";
@@ -22,6 +23,8 @@
 import * as serverLoads from "../placement/server-load.js";
 import * as followers from "../placement/store-follower.js";
 import * as transferBudgets from "../placement/transfer-budget.js";
+import * as refusalRecords from "../quarantine/refusal-record.js";
+import * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import * as ledgers from "../quota/ledger.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
@@ -73,6 +76,8 @@
 /** Interval in milliseconds at which the drain checks for calls in flight. */
 const DRAIN_POLL_MS = 50;
 
+type WatchedKind = "configuration" | "servers" | "weights" | "suspects";
+
 export class Entry implements AsyncDisposable {
     private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
@@ -84,11 +89,13 @@
     private readonly quotas: ledgers.QuotaLedger;
     private readonly queues: serviceQueues.ServiceQueues;
     private readonly connectionPool = new connectionPools.ConnectionPool();
+    private readonly suspects: suspectTrackers.SuspectTracker;
+    private readonly refusals: refusalRecords.RefusalRecord;
     private readonly meter = new meters.Meter();
     private readonly server: entryServers.EntryServer;
     private readonly readinessServer: textServers.TextServer;
     private readonly metricsServer: textServers.TextServer;
-    private readonly watches: Readonly<Record<"configuration" | "servers" | "weights", watches.KindWatch>>;
+    private readonly watches: Readonly<Record<WatchedKind, watches.KindWatch>>;
     private readonly documents: documents.DocumentExchange;
     private readonly heartbeats: heartbeatExchanges.HeartbeatExchange;
     private readonly stop = new AbortController();
@@ -115,6 +122,20 @@
             expiryMs: PEER_EXPIRY_MS,
         });
         this.queues = new serviceQueues.ServiceQueues(clock);
+        this.suspects = new suspectTrackers.SuspectTracker({
+            journal,
+            self: settings.name,
+            entryCount: now => this.quotas.entryCount(now),
+            onUrgentChange: () => this.heartbeats.send(),
+            onRefusalsChange: () => this.refusals.update(false),
+        });
+        this.refusals = new refusalRecords.RefusalRecord({
+            clock,
+            journal,
+            store: platform.store,
+            kind: platform.kinds.suspects,
+            suspects: this.suspects,
+        });
         const budgetSettings = {
             retriesPerRequest: settings.retryBudgetRatio,
             extraRetriesPerWindow: settings.retrySlack,
@@ -139,6 +160,8 @@
             ),
             queues: this.queues,
             connectionPool: this.connectionPool,
+            suspects: this.suspects,
+            crashes: new crashDetectors.CrashDetector({ clock, suspects: this.suspects }),
             settings: {
                 dataCentre: settings.dataCentre,
                 selection: {
@@ -226,12 +249,13 @@
             this.documents[Symbol.asyncDispose](),
             ...[...this.cacheStoreFollowers.values()].map(follower => follower[Symbol.asyncDispose]()),
             ...Object.values(this.watches).map(watch => watch[Symbol.asyncDispose]()),
+            this.refusals[Symbol.asyncDispose](),
         ]);
         this.queues[Symbol.dispose]();
         this.connectionPool[Symbol.dispose]();
     }
 
-    private createWatches(): Readonly<Record<"configuration" | "servers" | "weights", watches.KindWatch>> {
+    private createWatches(): Readonly<Record<WatchedKind, watches.KindWatch>> {
         const { kinds, store } = this.platform;
         const create = (
             kind: string,
@@ -273,6 +297,16 @@
                 },
                 copy => this.adoptWeights(copy),
             ),
+            suspects: create(
+                kinds.suspects,
+                {
+                    waitMs,
+                    batchDelayMs: () => 0,
+                    ownersReregister: false,
+                    mayBeStale: () => this.readsStale(kinds.suspects),
+                },
+                copy => this.refusals.adopt(copy.records(this.clock.now())[0]),
+            ),
         };
     }
 
@@ -414,6 +448,7 @@
             prefills: this.prefills.snapshot(now),
             savedParts: this.cacheIndex.announcedSaves(now),
             cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
+            suspects: this.suspects.snapshot(sequence, { now, wallTime: this.clock.wallTime() }),
             desiredWeights: this.view.desiredWeights(),
             report: undefined,
         };
@@ -428,6 +463,7 @@
             this.prefills.applyPeer(name, heartbeat.prefills, now);
             this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
             heartbeat.cacheStores.forEach(status => this.cacheIndex.applyStoreStatus(status, now));
+            this.suspects.applyPeer(name, heartbeat.suspects, { now, wallTime: this.clock.wallTime() });
             this.documents.compare(heartbeat, now);
         }
         if (heartbeat.report !== undefined) {
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -24,6 +24,8 @@
     readonly servers: string;
     readonly weights: string;
     readonly members: string;
+    /** Calls and prompt parts that crash servers. */
+    readonly suspects: string;
 }
 
 /** The platform's store, protocols and record formats. */
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -17,9 +17,12 @@
 import * as cacheIndexes from "../../src/placement/cache-index.js";
 import * as prefills from "../../src/placement/prefills.js";
 import * as serverLoads from "../../src/placement/server-load.js";
+import * as suspectTrackers from "../../src/quarantine/suspect-tracker.js";
 import * as ledgers from "../../src/quota/ledger.js";
 import * as watches from "../../src/store-access/kind-watch.js";
 
+/** Position of the spent tokens in a heartbeat. */
+const SPENT_TOKENS_POSITION = 10;
 const SEED = 12;
 const HOST = "127.0.0.1";
 const CUSTOMER = {
@@ -56,6 +59,14 @@
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
         savedParts: [{ partHash: 8, tokens: 10 }],
         cacheStores: [],
+        suspects: {
+            records: [{
+                fingerprint: "part:a",
+                crashes: [{ id: "server/1", server: "server/1", alone: true, at: 5 }],
+                cleared: ["server/1"],
+            }],
+            trials: ["part:b"],
+        },
         desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
         report: undefined,
     };
@@ -68,10 +79,19 @@
     const tracker = new prefills.PrefillTracker();
     const index = new cacheIndexes.CacheIndex();
     quotas.track([CUSTOMER], 0);
+    const suspects = new suspectTrackers.SuspectTracker({
+        journal: { emit: () => undefined },
+        self: "self",
+        entryCount: () => 2,
+        onUrgentChange: () => undefined,
+        onRefusalsChange: () => undefined,
+    });
     return ({ member: { name }, incarnation, spentTokens, ...state }: types.Heartbeat, now: number) => {
         quotas.applyPeerSpending(name, incarnation, spentTokens, now);
         loads.applyPeer(name, state.serverLoads, now);
         tracker.applyPeer(name, state.prefills, now);
+        suspects.applyPeer(name, state.suspects, { now, wallTime: now });
+        suspects.decide(["part:a"], { now, wallTime: now });
         index.applyPeerSaves(state.savedParts, now);
         received.push(name);
     };
@@ -112,11 +132,15 @@
         }),
         { seed: SEED, numRuns: 200 },
     );
-    for (const [index, { position, value }] of mutations.entries()) {
+    // Passes the decoder, and fails in the consumer.
+    const spentTokens = { position: SPENT_TOKENS_POSITION, value: JSON.parse("null") as fastCheck.JsonValue };
+    for (const [index, { position, value }] of [...mutations, spentTokens].entries()) {
         const mutated = [...valid];
         mutated[1] = `peer-${index}`;
         mutated[position] = value;
         await send(JSON.stringify(mutated));
+        // The receiver shares the event loop; without a pause its socket's buffer overflows.
+        await new Promise(resolve => setImmediate(resolve));
     }
     await send(Buffer.from([0xff, 0x00, 0x5b]));
     await send(codec.encode({ heartbeat: heartbeat("last", "127.0.0.1:9", 1), passedOn: [] }));
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -6,6 +6,7 @@
 import type * as event from "../../src/core/event.js";
 import type * as fleet from "../../src/fleet/types.js";
 import * as connectionPools from "../../src/forwarding/connection-pool.js";
+import * as crashDetectors from "../../src/forwarding/crash-detector.js";
 import * as entryServers from "../../src/forwarding/entry-server.js";
 import * as views from "../../src/forwarding/fleet-view.js";
 import * as serviceQueues from "../../src/forwarding/service-queues.js";
@@ -18,6 +19,7 @@
 import * as serverHealth from "../../src/placement/server-health.js";
 import * as serverLoads from "../../src/placement/server-load.js";
 import * as transferBudgets from "../../src/placement/transfer-budget.js";
+import * as suspectTrackers from "../../src/quarantine/suspect-tracker.js";
 import * as ledgers from "../../src/quota/ledger.js";
 
 export const HOST = "calls.example";
@@ -58,6 +60,13 @@
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly health = new serverHealth.ServerHealth();
     readonly view = new views.FleetView({ serverLoad: this.serverLoad, serverHealth: this.health });
+    readonly suspects = new suspectTrackers.SuspectTracker({
+        journal: { emit: (name, fields = {}) => void this.events.push({ name, fields }) },
+        self: "entry",
+        entryCount: () => 1,
+        onUrgentChange: () => undefined,
+        onRefusalsChange: () => undefined,
+    });
     isDraining = false;
     readonly entry: entryServers.EntryServer;
     private port = 0;
@@ -154,6 +163,15 @@
         await Promise.all(this.servers.map(server => new Promise(resolve => server.close(resolve))));
     }
 
+    /** Crashes the server of a connection: it resets all connections and refuses new ones. */
+    async crash(connection: net.Socket): Promise<void> {
+        const { localPort } = connection;
+        const server = this.servers.find(candidate => portOf(candidate) === localPort);
+        const closed = new Promise(resolve => server?.close(resolve));
+        [...this.sockets].filter(socket => socket.localPort === localPort).forEach(socket => socket.resetAndDestroy());
+        await closed;
+    }
+
     /** Number of open connections between the entry and the scripted servers. */
     get openConnections(): number {
         return this.sockets.size;
@@ -203,6 +221,8 @@
             ),
             queues: this.queues,
             connectionPool: this.pool,
+            suspects: this.suspects,
+            crashes: new crashDetectors.CrashDetector({ clock, suspects: this.suspects }),
             settings: {
                 dataCentre: "one",
                 selection: { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 },
@@ -213,6 +233,11 @@
     }
 }
 
+/** Undefined for a server that has been closed. */
+function portOf(server: net.Server): number | undefined {
+    return server.listening ? (server.address() as net.AddressInfo).port : undefined;
+}
+
 /** Head and body of a complete response to the call with this id. */
 export function response(id: string, body: string, status = "200 OK"): string {
     return `HTTP/1.1 ${status}\r\nRequest-Id: ${id}\r\nResponse-Seal: seal\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
