Log the limits that servers name, and the limit in force when a call is placed

No line said that a server had named Server-Limit, so that entries that do not read it could not be told from entries that each keep it for themselves.

The header is decoded in the adapter; server-limit-changed has each change that an entry sees, call-placed the limit of the chosen server. Nothing is decided from it yet.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -140,6 +140,9 @@
             return;
         }
         const serverId = this.input.choice.candidate.server.id;
+        if (status !== MISDIRECTED_REQUEST) {
+            this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond);
+        }
         if (responseHead.isNotExecuted || status === MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
             const mismatch = status !== MISDIRECTED_REQUEST ? undefined : isOtherServer ? "server" : "weights";
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -414,6 +414,7 @@
             fetchFrom: cacheLookup.plan?.fetchFrom,
             saves: cacheLookup.plan?.saveTo !== undefined,
             weights: candidate.weightsVersion,
+            serverLimit: this.ports.serverLimits.limitOf(candidate.server.id),
             configuration: this.ports.view.routingTable?.configuration.version,
         });
         this.ports.demand.record(service, uncachedTokens, now);
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -33,6 +33,8 @@
     /** The response carries the seal with which a server confirms it as its own. */
     readonly isSealed: boolean;
     readonly weightsVersion: number | undefined;
+    /** Requests a second that the server takes from all entries together; undefined while it names no limit. */
+    readonly requestsPerSecond: number | undefined;
 }
 
 export interface Dialect {
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -7,6 +7,7 @@
 import type * as prefills from "../placement/prefills.js";
 import type * as selection from "../placement/selection.js";
 import type * as serverHealth from "../placement/server-health.js";
+import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
 import type * as transferBudgets from "../placement/transfer-budget.js";
 import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
@@ -46,6 +47,7 @@
     readonly dialect: dialects.Dialect;
     readonly view: views.FleetView;
     readonly serverLoad: serverLoads.ServerLoadTracker;
+    readonly serverLimits: serverLimits.ServerLimits;
     readonly cacheIndex: cacheIndexes.CacheIndex;
     readonly prefills: prefills.PrefillTracker;
     readonly demand: demands.DemandEstimates;
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -14,4 +14,11 @@
         message: fields => `stopped following the cache store at ${fields.address}`,
         hint: "Until it is followed again, its content is estimated. Check the store if this persists.",
     },
+    "server-limit-changed": {
+        number: 3603,
+        level: "info",
+        message: fields =>
+            `${fields.backendServer} takes ${fields.requestsPerSecond ?? "any number of"} requests a second`,
+        hint: "A server in need names a limit; its calls go to other servers, or wait.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -20,6 +20,7 @@
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
 import * as serverHealth from "../placement/server-health.js";
+import * as serverLimits from "../placement/server-limits.js";
 import * as serverLoads from "../placement/server-load.js";
 import * as followers from "../placement/store-follower.js";
 import * as transferBudgets from "../placement/transfer-budget.js";
@@ -147,6 +148,7 @@
             dialect: platform.dialect,
             view: this.view,
             serverLoad: this.serverLoad,
+            serverLimits: new serverLimits.ServerLimits({ journal }),
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
             demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -17,6 +17,7 @@
 import * as latencyEstimates from "../../src/placement/latency-estimates.js";
 import * as prefills from "../../src/placement/prefills.js";
 import * as serverHealth from "../../src/placement/server-health.js";
+import * as serverLimits from "../../src/placement/server-limits.js";
 import * as serverLoads from "../../src/placement/server-load.js";
 import * as transferBudgets from "../../src/placement/transfer-budget.js";
 import * as suspectTrackers from "../../src/quarantine/suspect-tracker.js";
@@ -208,6 +209,7 @@
             dialect: dialects.dialect,
             view: this.view,
             serverLoad: this.serverLoad,
+            serverLimits: new serverLimits.ServerLimits({ journal: { emit: () => undefined } }),
             cacheIndex: new cacheIndexes.CacheIndex(),
             prefills: new prefills.PrefillTracker(),
             demand: new demands.DemandEstimates(() => 1),
