--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -128,6 +128,16 @@
         return call;
     }
 
+    /** Addresses of the workers with models. */
+    get modelWorkers(): readonly string[] {
+        return this.workers.slice(0, MODEL_WORKER_COUNT).map(worker => worker.address);
+    }
+
+    /** Stops an entry as the platform does; it is started again once it has ended. */
+    stopEntry(random: () => number): void {
+        this.randomNode(random, "entry").process.signal("SIGTERM");
+    }
+
     /** Injects one random fault, waits until it is over, and returns its name. */
     async injectFault(random: () => number): Promise<string> {
         const faults = Object.keys(FAULTS) as (keyof typeof FAULTS)[];
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -175,10 +175,22 @@
     /** Times in milliseconds at which requests with such a part arrived, and at which workers crashed of them. */
     readonly deadlyArrivals: number[];
     readonly deadlyCrashes: number[];
+    /** Requests a second that workers name as their limit, by address. */
+    readonly limits: Map<string, number>;
+    /** Times in milliseconds at which requests arrived at workers that name a limit, by address. */
+    readonly limitedArrivals: Map<string, number[]>;
 }
 
 export function createWorkerLog(): WorkerLog {
-    return { runs: [], orders: [], deadlyParts: new Set(), deadlyArrivals: [], deadlyCrashes: [] };
+    return {
+        runs: [],
+        orders: [],
+        deadlyParts: new Set(),
+        deadlyArrivals: [],
+        deadlyCrashes: [],
+        limits: new Map(),
+        limitedArrivals: new Map(),
+    };
 }
 
 export interface WorkerOptions {
@@ -246,6 +258,12 @@
             return;
         }
         const requestId = String(headers["request-id"]);
+        const limit = this.log.limits.get(this.address);
+        if (limit !== undefined) {
+            response.setHeader("Server-Limit", String(limit));
+            const arrivals = this.log.limitedArrivals.get(this.address) ?? [];
+            this.log.limitedArrivals.set(this.address, [...arrivals, performance.now()]);
+        }
         const expectedVersion = headers["expect-version"];
         const isMisdirected = headers["expect-instance"] !== this.id
             || expectedVersion !== undefined && Number(expectedVersion) !== this.version;
