Count a queued call at its server when it is placed, not when it is sent

Cause: a pass of the queue chooses a server for call after call, but a call was counted at its server only after the pass, in its own continuation. All queued calls saw the load from before the pass and chose the one server that had a free slot. Class of fault: a check and the act that it permits, apart.

The choice and what it counts (load, prefill, demand, attempt) are one step now.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -5,7 +5,9 @@
 import type * as failure from "../core/failure.js";
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
+import type * as prefills from "../placement/prefills.js";
 import * as selection from "../placement/selection.js";
+import type * as serverLoads from "../placement/server-load.js";
 import type * as placement from "../placement/types.js";
 import * as attribution from "../quarantine/attribution.js";
 import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
@@ -65,6 +67,15 @@
     readonly fingerprints: callFingerprints.CallFingerprints;
 }
 
+/** A call that is counted at the server that was chosen for it, from the moment of the choice on. */
+interface PlacedCall extends Disposable {
+    readonly choice: ServerChoice;
+    readonly cacheLookup: promptCacheAccess.CacheLookup;
+    readonly uncachedTokens: number;
+    readonly load: serverLoads.PlacedCall;
+    readonly prefill: prefills.PrefillHandle;
+}
+
 interface Trial extends Disposable {
     readonly suspects: readonly string[];
 }
@@ -108,14 +119,15 @@
         const remainingMs = admission.deadlineAt - this.ports.clock.now();
         this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(0, remainingMs));
         while (!this.isFinished) {
-            const choice = await this.waitForServer(admission);
-            if (choice === undefined || this.isFinished) {
+            const placed = await this.waitForServer(admission);
+            if (placed === undefined) {
                 break;
             }
-            const result = await this.runAttempt(admission, choice);
+            const result = this.isFinished ? undefined : await this.runAttempt(admission, placed);
+            placed[Symbol.dispose]();
             this.ports.queues.dispatch(admission.service);
             this.endTrial();
-            if (result === undefined || !this.handleFailedAttempt(admission, choice, result)) {
+            if (result === undefined || !this.handleFailedAttempt(admission, placed.choice, result)) {
                 break;
             }
         }
@@ -200,11 +212,13 @@
     }
 
     /** Waits until a server is available for the call. Undefined if the call was refused or cancelled. */
-    private async waitForServer(admission: Admission): Promise<ServerChoice | undefined> {
+    private async waitForServer(admission: Admission): Promise<PlacedCall | undefined> {
         const queue = this.ports.queues.of(admission.service);
         const firstChoice = await this.chooseAfterPrefill(admission);
         if (firstChoice.kind === "server" && queue.size === 0 || this.isFinished) {
-            return firstChoice.kind === "server" ? firstChoice : undefined;
+            return firstChoice.kind === "server" && !this.isFinished
+                ? this.place(admission, firstChoice)
+                : undefined;
         }
         if (firstChoice.kind === "quarantined") {
             this.refuseQuarantined(admission, firstChoice.fingerprint, firstChoice.retryAfterMs);
@@ -238,7 +252,7 @@
                         reason = choice.reason;
                         return false;
                     }
-                    resolve(choice);
+                    resolve(this.place(admission, choice));
                     return true;
                 },
                 onTimeout: () => {
@@ -387,10 +401,11 @@
         );
     }
 
-    private async runAttempt(
-        admission: Admission,
-        choice: ServerChoice,
-    ): Promise<callAttempts.AttemptResult | undefined> {
+    /**
+     * Counts the call at its server at once: the calls of one pass of the queue are placed one after the other, and each
+     * has to see those before it.
+     */
+    private place(admission: Admission, choice: ServerChoice): PlacedCall {
         const now = this.ports.clock.now();
         const { head, service } = admission;
         const { candidate } = choice;
@@ -418,8 +433,26 @@
             configuration: this.ports.view.routingTable?.configuration.version,
         });
         this.ports.demand.record(service, uncachedTokens, now);
-        using load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
-        using prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
+        const load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
+        const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
+        return {
+            choice,
+            cacheLookup,
+            uncachedTokens,
+            load,
+            prefill,
+            [Symbol.dispose]: () => {
+                prefill[Symbol.dispose]();
+                load[Symbol.dispose]();
+            },
+        };
+    }
+
+    private async runAttempt(
+        admission: Admission,
+        { choice, cacheLookup, uncachedTokens, load, prefill }: PlacedCall,
+    ): Promise<callAttempts.AttemptResult | undefined> {
+        const { candidate } = choice;
         const attempt = new callAttempts.CallAttempt(this.ports, {
             admission: { ...admission, priority: priorityOf(admission) },
             choice,
