Keep the limits that servers name, over all entries together

Servers in need got twice the requests that they had named as their limit; few callers noticed.

Class of fault: what a server says to one entry stays there; read alone, each of five entries would have sent the whole limit.

A limit and its age are part of the heartbeats, so that it reaches entries that the server has not told, also after a restart; the newest response decides, and one without the header ends it. Requests are counted by the ledger that counts customers' tokens, now for any account: own requests at once, those of peers from their totals, a share of the rate while peers are out of reach. Entries see each other's requests a heartbeat late; so time is divided into slots of that length, and in each a server is open to a random part of the entries, so many as may send what is left. A limit of 0 still gets a request now and then, whose response tells that it has ended.

A server does most work for one request with a long prompt; so prompts shorter than the service's mean use limited servers only when no other has capacity.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -141,7 +141,7 @@
         }
         const serverId = this.input.choice.candidate.server.id;
         if (status !== MISDIRECTED_REQUEST) {
-            this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond);
+            this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
         }
         if (responseHead.isNotExecuted || status === MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -26,6 +26,7 @@
     "all-suspected": 400,
     "all-outdated": 500,
     "all-moving": 300,
+    "all-limited": 500,
     "all-full": 400,
 };
 const RETRY_AFTER_REJECTION_MS = 300;
@@ -390,6 +391,7 @@
             triedServers: this.triedServers,
             dataCentre: this.ports.settings.dataCentre,
             utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
+            isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
         };
         return selection.chooseServer(
@@ -432,7 +434,8 @@
             serverLimit: this.ports.serverLimits.limitOf(candidate.server.id),
             configuration: this.ports.view.routingTable?.configuration.version,
         });
-        this.ports.demand.record(service, uncachedTokens, now);
+        this.ports.serverLimits.recordRequest(candidate.server.id, now);
+        this.ports.demand.record(service, uncachedTokens, head.promptTokens, now);
         const load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
         const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
         return {
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -3,6 +3,7 @@
 import type * as fleet from "../fleet/types.js";
 import type * as peering from "../peering/types.js";
 import type * as serverHealth from "../placement/server-health.js";
+import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
 import type * as placement from "../placement/types.js";
 import * as desiredVersions from "../weights/desired-versions.js";
@@ -19,6 +20,7 @@
 
 export interface ViewPorts {
     readonly serverLoad: serverLoads.ServerLoadTracker;
+    readonly serverLimits: Pick<serverLimits.ServerLimits, "stateOf" | "retain">;
     readonly serverHealth: serverHealth.ServerHealth;
 }
 
@@ -63,6 +65,7 @@
         const ids = new Set(servers.map(server => server.id));
         const addresses = new Set(servers.map(server => server.address));
         this.ports.serverHealth.retain(ids);
+        this.ports.serverLimits.retain(ids);
         retain(this.observedVersions, ids);
         retain(this.mismatchedUntil, ids);
         retain(this.reports, addresses);
@@ -132,6 +135,7 @@
             isUpdatingWeights: report?.isUpdatingWeights === true || now < (this.mismatchedUntil.get(server.id) ?? 0),
             isUpdatePending: report?.isUpdatePending === true,
             isSuspected: isDead || this.ports.serverHealth.isSuspected(server.id, now),
+            limit: this.ports.serverLimits.stateOf(server.id, now),
             failureShare: this.ports.serverHealth.failureShare(server.id, now),
         };
     }
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -9,6 +9,7 @@
  */
 const LAYOUT_VERSION = 3;
 
+const NO_LIMIT = -1;
 /** Position of the heartbeats that are passed on. */
 const PASSED_ON = 18;
 
@@ -42,6 +43,8 @@
     passedOn?: readonly HeartbeatTuple[],
     /** 0 without suspects. */
     suspects?: suspectCodec.SuspectTuple | 0,
+    /** The rate is negative if the server has ceased to name one. */
+    serverLimits?: readonly (readonly [server: string, rate: number, ageMs: number, requests: number])[],
 ];
 
 type ReportTuple = readonly [
@@ -85,6 +88,9 @@
         heartbeat.cacheStores.map(({ address, incarnation }) => [address, incarnation ?? ""]),
         passedOn,
         suspectCodec.isEmpty(heartbeat.suspects) ? 0 : suspectCodec.toTuple(heartbeat.suspects),
+        heartbeat.serverLimits.map(({ server, requestsPerSecond = NO_LIMIT, ageMs, requests }) => {
+            return [server, requestsPerSecond, Math.round(ageMs), requests] as const;
+        }),
     ];
 }
 
@@ -125,6 +131,7 @@
         cacheStores = [],
         ,
         suspects = 0,
+        serverLimits = [],
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
         && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
@@ -162,9 +169,19 @@
             incarnation: store === "" ? undefined : store,
         })),
         suspects: suspects === 0 ? entryStates.noEntryState.suspects : suspectCodec.fromTuple(suspects),
+        serverLimits: serverLimits.map(decodeServerLimit),
     };
 }
 
+function decodeServerLimit(
+    [server, rate, ageMs, requests]: readonly [string, number, number, number],
+): types.ServerLimit {
+    if (typeof server !== "string" || ![rate, ageMs, requests].every(Number.isFinite)) {
+        throw new TypeError("a limit of unexpected types");
+    }
+    return { server, requestsPerSecond: rate < 0 ? undefined : rate, ageMs, requests };
+}
+
 /** IP:PORT. A host name would be looked up with each heartbeat that is sent there. */
 function isAddress(value: unknown): boolean {
     return typeof value === "string" && ADDRESS.test(value);
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -8,5 +8,6 @@
     prefills: [],
     savedParts: [],
     cacheStores: [],
+    serverLimits: [],
     suspects: { records: [], trials: [] },
 } as const satisfies Partial<types.Heartbeat>;
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -35,6 +35,18 @@
     readonly isComplete: boolean;
 }
 
+/** The rate of requests that a server takes from all entries together, and what this entry sent it. */
+export interface ServerLimit {
+    /** Id of the server. */
+    readonly server: string;
+    /** Undefined if the server has ceased to name a limit. */
+    readonly requestsPerSecond: number | undefined;
+    /** Time in milliseconds since the response that named the limit, or named none. */
+    readonly ageMs: number;
+    /** Requests sent to the server while it named a limit, since this entry learnt of it. */
+    readonly requests: number;
+}
+
 /** A prompt part that a server saved to a cache store. */
 export interface SavedPart {
     /** Hash of the store, the scope under which the part is cached, and the part. */
@@ -111,6 +123,8 @@
     readonly cacheStores: readonly CacheStoreStatus[];
     /** Calls and prompt parts that may crash servers; entries only. */
     readonly suspects: quarantine.SuspectState;
+    /** Limits that servers name; entries only. */
+    readonly serverLimits: readonly ServerLimit[];
     readonly desiredWeights: readonly DesiredWeights[];
     /** Agents only. */
     readonly report: ServerReport | undefined;
--- a/src/placement/demand.ts
+++ b/src/placement/demand.ts
@@ -5,30 +5,49 @@
 const HALF_LIFE_MS = 1500;
 
 interface Demand {
-    /** Decayed sum of prompt tokens. */
+    /** Decayed sum of the prompt tokens that servers had to prefill. */
     readonly tokens: number;
+    /** Decayed number of calls, and sum of all their prompt tokens. */
+    readonly calls: number;
+    readonly promptTokens: number;
     readonly updatedAt: number;
 }
 
+const NO_DEMAND = { tokens: 0, calls: 0, promptTokens: 0 } as const;
+
 export class DemandEstimates {
     private readonly demands = new Map<string, Demand>();
 
     /** `entryCount` is the number of entries, this one included; callers are spread over them. */
     constructor(private readonly entryCount: (now: number) => number) {}
 
-    /** Records prompt tokens that a server has to prefill for a call of this entry. */
-    record(service: string, tokens: number, now: number): void {
-        this.demands.set(service, { tokens: this.decayed(service, now) + tokens, updatedAt: now });
+    /** Records a call of this entry: the prompt tokens that its server has to prefill, and all of them. */
+    record(service: string, tokens: number, promptTokens: number, now: number): void {
+        const decayed = this.decayed(service, now);
+        this.demands.set(service, {
+            tokens: decayed.tokens + tokens,
+            calls: decayed.calls + 1,
+            promptTokens: decayed.promptTokens + promptTokens,
+            updatedAt: now,
+        });
+    }
+
+    /** Mean prompt tokens of the recent calls of the service; 0 if there were none. */
+    meanPromptTokens(service: string, now: number): number {
+        const { calls, promptTokens } = this.decayed(service, now);
+        return calls === 0 ? 0 : promptTokens / calls;
     }
 
     /** Prefill time that all entries ask of each server, relative to the time that passes; above 1 they are overloaded. */
     utilization(service: string, servers: number, latency: types.LatencyEstimate, now: number): number {
-        const tokensPerMs = this.decayed(service, now) * Math.LN2 / HALF_LIFE_MS;
+        const tokensPerMs = this.decayed(service, now).tokens * Math.LN2 / HALF_LIFE_MS;
         return tokensPerMs * this.entryCount(now) * latency.msPerPromptToken / Math.max(1, servers);
     }
 
-    private decayed(service: string, now: number): number {
-        const { tokens, updatedAt } = this.demands.get(service) ?? { tokens: 0, updatedAt: now };
-        return tokens * 2 ** (-(now - updatedAt) / HALF_LIFE_MS);
+    private decayed(service: string, now: number): Omit<Demand, "updatedAt"> {
+        const { tokens, calls, promptTokens, updatedAt } = this.demands.get(service) ??
+            { ...NO_DEMAND, updatedAt: now };
+        const factor = 2 ** (-(now - updatedAt) / HALF_LIFE_MS);
+        return { tokens: tokens * factor, calls: calls * factor, promptTokens: promptTokens * factor };
     }
 }
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -63,15 +63,17 @@
         ["all-suspected", candidate => !candidate.isSuspected],
         ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedExcludedFromMs],
         ["all-moving", candidate => !candidate.isUpdatingWeights],
+        ["all-limited", candidate => candidate.limit !== "closed"],
         ["all-full", candidate => hasCapacity(candidate, request, latency)],
     ];
-    let eligible = ready;
+    let eligible: readonly types.Candidate[] = ready;
     for (const [reason, accepts] of filters) {
         eligible = eligible.filter(accepts);
         if (eligible.length === 0) {
             return { kind: "none", reason };
         }
     }
+    eligible = spareLimited(eligible, request);
     const preferred = findPreferred(ready, request);
     const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
     const compared = spread.candidatesToCompare(
@@ -96,6 +98,18 @@
     };
 }
 
+/**
+ * Leaves the few requests of servers that name a limit to calls with long prompts, for which a server does most work for
+ * one request; the others use them only when no other server has capacity.
+ */
+function spareLimited(
+    eligible: readonly types.Candidate[],
+    request: types.PlacementRequest,
+): readonly types.Candidate[] {
+    const unlimited = request.isShort ? eligible.filter(candidate => candidate.limit === "none") : [];
+    return unlimited.length === 0 ? eligible : unlimited;
+}
+
 /** The ready server to which rendezvous hashing assigns the shared parts. All entries agree on it without communication. */
 function findPreferred(
     ready: readonly types.Candidate[],
--- a/src/placement/server-limits.ts
+++ b/src/placement/server-limits.ts
@@ -1,40 +1,173 @@
-/** Rates of requests that servers in need name in their responses, for all entries together. */
+/**
+ * Keeps the rate of requests that a server in need names, over all entries together.
+ *
+ * Load pattern: many entries hold calls for the same servers, and each learns only with the next heartbeat what the others
+ * sent. If each took a request that the limit allows as soon as it sees it, all would take the same one. Time is divided
+ * into slots of about that delay; in each of them a server is open to a random part of the entries, so many that together
+ * they send what the limit has left.
+ */
 import type * as event from "../core/event.js";
+import * as hashing from "../core/hashing.js";
+import type * as peering from "../peering/types.js";
+import * as ledgers from "../quota/ledger.js";
+
+/** Time in milliseconds for which peers are told that a limit has ended. */
+const ENDED_RETENTION_MS = 5000;
+/** Lowest rate that is assumed, in requests a second: without a request, no response tells that the limit has ended. */
+const MINIMUM_RATE = 0.2;
+/** Requests that may be saved up: the time in milliseconds in which the limit allows them, and the least number. */
+const BURST_MS = 1000;
+const MINIMUM_BURST = 2;
+/** Requests that entries may send at the same time beyond those saved up. */
+const MAXIMUM_OVERSHOOT = 3;
 
 interface NamedLimit {
-    readonly requestsPerSecond: number;
+    /** Undefined once the server names no limit any more. */
+    readonly requestsPerSecond: number | undefined;
+    /** Time of the response in milliseconds. */
+    readonly observedAt: number;
+}
+
+interface SlotCount {
+    readonly slot: number;
+    readonly requests: number;
 }
 
 export interface LimitPorts {
     readonly journal: event.Journal;
+    /** Name of this entry. */
+    readonly self: string;
+    /** Time in milliseconds in which the entries learn of each other's requests. */
+    readonly slotMs: () => number;
+    readonly ledger: ledgers.LedgerSettings;
 }
 
 export class ServerLimits {
     private readonly limits = new Map<string, NamedLimit>();
+    private readonly ledger: ledgers.QuotaLedger;
+    /** Requests of this entry in the slot of the last one, by server. */
+    private readonly sent = new Map<string, SlotCount>();
 
-    constructor(private readonly ports: LimitPorts) {}
+    constructor(private readonly ports: LimitPorts) {
+        this.ledger = new ledgers.QuotaLedger(ports.ledger);
+    }
 
     /** Records the limit that a response of the server names; undefined ends it. */
-    recordResponse(server: string, requestsPerSecond: number | undefined): void {
-        const known = this.limits.get(server);
-        if (known?.requestsPerSecond === requestsPerSecond) {
-            return;
+    recordResponse(server: string, requestsPerSecond: number | undefined, now: number): void {
+        if (requestsPerSecond !== undefined || this.limits.has(server)) {
+            this.adopt(server, { requestsPerSecond, observedAt: now }, "response");
         }
-        this.ports.journal.emit("server-limit-changed", {
-            backendServer: server,
-            requestsPerSecond,
-            source: "response",
+    }
+
+    /** Requests a second that the server takes from all entries together; undefined without a limit. */
+    limitOf(server: string): number | undefined {
+        return this.limits.get(server)?.requestsPerSecond;
+    }
+
+    /** Whether the server names a limit, and whether this entry may send it a request now. */
+    stateOf(server: string, now: number): "none" | "open" | "closed" {
+        const account = this.accountOf(server);
+        if (account === undefined) {
+            return "none";
+        }
+        return this.isOpen(account, now) ? "open" : "closed";
+    }
+
+    /** Counts a request that is sent to the server. */
+    recordRequest(server: string, now: number): void {
+        const account = this.accountOf(server);
+        if (account !== undefined) {
+            const { slot, requests } = this.countAt(server, now);
+            this.sent.set(server, { slot, requests: requests + 1 });
+            this.ledger.charge(account, 1, now);
+        }
+    }
+
+    /** Limits and requests of this entry, for the next heartbeat. */
+    snapshot(now: number): readonly peering.ServerLimit[] {
+        this.forgetEnded(now);
+        const sent = this.ledger.spending();
+        return [...this.limits].map(([server, { requestsPerSecond, observedAt }]) => {
+            return { server, requestsPerSecond, ageMs: Math.max(0, now - observedAt), requests: sent[server] ?? 0 };
         });
+    }
+
+    /** Adopts newer limits of a peer, and counts its requests. */
+    applyPeer(peer: string, incarnation: string, limits: readonly peering.ServerLimit[], now: number): void {
+        for (const { server, requestsPerSecond, ageMs } of limits) {
+            const known = this.limits.get(server);
+            const observedAt = now - ageMs;
+            if (observedAt > (known?.observedAt ?? Number.NEGATIVE_INFINITY)) {
+                this.adopt(server, { requestsPerSecond, observedAt }, peer);
+            }
+        }
+        const requests = Object.fromEntries(limits.map(limit => [limit.server, limit.requests]));
+        this.ledger.applyPeerSpending(peer, incarnation, requests, now);
+    }
+
+    /** Drops the limits of servers that are no longer listed. */
+    retain(servers: ReadonlySet<string>): void {
+        for (const server of [...this.limits.keys()].filter(id => !servers.has(id))) {
+            this.forget(server);
+        }
+    }
+
+    private isOpen(account: ledgers.Account, now: number): boolean {
+        const { name: server } = account;
+        const { slot, requests } = this.countAt(server, now);
+        const requestsOfEntry = (this.allowance(account, now) + requests) / this.ledger.reachableCount(now);
+        return requests + hashing.unitHash(`${this.ports.self}\u0000${server}\u0000${slot}`) < requestsOfEntry;
+    }
+
+    /**
+     * Requests that all entries together may expect to send in this slot. With a full bucket few entries have calls for the
+     * server, so that it is open to more of them.
+     */
+    private allowance(account: ledgers.Account, now: number): number {
+        const available = this.ledger.available(account, now);
+        const fullness = (available - 1) / (account.burstTokens - 1);
+        return available + Math.max(0, fullness) * MAXIMUM_OVERSHOOT;
+    }
+
+    private adopt(server: string, limit: NamedLimit, source: string): void {
+        const known = this.limits.get(server);
+        this.limits.set(server, limit);
+        const { requestsPerSecond } = limit;
+        if (known?.requestsPerSecond !== requestsPerSecond) {
+            this.ports.journal.emit("server-limit-changed", { backendServer: server, requestsPerSecond, source });
+        }
+        const account = this.accountOf(server);
+        if (account !== undefined) {
+            this.ledger.track([account], limit.observedAt);
+        }
+    }
+
+    private accountOf(server: string): ledgers.Account | undefined {
+        const requestsPerSecond = this.limitOf(server);
         if (requestsPerSecond === undefined) {
-            this.limits.delete(server);
+            return undefined;
         }
-        else {
-            this.limits.set(server, { requestsPerSecond });
+        const rate = Math.max(MINIMUM_RATE, requestsPerSecond);
+        return { name: server, tokensPerSecond: rate, burstTokens: Math.max(MINIMUM_BURST, rate * BURST_MS / 1000) };
+    }
+
+    private countAt(server: string, now: number): SlotCount {
+        const slot = Math.floor(now / this.ports.slotMs());
+        const last = this.sent.get(server);
+        return last?.slot === slot ? last : { slot, requests: 0 };
+    }
+
+    private forgetEnded(now: number): void {
+        for (const [server, { requestsPerSecond, observedAt }] of this.limits) {
+            if (requestsPerSecond === undefined && now - observedAt > ENDED_RETENTION_MS) {
+                this.forget(server);
+            }
         }
     }
 
-    /** Requests a second that the server takes from all entries together; undefined without a limit. */
-    limitOf(server: string): number | undefined {
-        return this.limits.get(server)?.requestsPerSecond;
+    private forget(server: string): void {
+        this.limits.delete(server);
+        this.sent.delete(server);
+        this.ledger.retain(new Set(this.limits.keys()));
     }
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -18,6 +18,8 @@
     readonly isUpdatePending: boolean;
     /** Avoided after a refused or reset connection, or a timeout. */
     readonly isSuspected: boolean;
+    /** Whether the server names a limit of requests, and whether that leaves one for this entry now. */
+    readonly limit: "none" | "open" | "closed";
     /** Share of recent calls that failed, from 0 to 1. */
     readonly failureShare: number;
 }
@@ -40,6 +42,8 @@
     readonly dataCentre: string;
     /** Load of all servers of the service together, relative to their capacity. */
     readonly utilization: number;
+    /** The prompt is shorter than the mean of the service's calls. */
+    readonly isShort: boolean;
     /** The target is an HTTP service rather than an inference engine. */
     readonly isHttpService: boolean;
 }
@@ -55,7 +59,7 @@
 }
 
 /** Why no server is chosen: the first filter that leaves no candidate. */
-export type UnplacedReason = "no-server" | "all-moving" | "all-suspected" | "all-full" | "all-outdated";
+export type UnplacedReason = "no-server" | "all-moving" | "all-suspected" | "all-limited" | "all-full" | "all-outdated";
 
 export type PlacementDecision =
     | {
--- a/src/quota/bucket.ts
+++ b/src/quota/bucket.ts
@@ -1,12 +1,12 @@
 /**
- * Replicated token bucket of a customer; every entry keeps a copy.
+ * Replicated token bucket of a customer or a server; every entry keeps a copy.
  *
  * Each entry subtracts its own spending at once and the spending of its peers when their heartbeats report it. While peers are
  * unreachable, the bucket fills only at the share of the reachable entries; the unreachable ones limit themselves in the
  * same way to their own share.
  */
 
-/** Rate limit of a customer. */
+/** Rate limit. */
 export interface Limit {
     readonly tokensPerSecond: number;
     /** Capacity of the bucket. */
@@ -49,6 +49,12 @@
         return missing <= 0 ? 0 : missing * 1000 / (this.limit.tokensPerSecond * this.share);
     }
 
+    /** Tokens in the bucket; negative after spending that was not admitted here. */
+    available(now: number): number {
+        this.refill(now);
+        return this.level;
+    }
+
     /** Tokens added in a period of time, at the full rate. */
     inflow(durationMs: number): number {
         return durationMs * this.limit.tokensPerSecond / 1000;
--- a/src/quota/ledger.ts
+++ b/src/quota/ledger.ts
@@ -1,8 +1,16 @@
-/** Accounts the spending of all customers, by this entry and its peers, against their rate limits. */
-import type * as fleet from "../fleet/types.js";
+/** Accounts the spending of this entry and its peers against the rate limits of customers, or of servers. */
 import * as buckets from "./bucket.js";
 
-/** Total tokens spent per customer since the start of an entry. */
+/** What a rate limit applies to: a customer, or a server. */
+export interface Account {
+    readonly name: string;
+    /** Tokens per second; 0 means no limit. */
+    readonly tokensPerSecond: number;
+    /** Capacity of the token bucket. */
+    readonly burstTokens: number;
+}
+
+/** Total tokens spent per account since the start of an entry. */
 export type Spending = Readonly<Record<string, number>>;
 
 export interface LedgerSettings {
@@ -30,31 +38,53 @@
     private readonly buckets = new Map<string, buckets.ReplicatedBucket>();
     private readonly ownTotals = new Map<string, number>();
     private readonly peers = new Map<string, Peer>();
+    /** Last computed share, since one decision asks for many accounts at the same time. */
+    private reachable = { now: Number.NaN, share: 1 };
 
     constructor(private readonly settings: LedgerSettings) {}
 
-    /** Creates the buckets of customers, so that they fill and the spending of peers is subtracted before the first call. */
-    track(customers: readonly fleet.Customer[], now: number): void {
-        customers.filter(customer => customer.tokensPerSecond > 0).forEach(customer => this.bucket(customer, now));
+    /** Creates the buckets, so that they fill and the spending of peers is subtracted before the first call. */
+    track(accounts: readonly Account[], now: number): void {
+        accounts.filter(account => account.tokensPerSecond > 0).forEach(account => this.bucket(account, now));
     }
 
     /** Charges a call. Returns 0 when it is admitted, otherwise the time in milliseconds after which it would be. */
-    admit(customer: fleet.Customer, tokens: number, now: number): number {
-        if (customer.tokensPerSecond <= 0) {
+    admit(account: Account, tokens: number, now: number): number {
+        if (account.tokensPerSecond <= 0) {
             return 0;
         }
-        const bucket = this.bucket(customer, now);
+        const bucket = this.bucket(account, now);
         const waitMs = bucket.waitMs(tokens, now);
         if (waitMs === 0) {
-            this.spend(customer, bucket, tokens, now);
+            this.spend(account, bucket, tokens, now);
         }
         return waitMs;
     }
 
+    /** Tokens that the account has left; negative if more was spent. */
+    available(account: Account, now: number): number {
+        return this.bucket(account, now).available(now);
+    }
+
+    /** Charges a call that was admitted elsewhere. */
+    charge(account: Account, tokens: number, now: number): void {
+        this.spend(account, this.bucket(account, now), tokens, now);
+    }
+
+    /** Forgets accounts. Peers take what they report later as spent since. */
+    retain(names: ReadonlySet<string>): void {
+        for (const name of this.buckets.keys()) {
+            if (!names.has(name)) {
+                this.buckets.delete(name);
+                this.ownTotals.delete(name);
+            }
+        }
+    }
+
     /** Refunds the charge of a call that did not run. */
-    refund(customer: fleet.Customer, tokens: number, now: number): void {
-        if (customer.tokensPerSecond > 0) {
-            this.spend(customer, this.bucket(customer, now), -tokens, now);
+    refund(account: Account, tokens: number, now: number): void {
+        if (account.tokensPerSecond > 0) {
+            this.spend(account, this.bucket(account, now), -tokens, now);
         }
     }
 
@@ -72,19 +102,21 @@
         if (previous !== undefined) {
             const silentMs = Math.max(0, now - previous.receivedAt - this.settings.silenceMs());
             const share = 1 / (this.peers.size + 1);
-            for (const [customer, total] of Object.entries(spending)) {
-                const before = previous.incarnation === incarnation ? previous.totals.get(customer) ?? 0 : 0;
-                const bucket = this.buckets.get(customer);
+            for (const [name, total] of Object.entries(spending)) {
+                const before = previous.incarnation === incarnation ? previous.totals.get(name) ?? 0 : 0;
+                const bucket = this.buckets.get(name);
                 const withheld = bucket === undefined ? 0 : bucket.inflow(silentMs) * share;
                 bucket?.spend(Math.max(total - before - withheld, Math.min(0, total - before)), now);
             }
         }
+        this.reachable = { now: Number.NaN, share: 1 };
         this.peers.set(peer, { incarnation, totals: new Map(Object.entries(spending)), receivedAt: now });
     }
 
     /** Removes a peer that announced its shutdown. */
     removePeer(peer: string): void {
         this.peers.delete(peer);
+        this.reachable = { now: Number.NaN, share: 1 };
     }
 
     /** Number of entries that share the limits, including this one. */
@@ -93,17 +125,25 @@
         return this.peers.size + 1;
     }
 
-    private spend(customer: fleet.Customer, bucket: buckets.ReplicatedBucket, tokens: number, now: number): void {
+    /** Number of reachable entries that share the limits, including this one. */
+    reachableCount(now: number): number {
+        return this.reachableShare(now) * (this.peers.size + 1);
+    }
+
+    private spend(account: Account, bucket: buckets.ReplicatedBucket, tokens: number, now: number): void {
         bucket.spend(tokens, now);
-        this.ownTotals.set(customer.name, (this.ownTotals.get(customer.name) ?? 0) + tokens);
+        this.ownTotals.set(account.name, (this.ownTotals.get(account.name) ?? 0) + tokens);
     }
 
     /** Share of the entries that are reachable, including this one. */
     private reachableShare(now: number): number {
-        this.removeExpiredPeers(now);
-        const reachable =
-            [...this.peers.values()].filter(peer => now - peer.receivedAt <= this.settings.silenceMs()).length;
-        return (reachable + 1) / (this.peers.size + 1);
+        if (this.reachable.now !== now) {
+            this.removeExpiredPeers(now);
+            const silenceMs = this.settings.silenceMs();
+            const reachable = [...this.peers.values()].filter(peer => now - peer.receivedAt <= silenceMs).length;
+            this.reachable = { now, share: (reachable + 1) / (this.peers.size + 1) };
+        }
+        return this.reachable.share;
     }
 
     /**
@@ -120,11 +160,11 @@
         }
     }
 
-    private bucket(customer: fleet.Customer, now: number): buckets.ReplicatedBucket {
-        const limit = { tokensPerSecond: customer.tokensPerSecond, burstTokens: customer.burstTokens };
-        const bucket = this.buckets.get(customer.name)
+    private bucket(account: Account, now: number): buckets.ReplicatedBucket {
+        const limit = { tokensPerSecond: account.tokensPerSecond, burstTokens: account.burstTokens };
+        const bucket = this.buckets.get(account.name)
             ?? new buckets.ReplicatedBucket(limit, this.settings.overdraftTokens, now);
-        this.buckets.set(customer.name, bucket);
+        this.buckets.set(account.name, bucket);
         bucket.adjust(limit, this.reachableShare(now), now);
         return bucket;
     }
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -52,6 +52,8 @@
 /** Heartbeat periods in milliseconds by receiver: entries share spent tokens and load, agents need only new weights. */
 const ENTRY_HEARTBEAT_MS = 150;
 const AGENT_HEARTBEAT_MS = 500;
+/** Time in milliseconds until a heartbeat has been received and applied. */
+const HEARTBEAT_TRANSIT_MS = 50;
 /**
  * Times in milliseconds without heartbeats after which a peer's spending is unknown, at the base period of the
  * heartbeats, and after which it no longer counts.
@@ -83,6 +85,7 @@
     private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
+    private readonly serverLimits: serverLimits.ServerLimits;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
@@ -116,11 +119,24 @@
         this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
         const health = new serverHealth.ServerHealth();
-        this.view = new views.FleetView({ serverLoad: this.serverLoad, serverHealth: health });
-        this.quotas = new ledgers.QuotaLedger({
-            overdraftTokens: settings.quotaSlackTokens * OVERDRAFT_SHARE,
+        const silence = {
             silenceMs: () => PEER_SILENCE_MS * this.heartbeats.periodFactor,
             expiryMs: PEER_EXPIRY_MS,
+        };
+        this.serverLimits = new serverLimits.ServerLimits({
+            journal,
+            self: settings.name,
+            slotMs: () => (ENTRY_HEARTBEAT_MS + HEARTBEAT_TRANSIT_MS) * this.heartbeats.periodFactor,
+            ledger: { ...silence, overdraftTokens: 0 },
+        });
+        this.view = new views.FleetView({
+            serverLoad: this.serverLoad,
+            serverHealth: health,
+            serverLimits: this.serverLimits,
+        });
+        this.quotas = new ledgers.QuotaLedger({
+            ...silence,
+            overdraftTokens: settings.quotaSlackTokens * OVERDRAFT_SHARE,
         });
         this.queues = new serviceQueues.ServiceQueues(clock);
         this.suspects = new suspectTrackers.SuspectTracker({
@@ -148,7 +164,7 @@
             dialect: platform.dialect,
             view: this.view,
             serverLoad: this.serverLoad,
-            serverLimits: new serverLimits.ServerLimits({ journal }),
+            serverLimits: this.serverLimits,
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
             demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
@@ -450,6 +466,7 @@
             prefills: this.prefills.snapshot(now),
             savedParts: this.cacheIndex.announcedSaves(now),
             cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
+            serverLimits: this.serverLimits.snapshot(now),
             suspects: this.suspects.snapshot(sequence, { now, wallTime: this.clock.wallTime() }),
             desiredWeights: this.view.desiredWeights(),
             report: undefined,
@@ -461,6 +478,7 @@
         const { name, role } = heartbeat.member;
         if (role === "entry") {
             this.quotas.applyPeerSpending(name, heartbeat.incarnation, heartbeat.spentTokens, now);
+            this.serverLimits.applyPeer(name, heartbeat.incarnation, heartbeat.serverLimits, now);
             this.serverLoad.applyPeer(name, heartbeat.serverLoads, now);
             this.prefills.applyPeer(name, heartbeat.prefills, now);
             this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -41,7 +41,11 @@
     const serverLoad = new serverLoads.ServerLoadTracker();
     return {
         serverLoad,
-        view: new views.FleetView({ serverLoad, serverHealth: new serverHealth.ServerHealth() }),
+        view: new views.FleetView({
+            serverLoad,
+            serverHealth: new serverHealth.ServerHealth(),
+            serverLimits: { stateOf: () => "none", retain: () => undefined },
+        }),
     };
 }
 
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -57,6 +57,7 @@
         prefills: [],
         savedParts: [],
         cacheStores: [],
+        serverLimits: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [],
         report: undefined,
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -59,6 +59,7 @@
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
         savedParts: [{ partHash: 8, tokens: 10 }],
         cacheStores: [],
+        serverLimits: [],
         suspects: {
             records: [{
                 fingerprint: "part:a",
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -30,6 +30,7 @@
         weightsVersion: 1,
         outdatedForMs: undefined,
         isUpdatingWeights: false,
+        limit: "none",
         isUpdatePending: false,
         isSuspected: false,
         failureShare: 0,
@@ -46,6 +47,7 @@
     triedServers: new Set(),
     dataCentre: "one",
     utilization: 0.3,
+    isShort: false,
     isHttpService: false,
 };
 
@@ -117,6 +119,17 @@
     assert.equal(chosen(choose(free, booking)), "3");
 });
 
+testing.test("limits: a server whose limit leaves nothing gets no call, and short prompts spare those that have a limit", () => {
+    const closed = IDLE.map(entry => ({ ...entry, limit: "closed" as const }));
+    assert.equal(chosen(choose(closed)), "all-limited");
+    const open = IDLE.map(entry => ({ ...entry, limit: entry.server.id === "2" ? "none" as const : "open" as const }));
+    assert.equal(chosen(choose(open)), PREFERRED);
+    assert.equal(chosen(choose(open, { ...REVIEW, isShort: true })), "2");
+    const full = open.map(entry => entry.server.id === "2" ? { ...entry, calls: entry.server.slots } : entry);
+    const overflow = chosen(choose(full, { ...REVIEW, isShort: true }));
+    assert.ok(overflow !== "2" && IDS.includes(overflow), overflow);
+});
+
 testing.test("partial failure: a server that fails many calls is avoided even if the others have more load", () => {
     const booking: types.PlacementRequest = {
         ...REVIEW,
--- a/test/placement/spread.test.ts
+++ b/test/placement/spread.test.ts
@@ -30,6 +30,7 @@
         pendingPromptTokens: index === 0 ? 0 : 6000,
         weightsVersion: outdated(index) ? 1 : 2,
         outdatedForMs: outdated(index) ? 2000 : undefined,
+        limit: "none" as const,
         isUpdatingWeights: false,
         isUpdatePending: false,
         isSuspected: false,
@@ -47,6 +48,7 @@
         triedServers: new Set(),
         dataCentre: "centre-1",
         utilization,
+        isShort: false,
         isHttpService: false,
     };
 }
@@ -101,7 +103,7 @@
     const estimates = new demands.DemandEstimates(() => 10);
     // 100 tokens in each millisecond of all entries: each of 10 servers prefills for 0.2 of the time.
     for (let now = 0; now < 20_000; now += 100) {
-        estimates.record("menu", 1000, now);
+        estimates.record("menu", 1000, 1000, now);
     }
     const latency = { msPerPromptToken: 0.02, callMs: 80 };
     const utilization = estimates.utilization("menu", 10, latency, 20_000);
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -60,7 +60,17 @@
     private readonly queues = new serviceQueues.ServiceQueues(clocks.systemClock);
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly health = new serverHealth.ServerHealth();
-    readonly view = new views.FleetView({ serverLoad: this.serverLoad, serverHealth: this.health });
+    readonly serverLimits = new serverLimits.ServerLimits({
+        journal: { emit: () => undefined },
+        self: "entry",
+        slotMs: () => 200,
+        ledger: { overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 },
+    });
+    readonly view = new views.FleetView({
+        serverLoad: this.serverLoad,
+        serverHealth: this.health,
+        serverLimits: this.serverLimits,
+    });
     readonly suspects = new suspectTrackers.SuspectTracker({
         journal: { emit: (name, fields = {}) => void this.events.push({ name, fields }) },
         self: "entry",
@@ -209,7 +219,7 @@
             dialect: dialects.dialect,
             view: this.view,
             serverLoad: this.serverLoad,
-            serverLimits: new serverLimits.ServerLimits({ journal: { emit: () => undefined } }),
+            serverLimits: this.serverLimits,
             cacheIndex: new cacheIndexes.CacheIndex(),
             prefills: new prefills.PrefillTracker(),
             demand: new demands.DemandEstimates(() => 1),
--- a/tools/bench/decisions.ts
+++ b/tools/bench/decisions.ts
@@ -19,7 +19,11 @@
 
 function createView(count: number): views.FleetView {
     const serverLoad = new serverLoads.ServerLoadTracker();
-    const view = new views.FleetView({ serverLoad, serverHealth: new serverHealth.ServerHealth() });
+    const view = new views.FleetView({
+        serverLoad,
+        serverHealth: new serverHealth.ServerHealth(),
+        serverLimits: { stateOf: () => "none", retain: () => undefined },
+    });
     const servers = Array.from({ length: count }, (_, index): fleet.BackendServer => ({
         id: `i-${index}`,
         startedAt: 1,
@@ -52,6 +56,7 @@
         triedServers: new Set(),
         dataCentre: "centre-0",
         utilization: 0.3,
+        isShort: false,
         isHttpService: false,
     };
 }
