Roll services out on the users' platform, and take bad versions back

Callers saw calls that took several times as long for as long as the order lasted: a slow version got 341 to 358 of some 1,100 calls, and its order was never answered.

Cause: nothing on this path read the operator's rollout orders. Class of fault: a duty without an owner.

What judges them is the evidence and the sequential test of the product's own edge; what is new are stages that follow from the order's time, a measure of slowness relative to the old version, and the status, which one entry writes on condition of the revision that it has read.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -106,6 +106,8 @@
     /** Calls that the server runs at once. */
     readonly slots: number;
     readonly state: "ready" | "draining";
+    /** Version of the server's software, which rollouts replace; not that of its weights. */
+    readonly softwareVersion: string | undefined;
     /** Loaded weights version by model. */
     readonly weights: ReadonlyMap<string, number>;
 }
@@ -118,6 +120,23 @@
     readonly revision: number;
 }
 
+export type RolloutState = "in-progress" | "complete" | "rolled-back";
+
+/** An order to move the calls of a service to servers with another version of their software. */
+export interface RolloutOrder {
+    readonly service: string;
+    /** Version to which the calls move. */
+    readonly target: string;
+    /** Time in milliseconds from the order within which the rollout has to be complete or rolled back. */
+    readonly durationMs: number;
+    /** Revision of the store at which the order or its status was last changed. */
+    readonly revision: number;
+    /** State that was written for this version; undefined before the first status. */
+    readonly state: RolloutState | undefined;
+    /** Start in Unix milliseconds, as the status has it. */
+    readonly startedAt: number | undefined;
+}
+
 /** One of the nested parts of a prompt, from the most widely shared to the one that is unique to the call. */
 export interface PromptPart {
     readonly id: string;
--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -3,6 +3,7 @@
 import type * as fleet from "../fleet/types.js";
 import type * as cachePlans from "../placement/cache-plan.js";
 import type * as placement from "../placement/types.js";
+import type * as callOutcomes from "../rollout/call-outcome.js";
 import type * as callerResponses from "./caller-response.js";
 import type * as dialects from "./dialect.js";
 import * as splitters from "./event-splitter.js";
@@ -80,6 +81,9 @@
     private timer: NodeJS.Timeout | undefined;
     private response: http.IncomingMessage | undefined;
     private hasReceivedEvent = false;
+    private firstEventAt = 0;
+    private lastEventAt = 0;
+    private events = 0;
     private readonly chunks: Buffer[] = [];
     private bufferedBytes = 0;
     private readonly splitter = new splitters.EventSplitter();
@@ -116,6 +120,18 @@
         return this.result;
     }
 
+    /** Times of the attempt up to `now`. */
+    times(now: number): callOutcomes.CallTimes {
+        return {
+            firstEventMs: this.hasReceivedEvent ? this.firstEventAt - this.startedAt : undefined,
+            streamMs: this.lastEventAt - this.firstEventAt,
+            pauses: Math.max(0, this.events - 1),
+            totalMs: now - this.startedAt,
+            isStream: this.input.admission.route.kind === "stream",
+            targetLatencyMs: this.input.admission.route.targetLatencyMs,
+        };
+    }
+
     /** Ends the attempt if the call crashes servers and this one has not begun to answer. */
     withdraw(): void {
         if (this.mode !== "finished" && !this.hasReceivedEvent && this.mode !== "buffering") {
@@ -221,6 +237,8 @@
         }
         // Only numbered events are progress: a stalled server may still send comments.
         if (event.id !== undefined) {
+            this.events++;
+            this.lastEventAt = this.ports.clock.now();
             this.restartTimer(this.isResumable ? NEXT_EVENT_TIMEOUT_MS : undefined);
         }
         if (!callerResponse.hasStarted) {
@@ -235,6 +253,8 @@
 
     private onFirstEvent(): void {
         this.hasReceivedEvent = true;
+        this.firstEventAt = this.ports.clock.now();
+        this.lastEventAt = this.firstEventAt;
         this.input.onBegun();
         this.input.onPrefillDone();
         const elapsedMs = this.ports.clock.now() - this.startedAt;
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -11,6 +11,7 @@
 import type * as placement from "../placement/types.js";
 import * as attribution from "../quarantine/attribution.js";
 import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
+import type * as serviceRollouts from "../rollout/service-rollouts.js";
 import * as bodies from "./body-reader.js";
 import * as callAttempts from "./call-attempt.js";
 import * as callFingerprints from "./call-fingerprints.js";
@@ -47,6 +48,19 @@
 /** Bytes of the separator after a header name, and of the line end after its value. */
 const SEPARATOR_BYTES = 2;
 
+/** What an attempt tells about the software version of its server; undefined for nothing. */
+const OUTCOME_ENDS: Readonly<
+    Record<callAttempts.AttemptResult["kind"], serviceRollouts.AttemptOutcome["end"] | undefined>
+> = {
+    "answered": "answered",
+    "server-failure": "failed",
+    "broken": "lost",
+    "silent": "abandoned",
+    "withdrawn": undefined,
+    "not-sent": undefined,
+    "not-executed": undefined,
+};
+
 type ServerChoice = placement.PlacementDecision & { readonly kind: "server"; };
 
 /** Why a call is not placed: no server can take it, or calls like it are suspected of crashing servers. */
@@ -376,7 +390,24 @@
     ): placement.PlacementDecision {
         const now = this.ports.clock.now();
         const { head, service } = admission;
-        const candidates = among ?? this.ports.view.candidates(service, head.model, now);
+        const all = among ?? this.ports.view.candidates(service, head.model, now);
+        const groups = this.ports.rollouts.groups(service, head.id, all);
+        let decision: placement.PlacementDecision = { kind: "none", reason: "no-server" };
+        for (const candidates of groups) {
+            decision = this.chooseAmong(admission, candidates, now);
+            if (decision.kind === "server") {
+                break;
+            }
+        }
+        return decision;
+    }
+
+    private chooseAmong(
+        admission: Admission,
+        candidates: readonly placement.Candidate[],
+        now: number,
+    ): placement.PlacementDecision {
+        const { head, service } = admission;
         if (candidates.length > 0 && candidates.every(candidate => this.triedServers.has(candidate.server.id))) {
             this.triedServers.clear();
         }
@@ -481,12 +512,34 @@
         this.interrupt = () => attempt.abort();
         this.isAttempting = true;
         const result = await attempt.run();
+        this.recordOutcome(admission, candidate.server, attempt, result);
         await this.reportLoss(admission, choice, result);
         this.isAttempting = false;
         this.interrupt = undefined;
         return result;
     }
 
+    /** Counts the attempt for the rollout of its service, if there is one. */
+    private recordOutcome(
+        admission: Admission,
+        server: fleet.BackendServer,
+        attempt: callAttempts.CallAttempt,
+        result: callAttempts.AttemptResult | undefined,
+    ): void {
+        const end = result === undefined ? "abandoned" : OUTCOME_ENDS[result.kind];
+        if (end !== undefined) {
+            const now = this.ports.clock.now();
+            this.ports.rollouts.record({
+                service: admission.service,
+                softwareVersion: server.softwareVersion,
+                route: admission.route.name,
+                server: server.id,
+                end,
+                times: attempt.times(now),
+            }, now);
+        }
+    }
+
     /** A server that has begun to answer did not crash of the call. */
     private onBegun(admission: Admission): void {
         const { suspects, clock } = this.ports;
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -12,6 +12,7 @@
 import type * as transferBudgets from "../placement/transfer-budget.js";
 import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import type * as ledgers from "../quota/ledger.js";
+import type * as serviceRollouts from "../rollout/service-rollouts.js";
 import type * as connectionPools from "./connection-pool.js";
 import type * as crashDetectors from "./crash-detector.js";
 import type * as dialects from "./dialect.js";
@@ -58,6 +59,7 @@
     readonly retryBudgets: serviceRetryBudgets.ServiceRetryBudgets;
     readonly queues: serviceQueues.ServiceQueues;
     readonly connectionPool: connectionPools.ConnectionPool;
+    readonly rollouts: serviceRollouts.ServiceRollouts;
     readonly suspects: suspectTrackers.SuspectTracker;
     readonly crashes: crashDetectors.CrashDetector;
     readonly settings: CallSettings;
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -1,4 +1,5 @@
 /** Encodes heartbeats as JSON arrays without keys, which keeps the frequent traffic between data centres small. */
+import * as stages from "../rollout/service-stage.js";
 import * as entryStates from "./entry-state.js";
 import * as suspectCodec from "./suspect-codec.js";
 import type * as types from "./types.js";
@@ -45,6 +46,7 @@
     suspects?: suspectCodec.SuspectTuple | 0,
     /** The rate is negative if the server has ceased to name one. */
     serverLimits?: readonly (readonly [server: string, rate: number, ageMs: number, requests: number])[],
+    rollouts?: types.Heartbeat["rollouts"],
 ];
 
 type ReportTuple = readonly [
@@ -91,6 +93,7 @@
         heartbeat.serverLimits.map(({ server, requestsPerSecond = NO_LIMIT, ageMs, requests }) => {
             return [server, requestsPerSecond, Math.round(ageMs), requests] as const;
         }),
+        heartbeat.rollouts,
     ];
 }
 
@@ -132,6 +135,7 @@
         ,
         suspects = 0,
         serverLimits = [],
+        rollouts = [],
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
         && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
@@ -170,9 +174,20 @@
         })),
         suspects: suspects === 0 ? entryStates.noEntryState.suspects : suspectCodec.fromTuple(suspects),
         serverLimits: serverLimits.map(decodeServerLimit),
+        rollouts: rollouts.filter(isRollout),
     };
 }
 
+/** Rollouts are rare, so that they are sent with their field names. */
+function isRollout(value: Partial<types.ServiceRollout>): value is types.ServiceRollout {
+    return typeof value.service === "string" && typeof value.target === "string" && typeof value.elapsedMs === "number"
+        && typeof value.stage === "string" && Object.hasOwn(stages.SHARES, value.stage) && Array.isArray(value.counts)
+        && value.counts.every(count => {
+            return typeof count.weightsVersion === "string" && typeof count.route === "string"
+                && [count.finished, count.failed, count.slow].every(Number.isFinite);
+        });
+}
+
 function decodeServerLimit(
     [server, rate, ageMs, requests]: readonly [string, number, number, number],
 ): types.ServerLimit {
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -9,5 +9,6 @@
     savedParts: [],
     cacheStores: [],
     serverLimits: [],
+    rollouts: [],
     suspects: { records: [], trials: [] },
 } as const satisfies Partial<types.Heartbeat>;
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -1,5 +1,7 @@
 /** Messages between the processes of a deployment. */
 import type * as quarantine from "../quarantine/types.js";
+import type * as stages from "../rollout/service-stage.js";
+import type * as rollout from "../rollout/types.js";
 
 export type Role = "entry" | "agent";
 
@@ -47,6 +49,17 @@
     readonly requests: number;
 }
 
+/** What an entry knows of the rollout of a service. */
+export interface ServiceRollout {
+    readonly service: string;
+    readonly target: string;
+    /** Time in milliseconds since the order was given. */
+    readonly elapsedMs: number;
+    readonly stage: stages.Stage;
+    /** Outcomes of the entry's calls since it started. */
+    readonly counts: readonly rollout.OutcomeCount[];
+}
+
 /** A prompt part that a server saved to a cache store. */
 export interface SavedPart {
     /** Hash of the store, the scope under which the part is cached, and the part. */
@@ -125,6 +138,8 @@
     readonly suspects: quarantine.SuspectState;
     /** Limits that servers name; entries only. */
     readonly serverLimits: readonly ServerLimit[];
+    /** Rollouts of services; entries only. */
+    readonly rollouts: readonly ServiceRollout[];
     readonly desiredWeights: readonly DesiredWeights[];
     /** Agents only. */
     readonly report: ServerReport | undefined;
--- a/src/rollout/events.ts
+++ b/src/rollout/events.ts
@@ -21,6 +21,24 @@
         message: fields => `rollout ${fields.rollout} is in phase ${fields.phase} at share ${fields.share}`,
         hint: "",
     },
+    "service-rollout-ordered": {
+        number: 2510,
+        level: "info",
+        message: fields => `rollout of ${fields.service} to ${fields.target} within ${fields.durationMs} ms`,
+        hint: "",
+    },
+    "service-rollout-changed": {
+        number: 2511,
+        level: "info",
+        message: fields => `rollout of ${fields.service} to ${fields.target}: ${fields.stage}, ${fields.reason}`,
+        hint: "After a rollback, the reason names the route and the counts of both versions.",
+    },
+    "service-rollout-status-written": {
+        number: 2512,
+        level: "info",
+        message: fields => `status ${fields.state} of ${fields.service} to ${fields.target}: ${fields.outcome}`,
+        hint: "Without an accepted status the write is repeated. Check the store if this persists.",
+    },
     "rollout-rolled-back": {
         number: 2504,
         level: "warn",
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -27,6 +27,8 @@
 import * as refusalRecords from "../quarantine/refusal-record.js";
 import * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import * as ledgers from "../quota/ledger.js";
+import * as rolloutStatuses from "../rollout/rollout-statuses.js";
+import * as serviceRollouts from "../rollout/service-rollouts.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
 import * as directories from "./member-directory.js";
@@ -79,7 +81,7 @@
 /** Interval in milliseconds at which the drain checks for calls in flight. */
 const DRAIN_POLL_MS = 50;
 
-type WatchedKind = "configuration" | "servers" | "weights" | "suspects";
+type WatchedKind = "configuration" | "servers" | "weights" | "suspects" | "rollouts";
 
 export class Entry implements AsyncDisposable {
     private readonly member: peering.Member;
@@ -93,6 +95,8 @@
     private readonly quotas: ledgers.QuotaLedger;
     private readonly queues: serviceQueues.ServiceQueues;
     private readonly connectionPool = new connectionPools.ConnectionPool();
+    private readonly rollouts: serviceRollouts.ServiceRollouts;
+    private readonly rolloutStatuses: rolloutStatuses.RolloutStatuses;
     private readonly suspects: suspectTrackers.SuspectTracker;
     private readonly refusals: refusalRecords.RefusalRecord;
     private readonly meter = new meters.Meter();
@@ -153,6 +157,19 @@
             kind: platform.kinds.suspects,
             suspects: this.suspects,
         });
+        this.rollouts = new serviceRollouts.ServiceRollouts({
+            journal,
+            onStageChange: () => this.heartbeats.send(),
+        });
+        this.rolloutStatuses = new rolloutStatuses.RolloutStatuses({
+            clock,
+            journal,
+            store: platform.store,
+            kind: platform.kinds.rollouts,
+            rollouts: this.rollouts,
+            isCoordinator: () => this.followerRank() === 0,
+            encode: (order, state, startedAt) => platform.encodeRolloutStatus(order, state, startedAt),
+        });
         const budgetSettings = {
             retriesPerRequest: settings.retryBudgetRatio,
             extraRetriesPerWindow: settings.retrySlack,
@@ -178,6 +195,7 @@
             ),
             queues: this.queues,
             connectionPool: this.connectionPool,
+            rollouts: this.rollouts,
             suspects: this.suspects,
             crashes: new crashDetectors.CrashDetector({ clock, suspects: this.suspects }),
             settings: {
@@ -232,6 +250,7 @@
         this.documents.start(settings.documentAddress);
         this.heartbeats.start(settings.beatAddress);
         Object.values(this.watches).forEach(watch => watch.start());
+        this.rolloutStatuses.start();
         const { clock, journal, platform, members } = this;
         void directories.register(this.member, { clock, journal, platform, members }, this.stop.signal);
     }
@@ -268,6 +287,7 @@
             ...[...this.cacheStoreFollowers.values()].map(follower => follower[Symbol.asyncDispose]()),
             ...Object.values(this.watches).map(watch => watch[Symbol.asyncDispose]()),
             this.refusals[Symbol.asyncDispose](),
+            this.rolloutStatuses[Symbol.asyncDispose](),
         ]);
         this.queues[Symbol.dispose]();
         this.connectionPool[Symbol.dispose]();
@@ -315,6 +335,16 @@
                 },
                 copy => this.adoptWeights(copy),
             ),
+            rollouts: create(
+                kinds.rollouts,
+                {
+                    waitMs,
+                    batchDelayMs: () => 0,
+                    ownersReregister: false,
+                    mayBeStale: () => this.readsStale(kinds.rollouts),
+                },
+                copy => this.adoptRollouts(copy),
+            ),
             suspects: create(
                 kinds.suspects,
                 {
@@ -374,6 +404,7 @@
         const decoded = this.platform.decodeServers(copy.records(this.clock.now()));
         this.reportInvalid(this.platform.kinds.servers, decoded.invalid);
         this.view.updateServers(decoded.values);
+        this.rollouts.recordServers(decoded.values);
         this.connectionPool.retain(new Set(decoded.values.map(server => server.address)));
         this.updateState();
     }
@@ -385,6 +416,14 @@
         this.updateState();
     }
 
+    private adoptRollouts(copy: copies.KindCopy): void {
+        const decoded = this.platform.decodeRollouts(copy.records(this.clock.now()));
+        this.reportInvalid(this.platform.kinds.rollouts, decoded.invalid);
+        this.rollouts.adopt(decoded.values, { now: this.clock.now(), wallTime: this.clock.wallTime() });
+        this.rollouts.recordServers(this.view.listedServers());
+        this.updateState();
+    }
+
     private adoptDesiredWeights(weights: fleet.DesiredWeights): void {
         if (this.view.recordDesiredWeights(weights, this.clock.now())) {
             const { model, version, revision } = weights;
@@ -467,6 +506,7 @@
             savedParts: this.cacheIndex.announcedSaves(now),
             cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
             serverLimits: this.serverLimits.snapshot(now),
+            rollouts: this.rollouts.snapshot(now),
             suspects: this.suspects.snapshot(sequence, { now, wallTime: this.clock.wallTime() }),
             desiredWeights: this.view.desiredWeights(),
             report: undefined,
@@ -483,6 +523,7 @@
             this.prefills.applyPeer(name, heartbeat.prefills, now);
             this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
             heartbeat.cacheStores.forEach(status => this.cacheIndex.applyStoreStatus(status, now));
+            this.rollouts.applyPeer(name, heartbeat.incarnation, heartbeat.rollouts, now);
             this.suspects.applyPeer(name, heartbeat.suspects, { now, wallTime: this.clock.wallTime() });
             this.documents.compare(heartbeat, now);
         }
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -26,6 +26,7 @@
     readonly members: string;
     /** Calls and prompt parts that crash servers. */
     readonly suspects: string;
+    readonly rollouts: string;
 }
 
 /** The platform's store, protocols and record formats. */
@@ -39,6 +40,9 @@
     decodeConfigurations(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.Configuration>;
     decodeServers(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.BackendServer>;
     decodeWeights(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.DesiredWeights>;
+    decodeRollouts(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.RolloutOrder>;
+    /** Encodes a status; `startedAt` is in Unix milliseconds. */
+    encodeRolloutStatus(order: fleet.RolloutOrder, state: fleet.RolloutState, startedAt: number): unknown;
     /** Source of changes of a cache store's contents. */
     readonly cacheChanges: followers.CacheChangeSource;
     /** Client of the agent's local backend server at the address. */
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -6,6 +6,8 @@
     /** Revision of the store at which the record was last changed. */
     readonly revision: number;
     readonly spec: unknown;
+    /** What the system reports on the record; undefined if it never did. */
+    readonly status?: unknown;
     /** The record is marked for removal. */
     readonly isDeleting: boolean;
 }
@@ -42,4 +44,6 @@
     watch(kind: string, afterRevision: number, options: WatchOptions): Promise<outcomes.Outcome<Changes>>;
     /** Creates or replaces a record unconditionally. */
     put(kind: string, name: string, spec: unknown): Promise<outcomes.Outcome<undefined>>;
+    /** Replaces the status of a record. Fails with `store-conflict` if the record has changed since the revision. */
+    putStatus(kind: string, name: string, status: unknown, revision: number): Promise<outcomes.Outcome<undefined>>;
 }
--- a/test/forwarding/deadly-calls.test.ts
+++ b/test/forwarding/deadly-calls.test.ts
@@ -79,6 +79,7 @@
         dataCentre: "one",
         slots: 8,
         state: "ready",
+        softwareVersion: "v1",
         weights: new Map(),
     } as const;
     await Promise.all([
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -18,6 +18,7 @@
         dataCentre: "one",
         slots: 8,
         state: "ready",
+        softwareVersion: "v1",
         weights: new Map([["m", version]]),
     };
 }
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -14,6 +14,7 @@
     list: () => new Promise(() => undefined),
     watch: () => new Promise(() => undefined),
     put: () => new Promise(() => undefined),
+    putStatus: () => new Promise(() => undefined),
 };
 
 function watchAt(revision: number): watches.KindWatch {
@@ -57,6 +58,7 @@
         prefills: [],
         savedParts: [],
         cacheStores: [],
+        rollouts: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [],
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -31,6 +31,7 @@
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
         savedParts: [{ partHash: 4_000_000_000, tokens: 6670 }, { partHash: 5, tokens: 79 }],
         cacheStores: [{ address: "10.9.0.1:80", incarnation: "7" }, { address: "10.9.0.2:80", incarnation: undefined }],
+        rollouts: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -59,6 +59,7 @@
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
         savedParts: [{ partHash: 8, tokens: 10 }],
         cacheStores: [],
+        rollouts: [],
         serverLimits: [],
         suspects: {
             records: [{
@@ -180,7 +181,7 @@
                 mayBeStale: () => false,
             },
             {
-                store: { list: unavailable, watch: unavailable, put: unavailable },
+                store: { list: unavailable, watch: unavailable, put: unavailable, putStatus: unavailable },
                 clock: clocks.systemClock,
                 journal: journals.silentJournal,
                 onChange: () => undefined,
--- a/test/placement/prefills.test.ts
+++ b/test/placement/prefills.test.ts
@@ -28,6 +28,7 @@
         prefills: entries,
         savedParts: [],
         cacheStores: [],
+        rollouts: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [],
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -17,6 +17,7 @@
         dataCentre: "one",
         slots: 96,
         state: "ready",
+        softwareVersion: "v1",
         weights: new Map([["menu", 1]]),
         ...changes,
     };
--- a/test/placement/spread.test.ts
+++ b/test/placement/spread.test.ts
@@ -23,6 +23,7 @@
             dataCentre: `centre-${index % 5}`,
             slots: 24,
             state: "ready" as const,
+            softwareVersion: "v1",
             weights: new Map([["m", 1]]),
         },
         // The cheapest server by far: it has just become available.
--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -12,6 +12,7 @@
 const MODEL_WORKER_COUNT = 4;
 const HTTP_WORKER_COUNT = 2;
 const MODEL = "menu";
+const MODEL_SERVICE = "engines";
 const HOST = "shop.example";
 const TENANT = { name: "club", key: "key-of-the-club" };
 /** Delay in milliseconds before a process that exited is restarted. */
@@ -24,8 +25,8 @@
 
 /** Routes of each call type, which decides whether a request may run again. */
 const ROUTES = [
-    { path: "/review/", service: "engines", routeType: "streaming", resumable: true },
-    { path: "/note/", service: "engines", routeType: "streaming", resumable: false },
+    { path: "/review/", service: MODEL_SERVICE, routeType: "streaming", resumable: true },
+    { path: "/note/", service: MODEL_SERVICE, routeType: "streaming", resumable: false },
     { path: "/book/", service: "desk", routeType: "non_idempotent", resumable: false },
     { path: "/look/", service: "desk", routeType: "idempotent", resumable: false },
 ] as const;
@@ -133,6 +134,33 @@
         return this.workers.slice(0, MODEL_WORKER_COUNT).map(worker => worker.address);
     }
 
+    /** Starts model workers with another software version, which are `slowness` times slower. */
+    async startVersion(software: string, count: number, slowness: number): Promise<void> {
+        for (let index = 0; index < count; index++) {
+            const options = {
+                service: MODEL_SERVICE,
+                zone: ZONES[index % ZONES.length]!,
+                model: MODEL,
+                software,
+                slowness,
+            };
+            const address = `127.0.4.${index + 1}:${this.ports.worker}`;
+            const worker = new standIns.Worker(address, options, this.store, this.log);
+            this.workers.push(worker);
+            await worker.start();
+        }
+    }
+
+    /** Orders a rollout of the model workers' software. */
+    orderRollout(target: string, durationS: number): void {
+        this.store.put("rollouts", MODEL_SERVICE, { service: MODEL_SERVICE, target, durationS });
+    }
+
+    /** Status of the rollout of the model workers' software. */
+    rolloutStatus(): unknown {
+        return this.store.status("rollouts", MODEL_SERVICE);
+    }
+
     /** Stops an entry as the platform does; it is started again once it has ended. */
     stopEntry(random: () => number): void {
         this.randomNode(random, "entry").process.signal("SIGTERM");
@@ -215,7 +243,7 @@
     publishConfiguration(): void {
         const services = [
             {
-                name: "engines",
+                name: MODEL_SERVICE,
                 maxConnections: 200,
                 engine: { slots: 32, kvCapacity: 90_000, models: [{ name: MODEL }] },
             },
@@ -243,7 +271,7 @@
         this.publishConfiguration();
         this.publishInitialWeights();
         const workerOptions = [
-            ...Array.from({ length: MODEL_WORKER_COUNT }, () => ({ service: "engines", model: MODEL })),
+            ...Array.from({ length: MODEL_WORKER_COUNT }, () => ({ service: MODEL_SERVICE, model: MODEL })),
             ...Array.from({ length: HTTP_WORKER_COUNT }, () => ({ service: "desk", model: undefined })),
         ];
         for (const [index, options] of workerOptions.entries()) {
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -13,6 +13,12 @@
 interface StoredObject {
     readonly revision: number;
     readonly spec: unknown;
+    readonly status: unknown;
+}
+
+interface StatusUpdate {
+    readonly metadata: { readonly revision: number; };
+    readonly status: unknown;
 }
 
 interface StoreEvent {
@@ -72,9 +78,18 @@
     private readonly watchers = new Set<() => void>();
 
     put(kind: string, name: string, spec: unknown): void {
+        this.replace(kind, name, spec, this.objects(kind).get(name)?.status);
+    }
+
+    /** Status of an object; undefined if none was written. */
+    status(kind: string, name: string): unknown {
+        return this.objects(kind).get(name)?.status;
+    }
+
+    private replace(kind: string, name: string, spec: unknown, status: unknown): void {
         const revision = ++this.revision;
-        this.objects(kind).set(name, { revision, spec });
-        this.publish({ kind, revision, object: { metadata: { name, revision }, spec }, deleted: false });
+        this.objects(kind).set(name, { revision, spec, status });
+        this.publish({ kind, revision, object: { metadata: { name, revision }, spec, status }, deleted: false });
     }
 
     remove(kind: string, name: string): void {
@@ -97,7 +112,11 @@
             return;
         }
         const url = new URL(request.url ?? "/", "http://store");
-        const [kind, name] = url.pathname.split("/").slice(3);
+        const [kind, name, part] = url.pathname.split("/").slice(3);
+        if (part === "status") {
+            this.replaceStatus(kind!, decodeURIComponent(name!), JSON.parse(body) as StatusUpdate, response);
+            return;
+        }
         if (request.method !== "GET") {
             const payload = JSON.parse(body) as { metadata: { name: string; }; spec: unknown; };
             const target = name === undefined ? payload.metadata.name : decodeURIComponent(name);
@@ -116,12 +135,22 @@
             response.end(JSON.stringify({ events, storeRevision: this.revision }));
             return;
         }
-        const items = [...this.objects(kind!)].map(([objectName, { revision, spec }]) => {
-            return { metadata: { name: objectName, revision }, spec };
+        const items = [...this.objects(kind!)].map(([objectName, { revision, spec, status }]) => {
+            return { metadata: { name: objectName, revision }, spec, status };
         });
         response.end(JSON.stringify({ items, hasMore: false, storeRevision: this.revision }));
     }
 
+    private replaceStatus(kind: string, name: string, update: StatusUpdate, response: http.ServerResponse): void {
+        const known = this.objects(kind).get(name);
+        if (known === undefined || known.revision !== update.metadata.revision) {
+            response.writeHead(HTTP_CONFLICT).end("{}");
+            return;
+        }
+        this.replace(kind, name, known.spec, update.status);
+        response.end("{}");
+    }
+
     private objects(kind: string): Map<string, StoredObject> {
         const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
         this.kinds.set(kind, objects);
@@ -158,6 +187,8 @@
     readonly tenant: string | undefined;
     readonly authorization: string | undefined;
     readonly path: string;
+    /** Version of the worker's software. */
+    readonly software: string;
 }
 
 export interface Order {
@@ -198,6 +229,9 @@
     readonly zone: string;
     /** Model that the worker serves; undefined for a service without models. */
     readonly model: string | undefined;
+    /** Version of its software, and factor by which it is slower than others. */
+    readonly software?: string;
+    readonly slowness?: number;
 }
 
 export class Worker extends StandIn {
@@ -273,7 +307,13 @@
             return;
         }
         const tenant = headers["tenant"] as string | undefined;
-        this.log.runs.push({ requestId, tenant, authorization: headers.authorization, path: url });
+        this.log.runs.push({
+            requestId,
+            tenant,
+            authorization: headers.authorization,
+            path: url,
+            software: this.software,
+        });
         this.running++;
         try {
             if (this.hasDeadlyPart(headers)) {
@@ -302,7 +342,7 @@
         });
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let event = first; event <= output && !response.destroyed; event++) {
-            await pause(EVENT_INTERVAL_MS);
+            await pause(EVENT_INTERVAL_MS * (this.options.slowness ?? 1));
             response.write(`id: ${event}\ndata: ${requestId}/${event}\n\n`);
         }
         response.end();
@@ -358,6 +398,10 @@
         }
     }
 
+    private get software(): string {
+        return this.options.software ?? "v1";
+    }
+
     private get models(): readonly object[] {
         const { model } = this.options;
         return model === undefined ? [] : [{ name: model, version: this.version, adapters: [] }];
@@ -370,7 +414,7 @@
             service,
             address,
             zone,
-            version: 1,
+            version: this.software,
             slots: 32,
             state,
             born: startedAt,
--- a/test/quarantine/refusal-record.test.ts
+++ b/test/quarantine/refusal-record.test.ts
@@ -53,6 +53,10 @@
         return outcomes.succeed(undefined);
     }
 
+    putStatus(): never {
+        throw new TypeError("not used");
+    }
+
     list(): never {
         throw new TypeError("not used");
     }
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -38,6 +38,7 @@
         watch: (_kind, after, { waitMs, mayBeStale }) =>
             next(`watch ${after}${waitMs < 1000 ? " short" : ""}${mayBeStale ? " stale" : ""}`),
         put: () => Promise.resolve(outcomes.succeed(undefined)),
+        putStatus: () => Promise.resolve(outcomes.succeed(undefined)),
     };
 }
 
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -22,6 +22,7 @@
 import * as transferBudgets from "../../src/placement/transfer-budget.js";
 import * as suspectTrackers from "../../src/quarantine/suspect-tracker.js";
 import * as ledgers from "../../src/quota/ledger.js";
+import * as serviceRollouts from "../../src/rollout/service-rollouts.js";
 
 export const HOST = "calls.example";
 
@@ -78,6 +79,10 @@
         onUrgentChange: () => undefined,
         onRefusalsChange: () => undefined,
     });
+    readonly rollouts = new serviceRollouts.ServiceRollouts({
+        journal: { emit: () => undefined },
+        onStageChange: () => undefined,
+    });
     isDraining = false;
     readonly entry: entryServers.EntryServer;
     private port = 0;
@@ -115,6 +120,7 @@
             dataCentre: "one",
             slots: 8,
             state: "ready",
+            softwareVersion: "v1",
             weights: new Map(),
         })));
         const probe = net.createServer();
@@ -233,6 +239,7 @@
             ),
             queues: this.queues,
             connectionPool: this.pool,
+            rollouts: this.rollouts,
             suspects: this.suspects,
             crashes: new crashDetectors.CrashDetector({ clock, suspects: this.suspects }),
             settings: {
--- a/tools/bench/decisions.ts
+++ b/tools/bench/decisions.ts
@@ -32,6 +32,7 @@
         dataCentre: `centre-${index % 5}`,
         slots: 24,
         state: "ready",
+        softwareVersion: "v1",
         weights: new Map([[MODEL, 1]]),
     }));
     view.updateServers(servers);
--- a/tools/capacity/heartbeat.ts
+++ b/tools/capacity/heartbeat.ts
@@ -22,6 +22,7 @@
         prefills: [],
         savedParts: [],
         cacheStores: [],
+        rollouts: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [{ model: "model", version: 12, revision: 345 }],
