Move the placement of a call out of call.ts, and forget tried servers only once all were tried

Choosing a server is a module of its own now.

Servers that a call has tried were forgotten as soon as all candidates of one group were tried, such as the few servers of a new version: a call that failed on it would have been sent to it again. All servers of the service count now.

--- /dev/null
+++ b/src/forwarding/call-placement.ts
@@ -0,0 +1,139 @@
+/** Chooses the server of one call, and decides whether the call may run although calls like it crash servers. */
+import type * as fleet from "../fleet/types.js";
+import * as selection from "../placement/selection.js";
+import type * as placement from "../placement/types.js";
+import * as attribution from "../quarantine/attribution.js";
+import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
+import type * as callFingerprints from "./call-fingerprints.js";
+import type * as promptCacheAccess from "./prompt-cache-access.js";
+import type * as types from "./types.js";
+
+export type ServerChoice = placement.PlacementDecision & { readonly kind: "server"; };
+
+/** Why a call is not placed: no server can take it, or calls like it are suspected of crashing servers. */
+export type Placement =
+    | ServerChoice
+    | { readonly kind: "none"; readonly reason: placement.UnplacedReason | "on-trial"; }
+    | { readonly kind: "quarantined"; readonly fingerprint: string; readonly retryAfterMs: number; };
+
+export interface PlacedSubject {
+    readonly head: fleet.CallHead;
+    readonly service: string;
+    readonly cache: promptCacheAccess.PromptCacheAccess;
+    readonly fingerprints: callFingerprints.CallFingerprints;
+}
+
+interface Trial {
+    readonly suspects: readonly string[];
+    readonly reservation: Disposable;
+}
+
+export class CallPlacement {
+    /** Servers of earlier attempts. */
+    readonly triedServers = new Set<string>();
+    /** Set while this call is the one that may run although calls like it are suspected of crashing servers. */
+    private trial: Trial | undefined;
+
+    constructor(private readonly ports: types.CallPorts, private readonly call: PlacedSubject) {}
+
+    get isTrial(): boolean {
+        return this.trial !== undefined;
+    }
+
+    /** Fingerprints for which the call runs as a trial. */
+    get trialSuspects(): readonly string[] {
+        return this.trial?.suspects ?? [];
+    }
+
+    /** Whether calls like this one are suspected of crashing servers. */
+    standing(): suspectTrackers.Admission {
+        const { suspects, clock } = this.ports;
+        return suspects.isEmpty
+            ? attribution.RUN
+            : suspects.decide(this.call.fingerprints.all, { now: clock.now(), wallTime: clock.wallTime() });
+    }
+
+    /** Chooses a server, and reserves the trial of a suspected call for this one. */
+    choose(): Placement {
+        const standing = this.trial === undefined ? this.standing() : attribution.RUN;
+        if (standing.kind === "refuse") {
+            return { ...standing, kind: "quarantined" };
+        }
+        if (standing.kind === "wait") {
+            return { kind: "none", reason: "on-trial" };
+        }
+        const isTrial = standing.kind === "trial" || this.trial !== undefined;
+        const choice = isTrial ? this.chooseTrialServer() : this.chooseServer(this.candidates());
+        if (standing.kind === "trial" && choice.kind === "server") {
+            const { suspects } = standing;
+            this.trial = { suspects, reservation: this.ports.suspects.beginTrial(suspects) };
+        }
+        return choice;
+    }
+
+    /** Releases the trial, if this call has one. */
+    endTrial(): void {
+        this.trial?.reservation[Symbol.dispose]();
+        this.trial = undefined;
+    }
+
+    /** Prefers the servers with the fewest calls, so that a crash of one of them ends few. */
+    private chooseTrialServer(): placement.PlacementDecision {
+        const candidates = this.candidates();
+        const untried = candidates.filter(({ server, isSuspected }) => {
+            return server.state === "ready" && !isSuspected && !this.triedServers.has(server.id);
+        });
+        const fewest = Math.min(...untried.map(candidate => candidate.calls));
+        const leastBusy = untried.filter(candidate => candidate.calls === fewest);
+        const choice = this.chooseServer(leastBusy);
+        return choice.kind === "server" ? choice : this.chooseServer(candidates);
+    }
+
+    /** Servers of the service. Once the call has tried all of them, it may use each of them again. */
+    private candidates(): readonly placement.Candidate[] {
+        const { head, service } = this.call;
+        const candidates = this.ports.view.candidates(service, head.model, this.ports.clock.now());
+        if (candidates.length > 0 && candidates.every(candidate => this.triedServers.has(candidate.server.id))) {
+            this.triedServers.clear();
+        }
+        return candidates;
+    }
+
+    /** Chooses among the versions in the order in which a rollout of the service uses them. */
+    private chooseServer(all: readonly placement.Candidate[]): placement.PlacementDecision {
+        const { head, service } = this.call;
+        const groups = this.ports.rollouts.groups(service, head.id, all);
+        let decision: placement.PlacementDecision = { kind: "none", reason: "no-server" };
+        for (const candidates of groups) {
+            decision = this.chooseAmong(candidates, this.ports.clock.now());
+            if (decision.kind === "server") {
+                break;
+            }
+        }
+        return decision;
+    }
+
+    private chooseAmong(candidates: readonly placement.Candidate[], now: number): placement.PlacementDecision {
+        const { head, service, cache } = this.call;
+        const latency = this.ports.latencyEstimates.get(service);
+        const placementRequest: placement.PlacementRequest = {
+            affinityKey: cache.affinityKey,
+            prefillingServers: cache.prefillingServers(now),
+            sharedTokens: cache.sharedTokens,
+            unsharedTokens: Math.max(0, head.promptTokens - cache.sharedTokens),
+            expectedOutputTokens: head.expectedOutputTokens,
+            triedServers: this.triedServers,
+            dataCentre: this.ports.settings.dataCentre,
+            utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
+            isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
+            isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
+        };
+        return selection.chooseServer(
+            candidates,
+            placementRequest,
+            latency,
+            this.ports.settings.selection,
+            () => this.ports.clock.random(),
+        );
+    }
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -6,15 +6,13 @@
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
 import type * as prefills from "../placement/prefills.js";
-import * as selection from "../placement/selection.js";
 import type * as serverLoads from "../placement/server-load.js";
 import type * as placement from "../placement/types.js";
-import * as attribution from "../quarantine/attribution.js";
-import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import type * as serviceRollouts from "../rollout/service-rollouts.js";
 import * as bodies from "./body-reader.js";
 import * as callAttempts from "./call-attempt.js";
 import * as callFingerprints from "./call-fingerprints.js";
+import * as callPlacements from "./call-placement.js";
 import * as callerResponses from "./caller-response.js";
 import * as promptCacheAccess from "./prompt-cache-access.js";
 import * as retries from "./retry-decision.js";
@@ -61,14 +59,6 @@
     "not-executed": undefined,
 };
 
-type ServerChoice = placement.PlacementDecision & { readonly kind: "server"; };
-
-/** Why a call is not placed: no server can take it, or calls like it are suspected of crashing servers. */
-type Placement =
-    | ServerChoice
-    | { readonly kind: "none"; readonly reason: placement.UnplacedReason | "on-trial"; }
-    | { readonly kind: "quarantined"; readonly fingerprint: string; readonly retryAfterMs: number; };
-
 /** A call that has passed the checks of `admit`. */
 interface Admission {
     readonly head: fleet.CallHead;
@@ -80,21 +70,18 @@
     readonly deadlineAt: number;
     readonly cache: promptCacheAccess.PromptCacheAccess;
     readonly fingerprints: callFingerprints.CallFingerprints;
+    readonly placement: callPlacements.CallPlacement;
 }
 
 /** A call that is counted at the server that was chosen for it, from the moment of the choice on. */
 interface PlacedCall extends Disposable {
-    readonly choice: ServerChoice;
+    readonly choice: callPlacements.ServerChoice;
     readonly cacheLookup: promptCacheAccess.CacheLookup;
     readonly uncachedTokens: number;
     readonly load: serverLoads.PlacedCall;
     readonly prefill: prefills.PrefillHandle;
 }
 
-interface Trial extends Disposable {
-    readonly suspects: readonly string[];
-}
-
 export class Call {
     private readonly arrivedAt: number;
     private readonly callerResponse: callerResponses.CallerResponse;
@@ -109,10 +96,6 @@
     /** Number of attempts that reached no server or were rejected without being run. */
     private unexecutedAttempts = 0;
     private attempts = 0;
-    private readonly triedServers = new Set<string>();
-    /** Set while this call is the one that may run although calls like it are suspected of crashing servers. */
-    private trial: Trial | undefined;
-
     constructor(
         private readonly ports: types.CallPorts,
         private readonly request: http.IncomingMessage,
@@ -141,12 +124,12 @@
             const result = this.isFinished ? undefined : await this.runAttempt(admission, placed);
             placed[Symbol.dispose]();
             this.ports.queues.dispatch(admission.service);
-            this.endTrial();
+            admission.placement.endTrial();
             if (result === undefined || !this.handleFailedAttempt(admission, placed.choice, result)) {
                 break;
             }
         }
-        this.endTrial();
+        admission.placement.endTrial();
         this.finish();
     }
 
@@ -209,7 +192,9 @@
             path,
             body,
         });
-        const standing = this.standingOf(fingerprints);
+        const cache = new promptCacheAccess.PromptCacheAccess(this.ports, head, customer);
+        const placement = new callPlacements.CallPlacement(this.ports, { head, service, cache, fingerprints });
+        const standing = placement.standing();
         if (standing.kind === "refuse") {
             return this.refuse("call-quarantined", standing.fingerprint, standing.retryAfterMs);
         }
@@ -222,8 +207,7 @@
         }
         const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
         const deadlineAt = this.arrivedAt + limitMs;
-        const cache = new promptCacheAccess.PromptCacheAccess(this.ports, head, customer);
-        return { head, route, service, customer, body, chargedTokens, deadlineAt, cache, fingerprints };
+        return { head, route, service, customer, body, chargedTokens, deadlineAt, cache, fingerprints, placement };
     }
 
     /** Waits until a server is available for the call. Undefined if the call was refused or cancelled. */
@@ -253,11 +237,11 @@
                 priority: priorityOf(admission),
                 arrivedAt: this.arrivedAt,
                 timeoutAt,
-                requirements: this.triedServers.size === 0 && this.ports.suspects.isEmpty
+                requirements: admission.placement.triedServers.size === 0 && this.ports.suspects.isEmpty
                     ? admission.head.model ?? ""
                     : undefined,
                 tryPlace: () => {
-                    const choice = this.choose(admission);
+                    const choice = admission.placement.choose();
                     if (choice.kind === "quarantined") {
                         this.refuseQuarantined(admission, choice.fingerprint, choice.retryAfterMs);
                         resolve(undefined);
@@ -300,8 +284,8 @@
     }
 
     /** Chooses a server, after a short wait for shared parts that are being prefilled for another call. */
-    private async chooseAfterPrefill(admission: Admission): Promise<Placement> {
-        let choice = this.choose(admission);
+    private async chooseAfterPrefill(admission: Admission): Promise<callPlacements.Placement> {
+        let choice = admission.placement.choose();
         const startedAt = this.ports.clock.now();
         let waitedMs = 0;
         while (
@@ -312,7 +296,7 @@
             }
             await this.ports.clock.sleep(PREFILL_POLL_MS);
             waitedMs = Math.round(this.ports.clock.now() - startedAt);
-            choice = this.choose(admission);
+            choice = admission.placement.choose();
         }
         if (waitedMs > 0) {
             this.log("call-waits", { reason: "part-being-read", service: admission.service, waitedMs });
@@ -339,111 +323,16 @@
         this.refuse("call-outcome-unknown", `calls like it crash servers: ${fingerprint}`);
     }
 
-    /** Whether calls like this one are suspected of crashing servers. */
-    private standingOf(fingerprints: callFingerprints.CallFingerprints): suspectTrackers.Admission {
-        const { suspects, clock } = this.ports;
-        return suspects.isEmpty
-            ? attribution.RUN
-            : suspects.decide(fingerprints.all, { now: clock.now(), wallTime: clock.wallTime() });
-    }
-
-    /** Chooses a server, and reserves the trial of a suspected call for this one. */
-    private choose(admission: Admission): Placement {
-        const standing = this.trial === undefined ? this.standingOf(admission.fingerprints) : attribution.RUN;
-        if (standing.kind === "refuse") {
-            return { ...standing, kind: "quarantined" };
-        }
-        if (standing.kind === "wait") {
-            return { kind: "none", reason: "on-trial" };
-        }
-        const isTrial = standing.kind === "trial" || this.trial !== undefined;
-        const choice = isTrial ? this.chooseTrialServer(admission) : this.chooseServer(admission, undefined);
-        if (standing.kind === "trial" && choice.kind === "server") {
-            const { suspects } = standing;
-            const reservation = this.ports.suspects.beginTrial(suspects);
-            this.trial = { suspects, [Symbol.dispose]: () => reservation[Symbol.dispose]() };
-        }
-        return choice;
-    }
-
-    private endTrial(): void {
-        this.trial?.[Symbol.dispose]();
-        this.trial = undefined;
-    }
-
-    /** Prefers the servers with the fewest calls, so that a crash of one of them ends few. */
-    private chooseTrialServer(admission: Admission): placement.PlacementDecision {
-        const candidates = this.ports.view.candidates(admission.service, admission.head.model, this.ports.clock.now());
-        const untried = candidates.filter(({ server, isSuspected }) => {
-            return server.state === "ready" && !isSuspected && !this.triedServers.has(server.id);
-        });
-        const fewest = Math.min(...untried.map(candidate => candidate.calls));
-        const leastBusy = untried.filter(candidate => candidate.calls === fewest);
-        const choice = this.chooseServer(admission, leastBusy);
-        return choice.kind === "server" ? choice : this.chooseServer(admission, candidates);
-    }
-
-    /** `among` limits the servers to these. */
-    private chooseServer(
-        admission: Admission,
-        among: readonly placement.Candidate[] | undefined,
-    ): placement.PlacementDecision {
-        const now = this.ports.clock.now();
-        const { head, service } = admission;
-        const all = among ?? this.ports.view.candidates(service, head.model, now);
-        const groups = this.ports.rollouts.groups(service, head.id, all);
-        let decision: placement.PlacementDecision = { kind: "none", reason: "no-server" };
-        for (const candidates of groups) {
-            decision = this.chooseAmong(admission, candidates, now);
-            if (decision.kind === "server") {
-                break;
-            }
-        }
-        return decision;
-    }
-
-    private chooseAmong(
-        admission: Admission,
-        candidates: readonly placement.Candidate[],
-        now: number,
-    ): placement.PlacementDecision {
-        const { head, service } = admission;
-        if (candidates.length > 0 && candidates.every(candidate => this.triedServers.has(candidate.server.id))) {
-            this.triedServers.clear();
-        }
-        const { cache } = admission;
-        const latency = this.ports.latencyEstimates.get(service);
-        const placementRequest: placement.PlacementRequest = {
-            affinityKey: cache.affinityKey,
-            prefillingServers: cache.prefillingServers(now),
-            sharedTokens: cache.sharedTokens,
-            unsharedTokens: Math.max(0, head.promptTokens - cache.sharedTokens),
-            expectedOutputTokens: head.expectedOutputTokens,
-            triedServers: this.triedServers,
-            dataCentre: this.ports.settings.dataCentre,
-            utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
-            isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
-            isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
-        };
-        return selection.chooseServer(
-            candidates,
-            placementRequest,
-            latency,
-            this.ports.settings.selection,
-            () => this.ports.clock.random(),
-        );
-    }
-
     /**
      * Counts the call at its server at once: the calls of one pass of the queue are placed one after the other, and each
      * has to see those before it.
      */
-    private place(admission: Admission, choice: ServerChoice): PlacedCall {
+    private place(admission: Admission, choice: callPlacements.ServerChoice): PlacedCall {
         const now = this.ports.clock.now();
         const { head, service } = admission;
         const { candidate } = choice;
         this.attempts++;
-        this.triedServers.add(candidate.server.id);
+        admission.placement.triedServers.add(candidate.server.id);
         const budget = this.ports.retryBudgets.of(service, now);
         if (this.attempts === 1) {
             budget.recordRequest(now);
@@ -507,7 +396,7 @@
         const mayWithdraw = admission.route.kind !== "at-most-once";
         using _pending = this.ports.suspects.trackPending({
             fingerprints: () => admission.fingerprints.all,
-            withdraw: () => void (mayWithdraw && this.trial === undefined && attempt.withdraw()),
+            withdraw: () => void (mayWithdraw && !admission.placement.isTrial && attempt.withdraw()),
         });
         this.interrupt = () => attempt.abort();
         this.isAttempting = true;
@@ -546,17 +435,17 @@
         if (!suspects.isEmpty) {
             suspects.recordAnswer(admission.fingerprints.all, { now: clock.now(), wallTime: clock.wallTime() });
         }
-        this.endTrial();
+        admission.placement.endTrial();
     }
 
     /** Accuses the call if its server crashed before it began to answer. */
     private async reportLoss(
         admission: Admission,
-        choice: ServerChoice,
+        choice: callPlacements.ServerChoice,
         result: callAttempts.AttemptResult | undefined,
     ): Promise<void> {
         if (result?.kind === "broken" && !result.hasBegun) {
-            const trials = this.trial?.suspects ?? [];
+            const trials = admission.placement.trialSuspects;
             const lostCall = { fingerprints: admission.fingerprints.all, trials };
             await this.ports.crashes.report(choice.candidate.server, lostCall);
         }
@@ -565,7 +454,7 @@
     /** Handles an attempt without a usable response. Returns true if the call is to be retried. */
     private handleFailedAttempt(
         admission: Admission,
-        choice: ServerChoice,
+        choice: callPlacements.ServerChoice,
         result: callAttempts.AttemptResult,
     ): boolean {
         if (result.kind === "answered" || this.isFinished) {
