--- a/src/quarantine/suspect-tracker.ts
+++ b/src/quarantine/suspect-tracker.ts
@@ -22,7 +22,7 @@
 const MAXIMUM_SHARED_RECORDS = 64;
 /** Time in milliseconds after which the trial of a peer that announced it no longer holds up others. */
 const PEER_TRIAL_MS = 2000;
-/** Mean delay in milliseconds of a trial for each entry, so that few entries begin one before they hear of the others. */
+/** Mean delay in milliseconds of a trial for each entry, so that few entries begin one before the first announcement reaches them. */
 const TRIAL_STAGGER_MS = 15;
 
 const NO_SUSPECTS: types.SuspectState = { records: [], trials: [] };
