Keep a part refused for as long as its failed trial counts

Found on reading the change. The crashes before a trial counted for ten minutes, the trial's for an hour; a refusal takes three crashes, so that after ten minutes a deadly part was sent to servers again, until it had crashed two more.

The crashes of a fingerprint with a failed trial now all count for an hour. The policy of the product's own edge, where one crash is proof, is not affected.

The new test in test/quarantine/suspect-tracker fails on the code before.

--- a/src/quarantine/record.ts
+++ b/src/quarantine/record.ts
@@ -89,9 +89,14 @@
     policy: policies.Policy = policies.isolatedTrials,
 ): readonly Crash[] {
     const cleared = new Set(record.cleared);
-    return record.crashes.filter(crash => {
-        const isCleared = cleared.has(crash.id) && (policy.answerClearsTrials || !crash.alone);
-        return !isCleared && wallTime - crash.at < (crash.alone ? QUARANTINE_MS : SUSPECT_DURATION_MS);
+    const uncleared = record.crashes.filter(crash => {
+        return !cleared.has(crash.id) || crash.alone && !policy.answerClearsTrials;
+    });
+    // Where a refusal takes several crashes, all of them last as long as that of the trial.
+    const hasFailedTrial = policy.crashesForRefusal > 1
+        && uncleared.some(crash => crash.alone && wallTime - crash.at < QUARANTINE_MS);
+    return uncleared.filter(crash => {
+        return wallTime - crash.at < (crash.alone || hasFailedTrial ? QUARANTINE_MS : SUSPECT_DURATION_MS);
     });
 }
 
--- a/test/quarantine/suspect-tracker.test.ts
+++ b/test/quarantine/suspect-tracker.test.ts
@@ -260,3 +260,14 @@
     known.recordCrash({ server: "c", fingerprints: [DEADLY], trials: new Set([DEADLY]) }, at(10));
     assert.equal(withdrawn, 1);
 });
+
+testing.test("a refused part stays refused beyond the time for which a crash alone makes a suspect", () => {
+    const known = tracker("entry");
+    ["a", "b"].forEach(server => {
+        known.recordCrash({ server, fingerprints: [DEADLY], trials: new Set() }, at(0));
+    });
+    for (const [index, time] of [10, 20_000, 80_000, 240_000, 700_000].entries()) {
+        known.recordCrash({ server: `trial-${index}`, fingerprints: [DEADLY], trials: new Set([DEADLY]) }, at(time));
+    }
+    assert.equal(known.decide([DEADLY], at(20 * 60 * 1000)).kind, "refuse");
+});
