Share refused parts first when there are more suspects than a message holds

Found on reading the change. The order of the records added the time of their last change to a constant for the verdict, so that after a minute newer suspects went before refused parts, and a message of 64 records left those out.

The verdict now goes first. The new test in test/quarantine/suspect-tracker fails on the code before.

--- a/src/quarantine/suspect-tracker.ts
+++ b/src/quarantine/suspect-tracker.ts
@@ -167,13 +167,13 @@
                 || this.verdict(record.fingerprint, wallTime) !== "run"
                 || isFull && this.activeCrashes(record.fingerprint, wallTime) > 0;
         });
-        const rank = ({ fingerprint }: records.SuspectRecord) => {
-            return SEVERITY[this.verdict(fingerprint, wallTime)] * SETTLED_RETENTION_MS
-                + (this.changedAt.get(fingerprint) ?? now);
-        };
+        const severity = ({ fingerprint }: records.SuspectRecord) => SEVERITY[this.verdict(fingerprint, wallTime)];
+        const changedAt = ({ fingerprint }: records.SuspectRecord) => this.changedAt.get(fingerprint) ?? now;
         const first = shared.length <= MAXIMUM_SHARED_RECORDS
             ? shared
-            : shared.sort((left, right) => rank(right) - rank(left)).slice(0, MAXIMUM_SHARED_RECORDS);
+            : shared
+                .sort((left, right) => severity(right) - severity(left) || changedAt(right) - changedAt(left))
+                .slice(0, MAXIMUM_SHARED_RECORDS);
         return { records: first, trials: [...this.ownTrials.keys()] };
     }
 
--- a/test/quarantine/suspect-tracker.test.ts
+++ b/test/quarantine/suspect-tracker.test.ts
@@ -271,3 +271,18 @@
     }
     assert.equal(known.decide([DEADLY], at(20 * 60 * 1000)).kind, "refuse");
 });
+
+testing.test("a refused part is in every message, however many suspects were accused after it", () => {
+    const known = tracker("entry");
+    ["a", "b"].forEach(server => {
+        known.recordCrash({ server, fingerprints: [DEADLY], trials: new Set() }, at(0));
+    });
+    known.recordCrash({ server: "c", fingerprints: [DEADLY], trials: new Set([DEADLY]) }, at(10));
+    const later = 10 * 60 * 1000;
+    const others = Array.from({ length: 200 }, (_, index) => `part:other${index}`);
+    known.recordCrash({ server: "d", fingerprints: others, trials: new Set() }, at(later));
+    for (let sequence = 0; sequence < 40; sequence++) {
+        const { records } = known.snapshot(sequence, at(later + sequence * HEARTBEAT_MS));
+        assert.ok(records.some(record => record.fingerprint === DEADLY), `message ${sequence}`);
+    }
+});
