Fail calls that wait for a connection when it is dropped, also on Node.js 20.19

On Node.js 20.19.0 a call that waits for a connection was never answered when the connection was dropped before it was established, in the product as in the test: `ClientPool.drop` is used by the command line after a failed call.

Cause: the session manager settles a waiting call with the events "connect" and "error" of the HTTP/2 session only, and Node.js 20.19 closes a session without "error" when its socket is destroyed before it is connected (20.20 emits one). The socket is now destroyed with an error while it connects; later a session has streams or listeners of its own, and an error could be unhandled.

--- a/src/rpc/client-pool.ts
+++ b/src/rpc/client-pool.ts
@@ -23,13 +23,14 @@
     }
 
     /**
-     * Closes the connection to an address, for example after its process was replaced. Calls in flight fail.
+     * Closes the connection to an address, for example after its process was replaced. Calls that are in flight or wait for
+     * the connection fail with `peer-connection-lost`.
      *
      * Destroys the sockets instead of calling `abort` on the session manager. After a GOAWAY frame the manager destroys
      * the session, which emits an error later; `abort` removes the error listener, so that error would be unhandled.
      */
     drop(address: string): void {
-        this.connections.get(address)?.sockets.forEach(socket => socket.destroy());
+        this.connections.get(address)?.sockets.forEach(closeSocket);
         this.connections.delete(address);
     }
 
@@ -64,6 +65,14 @@
     }
 }
 
+/**
+ * Calls that wait for the connection only end with an error of its session, and Node.js 20.19 closes a session without one
+ * when its socket is closed before it is connected.
+ */
+function closeSocket(socket: net.Socket): void {
+    socket.destroy(socket.connecting ? new Error("the connection was dropped before it was established") : undefined);
+}
+
 /** Disables Nagle's algorithm, which delays small frames by up to 40 ms until the previous ones are acknowledged. */
 function connectWithNoDelay(authority: URL): net.Socket {
     return net.connect({ host: authority.hostname, port: Number(authority.port), noDelay: true });
--- a/test/rpc/client-pool.test.ts
+++ b/test/rpc/client-pool.test.ts
@@ -57,3 +57,17 @@
     pool.drop(server.address);
     assert.equal(await connecting, "peer-connection-lost");
 });
+
+testing.test("client pool: guards against a call without an answer when its connection is dropped while it is established", async () => {
+    await using server = await servers.listen("127.0.0.1:0", router => {
+        router.service(messages.OperationsService, { status: () => new Promise<never>(() => undefined) });
+    });
+    for (let turns = 0; turns < MAXIMUM_TURNS; turns++) {
+        await using pool = new clientPools.ClientPool();
+        const call = pool.client(messages.OperationsService, server.address).status({})
+            .then(() => "answered", error => callFailures.failureOf(error, "").kind);
+        await waitForTurns(turns);
+        pool.drop(server.address);
+        assert.equal(await call, "peer-connection-lost", `dropped after ${turns} turns`);
+    }
+});
