Fail a test file that has not ended after five minutes

A file that hangs held the whole run: on Node.js 20.19.0 test/rpc/client-pool was stopped by hand after 358 s. The runner now ends the file and fails it. Tried with a file that never ends and a limit of 4 s: the run failed with its name, and the other file of the run passed. The longest run of all files together took 242 s.

--- a/tools/run-tests.ts
+++ b/tools/run-tests.ts
@@ -12,6 +12,8 @@
 
 const KNOWN_FAILURES_FILE = "KNOWN-RED.txt";
 const TEST_FILE_CONCURRENCY = 6;
+/** Time in milliseconds after which a test file that has not ended fails. */
+const TEST_FILE_TIMEOUT_MS = 300_000;
 
 /** Test names on the lines of KNOWN-RED.txt that begin with the prefix. */
 function readTestNames(prefix: "test: " | "intermittent: "): ReadonlySet<string> {
@@ -35,7 +37,11 @@
 const failed = new Set<string>();
 const passed = new Set<string>();
 const files = testFiles(process.argv.slice(2));
-const stream = testing.run({ files: files.map(file => path.resolve(file)), concurrency: TEST_FILE_CONCURRENCY });
+const stream = testing.run({
+    files: files.map(file => path.resolve(file)),
+    concurrency: TEST_FILE_CONCURRENCY,
+    timeout: TEST_FILE_TIMEOUT_MS,
+});
 
 stream.on("test:fail", event => {
     const isSuite = event.details.type === "suite";
