Log eras of the store, lost histories and ignored listings

The logs could not tell whether a copy missed changes since its revision was given out again, or since its listing was thrown away. No change of logic.

--- a/src/store-access/events.ts
+++ b/src/store-access/events.ts
@@ -27,4 +27,25 @@
         message: fields => `records of kind ${fields.kind} could not be used: ${fields.reason}`,
         hint: "The kind is listed again. Report this as a bug if it persists.",
     },
+    "store-history-lost": {
+        number: 3105,
+        level: "info",
+        message: fields =>
+            `the store has no changes of kind ${fields.kind} after revision ${fields.revision}; listing it again`,
+        hint: "",
+    },
+    "store-listing-ignored": {
+        number: 3106,
+        level: "warn",
+        message: fields =>
+            `a listing of kind ${fields.kind} at revision ${fields.listed} is older than the copy at ${fields.revision}`,
+        hint: "The copy stays in use.",
+    },
+    "store-era-changed": {
+        number: 3107,
+        level: "warn",
+        message: fields =>
+            `the store came back from an older copy: kind ${fields.kind} is at revision ${fields.revision} of era ${fields.era}`,
+        hint: "What the store lost is written again by its owners. Compare the copies if records stay missing.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -41,6 +41,7 @@
     private disconnectedAt: number | undefined;
     private consecutiveFailures = 0;
     private isListed = false;
+    private era: number | undefined;
     private loop: Promise<void> = Promise.resolve();
 
     constructor(private readonly options: WatchOptions, private readonly ports: WatchPorts) {
@@ -111,9 +112,15 @@
         }
         this.recordSuccess();
         this.isListed = true;
+        this.observeEra(listing.value);
         if (this.copy.replace(listing.value, this.ports.clock.now())) {
             this.reportChange(`${listing.value.records.length} records listed`, "store");
         }
+        else {
+            const { kind } = this.options;
+            const listed = listing.value.revision;
+            this.ports.journal.emit("store-listing-ignored", { kind, listed, revision: this.copy.revision });
+        }
         return undefined;
     }
 
@@ -127,11 +134,14 @@
         if (!batch.ok) {
             if (batch.failure.kind === "store-history-lost") {
                 this.isListed = false;
+                const { kind } = this.options;
+                this.ports.journal.emit("store-history-lost", { kind, revision: this.copy.revision });
                 return undefined;
             }
             return this.recordFailure(batch.failure.detail);
         }
         this.recordSuccess();
+        this.observeEra(batch.value);
         this.copy.apply(batch.value, this.ports.clock.now());
         if (batch.value.changes.length === 0) {
             // A stale copy that is behind this one may answer at once; asking again would not help.
@@ -143,6 +153,18 @@
         return this.options.batchDelayMs();
     }
 
+    private observeEra({ era, revision }: types.Listing | types.Changes): void {
+        if (this.era !== undefined && era !== this.era) {
+            this.ports.journal.emit("store-era-changed", {
+                kind: this.options.kind,
+                era,
+                previous: this.era,
+                revision,
+            });
+        }
+        this.era = era;
+    }
+
     private reportChange(change: string, source: string): void {
         const revision = this.copy.revision;
         this.ports.journal.emit("store-kind-changed", { kind: this.options.kind, change, revision, source });
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -13,6 +13,8 @@
 }
 
 export interface Listing {
+    /** Rises by one each time that the store comes back from an older copy of itself; 0 if the store does not tell. */
+    readonly era: number;
     /** Revision of the store that the listing reflects. */
     readonly revision: number;
     readonly records: readonly StoredRecord[];
@@ -24,6 +26,8 @@
 }
 
 export interface Changes {
+    /** Era of the store, as in a listing. */
+    readonly era: number;
     /** Revision after which the next watch call continues. */
     readonly revision: number;
     readonly changes: readonly Change[];
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -27,7 +27,7 @@
             onChange: () => undefined,
         },
     );
-    watch.adopt({ revision, records: [{ name: "main", revision, spec: {}, isDeleting: false }] }, "test");
+    watch.adopt({ era: 0, revision, records: [{ name: "main", revision, spec: {}, isDeleting: false }] }, "test");
     return watch;
 }
 
@@ -94,7 +94,7 @@
     const address = await freeAddress();
     await using ahead = exchangeOf(watchAt(9));
     ahead.start(address);
-    const listing = { revision: 5, records: [] };
+    const listing = { era: 0, revision: 5, records: [] };
     await using own = new watches.KindWatch(
         { kind: KIND, waitMs: () => 1000, batchDelayMs: () => 900, ownersReregister: false, mayBeStale: () => false },
         {
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -14,33 +14,33 @@
 
 testing.test("guards against an older listing that replaces a newer copy", () => {
     const copy = new copies.KindCopy({ ownersReregister: false });
-    copy.replace({ revision: 10, records: [record("a", 10)] }, 0);
-    assert.equal(copy.replace({ revision: 9, records: [record("a", 5)] }, 0), false);
+    copy.replace({ era: 0, revision: 10, records: [record("a", 10)] }, 0);
+    assert.equal(copy.replace({ era: 0, revision: 9, records: [record("a", 5)] }, 0), false);
     assert.equal(copy.records(0)[0]?.revision, 10);
 });
 
 testing.test("a server that the registry removed during an outage is kept for two seconds and then dropped", () => {
     const copy = new copies.KindCopy({ ownersReregister: true });
-    copy.replace({ revision: 1, records: [record("a", 1), record("b", 1)] }, 0);
+    copy.replace({ era: 0, revision: 1, records: [record("a", 1), record("b", 1)] }, 0);
     copy.storeRecovered(10_000);
-    copy.replace({ revision: 5, records: [record("b", 1)] }, 10_000);
+    copy.replace({ era: 0, revision: 5, records: [record("b", 1)] }, 10_000);
     assert.deepEqual(names(copy, 11_000), ["a", "b"]);
     assert.deepEqual(names(copy, 12_300), ["b"]);
 });
 
 testing.test("a server that registers again within the grace period is kept", () => {
     const copy = new copies.KindCopy({ ownersReregister: true });
-    copy.replace({ revision: 1, records: [record("a", 1)] }, 0);
+    copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
     copy.storeRecovered(10_000);
-    copy.replace({ revision: 5, records: [] }, 10_000);
-    copy.apply({ revision: 6, changes: [{ record: record("a", 6), isDeleted: false }] }, 11_000);
+    copy.replace({ era: 0, revision: 5, records: [] }, 10_000);
+    copy.apply({ era: 0, revision: 6, changes: [{ record: record("a", 6), isDeleted: false }] }, 11_000);
     assert.deepEqual(names(copy, 20_000), ["a"]);
 });
 
 testing.test("without an outage a removal takes effect at once", () => {
     const copy = new copies.KindCopy({ ownersReregister: true });
-    copy.replace({ revision: 1, records: [record("a", 1)] }, 0);
-    copy.apply({ revision: 2, changes: [{ record: record("a", 1), isDeleted: true }] }, 100);
+    copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
+    copy.apply({ era: 0, revision: 2, changes: [{ record: record("a", 1), isDeleted: true }] }, 100);
     assert.deepEqual(names(copy, 100), []);
     assert.equal(copy.lastChangeRevision, 2);
 });
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -67,9 +67,9 @@
 
 testing.test("guards against missed changes when the store has discarded its history", async () => {
     const { calls, revisions } = await runWatch([
-        outcomes.succeed({ revision: 5, records: [record("main", 5)] }),
+        outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] }),
         outcomes.fail("store-history-lost", "5"),
-        outcomes.succeed({ revision: 9, records: [record("main", 9)] }),
+        outcomes.succeed({ era: 0, revision: 9, records: [record("main", 9)] }),
     ]);
     assert.deepEqual(calls, ["list", "watch 5", "list", "watch 9"]);
     assert.deepEqual(revisions, [5, 9]);
@@ -77,19 +77,21 @@
 
 testing.test("guards against a watch that ends in an outage, hangs after it, or does not continue from its revision", async () => {
     const { calls, watch } = await runWatch([
-        outcomes.succeed({ revision: 5, records: [record("main", 5)] }),
+        outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] }),
         outcomes.fail("store-unavailable", "timeout"),
         outcomes.fail("store-unavailable", "status 503"),
-        outcomes.succeed({ revision: 8, changes: [{ record: record("main", 8), isDeleted: false }] }),
+        outcomes.succeed({ era: 0, revision: 8, changes: [{ record: record("main", 8), isDeleted: false }] }),
     ]);
     assert.deepEqual(calls, ["list", "watch 5", "watch 5 short", "watch 5 short", "watch 8"]);
     assert.equal(watch.isConnected, true);
 });
 
 testing.test("guards against a peer's older copy that replaces a newer own copy", async () => {
-    const { watch, revisions } = await runWatch([outcomes.succeed({ revision: 5, records: [record("main", 5)] })]);
-    watch.adopt({ revision: 4, records: [] }, "peer");
+    const { watch, revisions } = await runWatch([
+        outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] }),
+    ]);
+    watch.adopt({ era: 0, revision: 4, records: [] }, "peer");
     assert.equal(watch.copy.records(0).length, 1);
-    watch.adopt({ revision: 7, records: [record("main", 7)] }, "peer");
+    watch.adopt({ era: 0, revision: 7, records: [record("main", 7)] }, "peer");
     assert.deepEqual(revisions, [5, 7]);
 });
