Keep positions of the store with its era, so that a restored store is not taken for the old one

Cause: the revision stood for order and age wherever the store was read. When the store comes back from an older copy, revisions go back and are given out again: listings of the restored store were ignored as older than the copy, watches continued from a revision that now names another state and skipped what led to it, and the copies of peers were compared by revision alone.

A position is now an era and a revision. Listings, changes, copies of peers and heartbeats carry it (older processes: era 0), and an answer of another era never continues a copy: the kind is listed again, and the other kinds with it. Records of this system are taken as they are, so that it sees what it has to write again.

The four new tests of test/store-access/ kind-watch fail on the code before; those of kind-copy have no counterpart there. test/peering/heartbeats: a heartbeat without the appended eras now decodes to era 0; the rest of the check is as before.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,4 +1,5 @@
 /** Model of a deployment: configuration, backend servers, desired weights and request metadata. */
+import type * as storeAccess from "../store-access/types.js";
 
 /** Retry semantics of a call. A stream is not retried unless its route is resumable. */
 export type CallKind = "idempotent" | "at-most-once" | "stream";
@@ -116,8 +117,8 @@
 export interface DesiredWeights {
     readonly model: string;
     readonly version: number;
-    /** Revision of the store at which the version was set; serves as the fencing token of orders. */
-    readonly revision: number;
+    /** Position of the store at which the version was set; orders to servers are fenced with it. */
+    readonly position: storeAccess.Position;
 }
 
 export type RolloutState = "in-progress" | "complete" | "rolled-back";
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -1,5 +1,6 @@
 /** Encodes heartbeats as JSON arrays without keys, which keeps the frequent traffic between data centres small. */
 import * as stages from "../rollout/service-stage.js";
+import type * as storeAccess from "../store-access/types.js";
 import * as entryStates from "./entry-state.js";
 import * as suspectCodec from "./suspect-codec.js";
 import type * as types from "./types.js";
@@ -28,11 +29,11 @@
     incarnation: string,
     sequence: number,
     isLeaving: 0 | 1,
-    changeRevisions: types.Heartbeat["changeRevisions"],
+    changeRevisions: Readonly<Record<string, number>>,
     spentTokens: types.Heartbeat["spentTokens"],
     serverLoads: readonly (readonly [server: string, calls: number, pendingPromptTokens: number])[],
     prefills: readonly (readonly [partHash: number, server: string, isComplete: 0 | 1])[],
-    desiredWeights: readonly (readonly [model: string, version: number, revision: number])[],
+    desiredWeights: readonly (readonly [model: string, version: number, revision: number, era?: number])[],
     /** 0 for an entry. */
     report: ReportTuple | 0,
     /** Alternating part hashes and tokens. */
@@ -47,6 +48,8 @@
     /** The rate is negative if the server has ceased to name one. */
     serverLimits?: readonly (readonly [server: string, rate: number, ageMs: number, requests: number])[],
     rollouts?: types.Heartbeat["rollouts"],
+    /** Eras of `changeRevisions`. */
+    changeEras?: Readonly<Record<string, number>>,
 ];
 
 type ReportTuple = readonly [
@@ -77,13 +80,15 @@
         heartbeat.incarnation,
         heartbeat.sequence,
         heartbeat.isLeaving ? 1 : 0,
-        heartbeat.changeRevisions,
+        mapValues(heartbeat.lastChanges, ({ revision }) => revision),
         heartbeat.spentTokens,
         Object.entries(heartbeat.serverLoads).map((
             [server, load],
         ) => [server, load.calls, Math.round(load.pendingPromptTokens)]),
         heartbeat.prefills.map(({ partHash, server, isComplete }) => [partHash, server, isComplete ? 1 : 0]),
-        heartbeat.desiredWeights.map(({ model, version, revision }) => [model, version, revision]),
+        heartbeat.desiredWeights.map((
+            { model, version, position },
+        ) => [model, version, position.revision, position.era]),
         report === undefined ? 0 : encodeReport(report),
         heartbeat.savedParts.flatMap(({ partHash, tokens }) => [partHash, tokens]),
         member.dataCentre ?? "",
@@ -94,6 +99,7 @@
             return [server, requestsPerSecond, Math.round(ageMs), requests] as const;
         }),
         heartbeat.rollouts,
+        mapValues(heartbeat.lastChanges, ({ era }) => era),
     ];
 }
 
@@ -136,6 +142,7 @@
         suspects = 0,
         serverLimits = [],
         rollouts = [],
+        changeEras = {},
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
         && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
@@ -155,7 +162,7 @@
         incarnation,
         sequence,
         isLeaving: isLeaving === 1,
-        changeRevisions,
+        lastChanges: mapValues(changeRevisions, (revision, kind) => decodePosition(changeEras[kind], revision)),
         spentTokens,
         serverLoads: Object.fromEntries(
             serverLoads.map(([server, calls, pendingPromptTokens]) => [server, { calls, pendingPromptTokens }]),
@@ -165,7 +172,9 @@
             server,
             isComplete: isComplete === 1,
         })),
-        desiredWeights: desiredWeights.map(([model, version, revision]) => ({ model, version, revision })),
+        desiredWeights: desiredWeights.map(([model, version, revision, era]) => {
+            return { model, version, position: decodePosition(era, revision) };
+        }),
         report: report === 0 ? undefined : decodeReport(report),
         savedParts: decodeSavedParts(savedParts),
         cacheStores: cacheStores.map(([address, store]) => ({
@@ -178,6 +187,21 @@
     };
 }
 
+/** Processes of earlier versions do not tell the era. */
+function decodePosition(era = 0, revision: number): storeAccess.Position {
+    if (!Number.isFinite(era) || !Number.isFinite(revision)) {
+        throw new TypeError("a position of unexpected types");
+    }
+    return { era, revision };
+}
+
+function mapValues<Value, Result>(
+    values: Readonly<Record<string, Value>>,
+    map: (value: Value, key: string) => Result,
+): Readonly<Record<string, Result>> {
+    return Object.fromEntries(Object.entries(values).map(([key, value]) => [key, map(value, key)]));
+}
+
 /** Rollouts are rare, so that they are sent with their field names. */
 function isRollout(value: Partial<types.ServiceRollout>): value is types.ServiceRollout {
     return typeof value.service === "string" && typeof value.target === "string" && typeof value.elapsedMs === "number"
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -4,6 +4,7 @@
 import type * as event from "../core/event.js";
 import * as jsonClient from "../http/json-client.js";
 import type * as watches from "../store-access/kind-watch.js";
+import * as positions from "../store-access/position.js";
 import type * as storeAccess from "../store-access/types.js";
 import type * as types from "./types.js";
 
@@ -21,8 +22,11 @@
 
 export class DocumentExchange implements AsyncDisposable {
     private readonly server: http.Server;
-    /** Newest revision that a peer reported and the own copy lacks, with the time of the first such report, by kind. */
-    private readonly behind = new Map<string, { readonly revision: number; readonly since: number; }>();
+    /** Newest change that a peer reported and the own copy lacks, with the time of the first such report, by kind. */
+    private readonly behind = new Map<
+        string,
+        { readonly change: storeAccess.Position; readonly since: number; }
+    >();
     private readonly fetching = new Set<string>();
 
     constructor(private readonly ports: DocumentPorts) {
@@ -40,20 +44,23 @@
         await new Promise<void>(resolve => this.server.close(() => resolve()));
     }
 
-    /** Compares a peer's revisions with the own copies, and fetches copies that remain behind. */
+    /** Compares a peer's newest changes with the own copies, and fetches copies that remain behind. */
     compare(heartbeat: types.Heartbeat, now: number): void {
         for (const watch of this.ports.watches) {
-            const peerRevision = heartbeat.changeRevisions[watch.kind] ?? -1;
+            const { position } = watch.copy;
+            const peerChange = heartbeat.lastChanges[watch.kind] ?? positions.NOWHERE;
             // Only an update of the own copy ends the wait: other peers may be as far behind as this process.
             const pending = this.behind.get(watch.kind);
-            if (pending !== undefined && pending.revision <= watch.copy.revision) {
+            if (pending !== undefined && !positions.isAfter(pending.change, position)) {
                 this.behind.delete(watch.kind);
             }
-            if (peerRevision <= watch.copy.revision) {
+            if (!positions.isAfter(peerChange, position)) {
                 continue;
             }
+            watch.expectEra(peerChange.era);
             const { since } = this.behind.get(watch.kind) ?? { since: now };
-            this.behind.set(watch.kind, { revision: Math.max(peerRevision, pending?.revision ?? -1), since });
+            const change = positions.latest(peerChange, pending?.change ?? positions.NOWHERE);
+            this.behind.set(watch.kind, { change, since });
             // A watch that batches changes catches up by itself; fetching a copy transfers all records of the kind.
             const catchUpMs = CATCH_UP_MS + watch.lagMs;
             if ((now - since >= catchUpMs || !watch.copy.isLoaded) && !this.fetching.has(watch.kind)) {
@@ -71,8 +78,9 @@
             timeoutMs: FETCH_TIMEOUT_MS,
         });
         this.fetching.delete(watch.kind);
-        if (result.kind === "response" && result.status === 200 && isListing(result.body)) {
-            this.adoptSafely(watch, result.body, peer);
+        const listing = result.kind === "response" && result.status === 200 ? decodeListing(result.body) : undefined;
+        if (listing !== undefined) {
+            this.adoptSafely(watch, listing, peer);
             return;
         }
         const reason = result.kind === "response" ? `unusable response, status ${result.status}` : result.reason;
@@ -97,15 +105,18 @@
             return;
         }
         const records = watch.copy.records(this.ports.clock.now());
-        const body = JSON.stringify({ revision: watch.copy.revision, records });
+        const body = JSON.stringify({ ...watch.copy.position, records });
         response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
         response.end(body);
     }
 }
 
-function isListing(value: unknown): value is storeAccess.Listing {
-    const listing = value as Partial<storeAccess.Listing> | undefined;
-    return typeof listing?.revision === "number" && Array.isArray(listing.records) && listing.records.every(isRecord);
+/** Processes of earlier versions do not tell the era. */
+function decodeListing(value: unknown): storeAccess.Listing | undefined {
+    const { era = 0, revision, records } = (value ?? {}) as Partial<storeAccess.Listing>;
+    return typeof era === "number" && typeof revision === "number" && Array.isArray(records) && records.every(isRecord)
+        ? { era, revision, records }
+        : undefined;
 }
 
 function isRecord(value: unknown): value is storeAccess.StoredRecord {
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -2,7 +2,7 @@
 import type * as types from "./types.js";
 
 export const noEntryState = {
-    changeRevisions: {},
+    lastChanges: {},
     spentTokens: {},
     serverLoads: {},
     prefills: [],
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -2,6 +2,7 @@
 import type * as quarantine from "../quarantine/types.js";
 import type * as stages from "../rollout/service-stage.js";
 import type * as rollout from "../rollout/types.js";
+import type * as storeAccess from "../store-access/types.js";
 
 export type Role = "entry" | "agent";
 
@@ -103,8 +104,8 @@
 export interface DesiredWeights {
     readonly model: string;
     readonly version: number;
-    /** Revision of the store at which the version was set; serves as the fencing token of orders. */
-    readonly revision: number;
+    /** Position of the store at which the version was set; orders to servers are fenced with it. */
+    readonly position: storeAccess.Position;
 }
 
 /** A datagram: the heartbeat of its sender, and heartbeats from other data centres that the sender passes on. */
@@ -122,8 +123,8 @@
     readonly sequence: number;
     /** The process is shutting down. */
     readonly isLeaving: boolean;
-    /** Revision of the newest change in the process's copy of each kind, by kind. */
-    readonly changeRevisions: Readonly<Record<string, number>>;
+    /** Position of the newest change in the process's copy of each kind, by kind. */
+    readonly lastChanges: Readonly<Record<string, storeAccess.Position>>;
     /** Tokens spent since the process started, by customer; entries only. */
     readonly spentTokens: Readonly<Record<string, number>>;
     /** Load of this process's calls, by server id; entries only. */
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -7,6 +7,7 @@
 import type * as peering from "../peering/types.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
+import * as restoration from "../store-access/restoration.js";
 import type * as rollingUpdates from "../weights/rolling-update.js";
 import * as updaters from "../weights/updater.js";
 import * as directories from "./member-directory.js";
@@ -56,10 +57,17 @@
                 waitMs: () => WATCH_WAIT_MS,
                 batchDelayMs: () => 0,
                 ownersReregister: false,
+                restoration: restoration.byVersion(platform.weightsVersion),
                 // Heartbeats of many entries announce new weights sooner than a read of the store.
                 mayBeStale: () => this.members.peers().length >= MINIMUM_PEERS_FOR_STALE_READS,
             },
-            { store: platform.store, clock, journal, onChange: copy => this.adoptWeights(copy) },
+            {
+                store: platform.store,
+                clock,
+                journal,
+                onChange: copy => this.adoptWeights(copy),
+                onEraChange: () => undefined,
+            },
         );
         this.heartbeats = new heartbeatExchanges.HeartbeatExchange({
             self: this.member,
@@ -67,8 +75,7 @@
             journal,
             members: this.members,
             compose: sequence => this.composeHeartbeat(sequence),
-            onHeartbeat: heartbeat =>
-                heartbeat.desiredWeights.forEach(weights => this.updater.adoptDesiredWeights(weights)),
+            onHeartbeat: heartbeat => this.receiveHeartbeat(heartbeat),
             periodMs: member => member.role === "entry" ? ENTRY_HEARTBEAT_MS : AGENT_HEARTBEAT_MS,
         });
     }
@@ -108,8 +115,15 @@
         });
     }
 
+    private receiveHeartbeat(heartbeat: peering.Heartbeat): void {
+        for (const weights of heartbeat.desiredWeights) {
+            this.updater.adoptDesiredWeights(weights);
+            this.watch.expectEra(weights.position.era);
+        }
+    }
+
     private adoptWeights(copy: copies.KindCopy): void {
-        const decoded = this.platform.decodeWeights(copy.records(this.clock.now()));
+        const decoded = this.platform.decodeWeights(copy.records(this.clock.now()), copy.position.era);
         for (const { name, reason } of decoded.invalid) {
             this.journal.emit("record-invalid", { kind: this.platform.kinds.weights, record: name, reason });
         }
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -31,6 +31,7 @@
 import * as serviceRollouts from "../rollout/service-rollouts.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
+import * as restoration from "../store-access/restoration.js";
 import * as directories from "./member-directory.js";
 import * as meters from "./meter.js";
 import type * as types from "./types.js";
@@ -300,9 +301,16 @@
             options: Omit<watches.WatchOptions, "kind">,
             onChange: (copy: copies.KindCopy) => void,
         ) => {
-            const ports = { store, clock: this.clock, journal: this.journal, onChange };
+            const ports = {
+                store,
+                clock: this.clock,
+                journal: this.journal,
+                onChange,
+                onEraChange: (era: number) => Object.values(this.watches).forEach(watch => watch.expectEra(era)),
+            };
             return new watches.KindWatch({ kind, ...options }, ports);
         };
+        const { configurationVersion, serverVersion, weightsVersion } = this.platform;
         const waitMs = () => WATCH_WAIT_MS * this.watchWaitFactor;
         return {
             configuration: create(
@@ -311,6 +319,7 @@
                     waitMs,
                     batchDelayMs: () => 0,
                     ownersReregister: false,
+                    restoration: restoration.byVersion(configurationVersion),
                     mayBeStale: () => this.readsStale(kinds.configuration),
                 },
                 copy => this.adoptConfiguration(copy),
@@ -321,6 +330,7 @@
                     waitMs,
                     batchDelayMs: () => SERVERS_BATCH_DELAY_MS * this.watchWaitFactor,
                     ownersReregister: true,
+                    restoration: restoration.byVersion(serverVersion),
                     mayBeStale: () => this.readsStale(kinds.servers),
                 },
                 copy => this.adoptServers(copy),
@@ -331,6 +341,7 @@
                     waitMs,
                     batchDelayMs: () => 0,
                     ownersReregister: false,
+                    restoration: restoration.byVersion(weightsVersion),
                     mayBeStale: () => this.readsStale(kinds.weights),
                 },
                 copy => this.adoptWeights(copy),
@@ -341,6 +352,7 @@
                     waitMs,
                     batchDelayMs: () => 0,
                     ownersReregister: false,
+                    restoration: restoration.unordered,
                     mayBeStale: () => this.readsStale(kinds.rollouts),
                 },
                 copy => this.adoptRollouts(copy),
@@ -351,6 +363,7 @@
                     waitMs,
                     batchDelayMs: () => 0,
                     ownersReregister: false,
+                    restoration: restoration.asStored,
                     mayBeStale: () => this.readsStale(kinds.suspects),
                 },
                 copy => this.refusals.adopt(copy.records(this.clock.now())[0]),
@@ -391,7 +404,7 @@
                 this.quotas.track(configuration.customers, this.clock.now());
                 this.journal.emit("configuration-in-force", {
                     version: configuration.version,
-                    revision: copy.revision,
+                    ...copy.position,
                     routes: configuration.routes.length,
                     customers: configuration.customers.length,
                 });
@@ -410,7 +423,7 @@
     }
 
     private adoptWeights(copy: copies.KindCopy): void {
-        const decoded = this.platform.decodeWeights(copy.records(this.clock.now()));
+        const decoded = this.platform.decodeWeights(copy.records(this.clock.now()), copy.position.era);
         this.reportInvalid(this.platform.kinds.weights, decoded.invalid);
         decoded.values.forEach(weights => this.adoptDesiredWeights(weights));
         this.updateState();
@@ -426,8 +439,8 @@
 
     private adoptDesiredWeights(weights: fleet.DesiredWeights): void {
         if (this.view.recordDesiredWeights(weights, this.clock.now())) {
-            const { model, version, revision } = weights;
-            this.journal.emit("weights-named", { model, version, revision });
+            const { model, version, position } = weights;
+            this.journal.emit("weights-named", { model, version, ...position });
             this.heartbeats.send();
         }
     }
@@ -491,15 +504,13 @@
     }
 
     private composeHeartbeat(sequence: number, now: number): peering.Heartbeat {
-        const revisions = Object.values(this.watches).map(watch =>
-            [watch.kind, watch.copy.lastChangeRevision] as const
-        );
+        const changes = Object.values(this.watches).map(watch => [watch.kind, watch.copy.lastChange] as const);
         return {
             member: this.member,
             incarnation: this.incarnation,
             sequence,
             isLeaving: this.isDraining,
-            changeRevisions: Object.fromEntries(revisions),
+            lastChanges: Object.fromEntries(changes),
             spentTokens: this.quotas.spending(),
             serverLoads: this.serverLoad.snapshot(),
             prefills: this.prefills.snapshot(now),
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -3,6 +3,7 @@
 import type * as dialects from "../forwarding/dialect.js";
 import type * as peering from "../peering/types.js";
 import type * as followers from "../placement/store-follower.js";
+import type * as restoration from "../store-access/restoration.js";
 import type * as storeAccess from "../store-access/types.js";
 import type * as weights from "../weights/types.js";
 
@@ -39,8 +40,13 @@
     readonly readinessPath: string;
     decodeConfigurations(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.Configuration>;
     decodeServers(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.BackendServer>;
-    decodeWeights(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.DesiredWeights>;
+    /** `era` is that of the store from which the records are. */
+    decodeWeights(records: readonly storeAccess.StoredRecord[], era: number): Decoded<fleet.DesiredWeights>;
     decodeRollouts(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.RolloutOrder>;
+    /** Order of the states of a record by its content; records that cannot be decoded come first. */
+    readonly configurationVersion: restoration.LogicalVersion;
+    readonly serverVersion: restoration.LogicalVersion;
+    readonly weightsVersion: restoration.LogicalVersion;
     /** Encodes a status; `startedAt` is in Unix milliseconds. */
     encodeRolloutStatus(order: fleet.RolloutOrder, state: fleet.RolloutState, startedAt: number): unknown;
     /** Source of changes of a cache store's contents. */
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -5,6 +5,7 @@
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import * as copies from "./kind-copy.js";
+import * as positions from "./position.js";
 import type * as types from "./types.js";
 
 /** Bounds of the exponential backoff in milliseconds; the maximum limits the delay after an outage. */
@@ -33,6 +34,8 @@
     readonly journal: event.Journal;
     /** Called after each change of the copy. */
     readonly onChange: (copy: copies.KindCopy) => void;
+    /** Called when the copy has reached a later era of the store than before. */
+    readonly onEraChange: (era: number) => void;
 }
 
 export class KindWatch implements AsyncDisposable {
@@ -41,7 +44,8 @@
     private disconnectedAt: number | undefined;
     private consecutiveFailures = 0;
     private isListed = false;
-    private era: number | undefined;
+    /** Ends the wait for changes. */
+    private interrupt: (() => void) | undefined;
     private loop: Promise<void> = Promise.resolve();
 
     constructor(private readonly options: WatchOptions, private readonly ports: WatchPorts) {
@@ -74,12 +78,19 @@
 
     /** Replaces the copy with a peer's copy if that one is newer. */
     adopt(listing: types.Listing, peer: string): void {
-        const now = this.ports.clock.now();
-        if (listing.revision > this.copy.revision && this.copy.replace(listing, now)) {
+        if (positions.isAfter(listing, this.copy.position) && this.replaceCopy(listing)) {
             this.reportChange("copy of a peer", peer);
         }
     }
 
+    /** Lists the kind again if the copy is from an earlier era: the wait for changes of that era would not tell. */
+    expectEra(era: number): void {
+        if (this.isListed && era > this.copy.position.era) {
+            this.isListed = false;
+            this.interrupt?.();
+        }
+    }
+
     private async run(): Promise<void> {
         while (!this.stop.signal.aborted) {
             const pauseMs = await this.readSafely();
@@ -112,14 +123,19 @@
         }
         this.recordSuccess();
         this.isListed = true;
-        this.observeEra(listing.value);
-        if (this.copy.replace(listing.value, this.ports.clock.now())) {
+        if (this.replaceCopy(listing.value)) {
             this.reportChange(`${listing.value.records.length} records listed`, "store");
         }
         else {
-            const { kind } = this.options;
-            const listed = listing.value.revision;
-            this.ports.journal.emit("store-listing-ignored", { kind, listed, revision: this.copy.revision });
+            const { era, revision } = this.copy.position;
+            const { era: listedEra, revision: listed } = listing.value;
+            this.ports.journal.emit("store-listing-ignored", {
+                kind: this.options.kind,
+                listed,
+                listedEra,
+                revision,
+                era,
+            });
         }
         return undefined;
     }
@@ -127,42 +143,82 @@
     /** Waits for changes once. Returns the pause before the next call in milliseconds, if any. */
     private async watchOnce(): Promise<number | undefined> {
         // A long-poll call during an outage could hang and delay the detection of the recovery for its whole wait.
-        const waitMs = this.disconnectedAt === undefined ? this.options.waitMs() : PROBE_WAIT_MS;
+        const waitMs = this.disconnectedAt === undefined ? this.waitMs() : PROBE_WAIT_MS;
         const mayBeStale = this.disconnectedAt === undefined && this.options.mayBeStale();
         const startedAt = this.ports.clock.now();
-        const batch = await this.ports.store.watch(this.options.kind, this.copy.revision, { waitMs, mayBeStale });
+        const batch = await this.interruptible(
+            this.ports.store.watch(this.options.kind, this.copy.revision, { waitMs, mayBeStale }),
+        );
+        if (batch === undefined) {
+            return undefined;
+        }
         if (!batch.ok) {
-            if (batch.failure.kind === "store-history-lost") {
-                this.isListed = false;
-                const { kind } = this.options;
-                this.ports.journal.emit("store-history-lost", { kind, revision: this.copy.revision });
-                return undefined;
-            }
-            return this.recordFailure(batch.failure.detail);
+            return batch.failure.kind === "store-history-lost"
+                ? this.relist(this.copy.position)
+                : this.recordFailure(batch.failure.detail);
         }
         this.recordSuccess();
-        this.observeEra(batch.value);
-        this.copy.apply(batch.value, this.ports.clock.now());
-        if (batch.value.changes.length === 0) {
-            // A stale copy that is behind this one may answer at once; asking again would not help.
-            const hasWaited = this.ports.clock.now() - startedAt >= waitMs / 2;
-            return hasWaited ? undefined : EMPTY_ANSWER_PAUSE_MS;
+        const now = this.ports.clock.now();
+        const isSettled = this.copy.settle(now);
+        const { era } = this.copy.position;
+        if (batch.value.era > era) {
+            return this.relist(batch.value);
         }
-        const names = batch.value.changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
-        this.reportChange(names.slice(0, 8).join(" "), "store");
-        return this.options.batchDelayMs();
+        const previous = this.copy.position;
+        const isApplied = this.copy.apply(batch.value, now);
+        const hasAdvanced = positions.isAfter(this.copy.position, previous);
+        const changes = isApplied ? batch.value.changes : [];
+        if (changes.length > 0 || isSettled) {
+            const names = changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
+            this.reportChange(isSettled ? "grace period over" : names.slice(0, 8).join(" "), "store");
+        }
+        if (changes.length > 0 && hasAdvanced) {
+            return this.options.batchDelayMs();
+        }
+        // A stale copy that is behind this one may answer at once; asking again would not help.
+        const hasWaited = now - startedAt >= waitMs / 2;
+        return hasWaited ? undefined : EMPTY_ANSWER_PAUSE_MS;
     }
 
-    private observeEra({ era, revision }: types.Listing | types.Changes): void {
-        if (this.era !== undefined && era !== this.era) {
-            this.ports.journal.emit("store-era-changed", {
-                kind: this.options.kind,
-                era,
-                previous: this.era,
-                revision,
-            });
+    /** Longest wait for a change, which ends when a grace period of the copy does. */
+    private waitMs(): number {
+        const waitMs = this.options.waitMs();
+        const settlementAt = this.copy.nextSettlementAt;
+        return settlementAt === undefined
+            ? waitMs
+            : Math.min(waitMs, Math.max(PROBE_WAIT_MS, Math.ceil(settlementAt - this.ports.clock.now())));
+    }
+
+    /** Undefined if the wait is interrupted. */
+    private async interruptible<Value>(result: Promise<Value>): Promise<Value | undefined> {
+        const interruption = new Promise<undefined>(resolve => {
+            this.interrupt = () => resolve(undefined);
+        });
+        try {
+            return await Promise.race([result, interruption]);
+        }
+        finally {
+            this.interrupt = undefined;
         }
-        this.era = era;
+    }
+
+    /** Lists the kind with the next call. */
+    private relist(position: types.Position): undefined {
+        this.isListed = false;
+        this.ports.journal.emit("store-history-lost", { kind: this.options.kind, ...position });
+    }
+
+    private replaceCopy(listing: types.Listing): boolean {
+        const { era: previous } = this.copy.position;
+        const { era, revision } = listing;
+        if (!this.copy.replace(listing, this.ports.clock.now())) {
+            return false;
+        }
+        if (previous >= 0 && era > previous) {
+            this.ports.journal.emit("store-era-changed", { kind: this.options.kind, era, previous, revision });
+            this.ports.onEraChange(era);
+        }
+        return true;
     }
 
     private reportChange(change: string, source: string): void {
@@ -190,7 +246,11 @@
             this.ports.journal.emit("store-kind-lost", { kind: this.options.kind, reason, revision });
         }
         this.consecutiveFailures++;
-        const backoffMs = Math.min(MAXIMUM_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (this.consecutiveFailures - 1));
+        return this.backoffMs(this.consecutiveFailures);
+    }
+
+    private backoffMs(repetitions: number): number {
+        const backoffMs = Math.min(MAXIMUM_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (repetitions - 1));
         return backoffMs * (0.75 + this.ports.clock.random() / 2);
     }
 }
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -12,11 +12,19 @@
     readonly isDeleting: boolean;
 }
 
-export interface Listing {
-    /** Rises by one each time that the store comes back from an older copy of itself; 0 if the store does not tell. */
+/** A state of the store. */
+export interface Position {
+    /**
+     * Rises by one each time that the store comes back from an older copy of itself; 0 if the store does not tell. It has
+     * then lost its last changes and gives out their revisions again.
+     */
     readonly era: number;
-    /** Revision of the store that the listing reflects. */
+    /** Rises with each change within an era. */
     readonly revision: number;
+}
+
+/** All records of a kind, at the position of the store that they reflect. */
+export interface Listing extends Position {
     readonly records: readonly StoredRecord[];
 }
 
@@ -25,11 +33,8 @@
     readonly isDeleted: boolean;
 }
 
-export interface Changes {
-    /** Era of the store, as in a listing. */
-    readonly era: number;
-    /** Revision after which the next watch call continues. */
-    readonly revision: number;
+/** Changes of a kind, at the position of the store after which the next watch call continues. */
+export interface Changes extends Position {
     readonly changes: readonly Change[];
 }
 
@@ -44,7 +49,10 @@
 export interface RecordStore {
     /** Lists all records of a kind. */
     list(kind: string): Promise<outcomes.Outcome<Listing>>;
-    /** Waits for changes. Fails with `store-history-lost` if the revision is too old. */
+    /**
+     * Waits for changes. Fails with `store-history-lost` if the store does not have the revision. It takes only a revision:
+     * in another era than the one that the revision is from, the changes may be incomplete.
+     */
     watch(kind: string, afterRevision: number, options: WatchOptions): Promise<outcomes.Outcome<Changes>>;
     /** Creates or replaces a record unconditionally. */
     put(kind: string, name: string, spec: unknown): Promise<outcomes.Outcome<undefined>>;
--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -90,7 +90,7 @@
     const order = {
         model: desired.model,
         version: desired.version,
-        fencingToken: desired.revision,
+        fencingToken: desired.position.revision,
         expectedOrderCount: engine.orderCount,
     };
     return { kind: "order", order };
--- a/src/weights/updater.ts
+++ b/src/weights/updater.ts
@@ -49,8 +49,8 @@
         const history = this.histories.get(weights.model) ?? new desiredVersions.DesiredVersionHistory(0);
         this.histories.set(weights.model, history);
         if (history.add(weights, this.ports.clock.now())) {
-            const { model, version, revision } = weights;
-            this.ports.journal.emit("weights-named", { model, version, revision });
+            const { model, version, position } = weights;
+            this.ports.journal.emit("weights-named", { model, version, ...position });
         }
     }
 
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -89,9 +89,9 @@
 testing.test("guards against outdated weights that stay in use because an agent sends no reports", () => {
     const { view } = createView();
     view.updateServers([server("a", 1000, 1)]);
-    view.recordDesiredWeights({ model: "m", version: 1, revision: 1 }, 0);
-    view.recordDesiredWeights({ model: "m", version: 2, revision: 2 }, 1000);
-    view.recordDesiredWeights({ model: "m", version: 3, revision: 3 }, 5000);
+    view.recordDesiredWeights({ model: "m", version: 1, position: { era: 0, revision: 1 } }, 0);
+    view.recordDesiredWeights({ model: "m", version: 2, position: { era: 0, revision: 2 } }, 1000);
+    view.recordDesiredWeights({ model: "m", version: 3, position: { era: 0, revision: 3 } }, 5000);
     assert.equal(view.candidates("menu", "m", 9000)[0]?.outdatedForMs, 8000);
     view.recordObservedVersion("a", 3);
     assert.equal(view.candidates("menu", "m", 9000)[0]?.outdatedForMs, undefined);
@@ -109,7 +109,7 @@
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     });
     view.updateServers([{ ...server("desk", 1000), weights: new Map() }]);
-    view.recordDesiredWeights({ model: "m", version: 2, revision: 3 }, 0);
+    view.recordDesiredWeights({ model: "m", version: 2, position: { era: 0, revision: 3 } }, 0);
     const [candidate] = view.candidates("menu", "m", 60_000);
     assert.equal(candidate?.outdatedForMs, undefined);
     assert.equal(view.servesModels("menu"), false);
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -7,6 +7,7 @@
 import * as documents from "../../src/peering/documents.js";
 import type * as types from "../../src/peering/types.js";
 import * as watches from "../../src/store-access/kind-watch.js";
+import * as restoration from "../../src/store-access/restoration.js";
 import type * as storeAccess from "../../src/store-access/types.js";
 
 const KIND = "configuration";
@@ -19,12 +20,20 @@
 
 function watchAt(revision: number): watches.KindWatch {
     const watch = new watches.KindWatch(
-        { kind: KIND, waitMs: () => 1000, batchDelayMs: () => 0, ownersReregister: false, mayBeStale: () => false },
+        {
+            kind: KIND,
+            waitMs: () => 1000,
+            batchDelayMs: () => 0,
+            ownersReregister: false,
+            restoration: restoration.asStored,
+            mayBeStale: () => false,
+        },
         {
             store: UNRESPONSIVE_STORE,
             clock: clocks.systemClock,
             journal: journals.silentJournal,
             onChange: () => undefined,
+            onEraChange: () => undefined,
         },
     );
     watch.adopt({ era: 0, revision, records: [{ name: "main", revision, spec: {}, isDeleting: false }] }, "test");
@@ -52,7 +61,7 @@
         incarnation: "run",
         sequence: 0,
         isLeaving: false,
-        changeRevisions: { [KIND]: revision },
+        lastChanges: { [KIND]: { era: 0, revision } },
         spentTokens: {},
         serverLoads: {},
         prefills: [],
@@ -96,12 +105,20 @@
     ahead.start(address);
     const listing = { era: 0, revision: 5, records: [] };
     await using own = new watches.KindWatch(
-        { kind: KIND, waitMs: () => 1000, batchDelayMs: () => 900, ownersReregister: false, mayBeStale: () => false },
+        {
+            kind: KIND,
+            waitMs: () => 1000,
+            batchDelayMs: () => 900,
+            ownersReregister: false,
+            restoration: restoration.asStored,
+            mayBeStale: () => false,
+        },
         {
             store: { ...UNRESPONSIVE_STORE, list: () => Promise.resolve({ ok: true, value: listing }) },
             clock: clocks.systemClock,
             journal: journals.silentJournal,
             onChange: () => undefined,
+            onEraChange: () => undefined,
         },
     );
     own.start();
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -25,7 +25,7 @@
         incarnation,
         sequence,
         isLeaving: false,
-        changeRevisions: { config: 3 },
+        lastChanges: { config: { era: 2, revision: 3 } },
         spentTokens: { gallery: 100 },
         serverLoads: { server: { calls: 2, pendingPromptTokens: 300 } },
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
@@ -34,7 +34,7 @@
         rollouts: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
-        desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
+        desiredWeights: [{ model: "menu", version: 2, position: { era: 1, revision: 9 } }],
         report: {
             address: "10.0.0.9:8000",
             isAlive: true,
@@ -65,7 +65,8 @@
     const encoded = codec.encode({ heartbeat: sent, passedOn: [sent] });
     const withoutAppended = (JSON.parse(encoded.toString()) as unknown[]).slice(0, 15);
     const decoded = codec.decode(Buffer.from(JSON.stringify(withoutAppended)));
-    assert.deepEqual(decoded, { heartbeat: { ...sent, savedParts: [], cacheStores: [] }, passedOn: [] });
+    const lastChanges = { config: { era: 0, revision: 3 } };
+    assert.deepEqual(decoded, { heartbeat: { ...sent, savedParts: [], cacheStores: [], lastChanges }, passedOn: [] });
 });
 
 testing.test("guards against datagrams of other layouts or of other senders", () => {
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -20,6 +20,7 @@
 import * as suspectTrackers from "../../src/quarantine/suspect-tracker.js";
 import * as ledgers from "../../src/quota/ledger.js";
 import * as watches from "../../src/store-access/kind-watch.js";
+import * as restoration from "../../src/store-access/restoration.js";
 
 /** Position of the spent tokens in a heartbeat. */
 const SPENT_TOKENS_POSITION = 10;
@@ -53,7 +54,7 @@
         incarnation: "run",
         sequence,
         isLeaving: false,
-        changeRevisions: { config: 3 },
+        lastChanges: { config: { era: 2, revision: 3 } },
         spentTokens: { gallery: 100 },
         serverLoads: { server: { calls: 2, pendingPromptTokens: 300 } },
         prefills: [{ partHash: 7, server: "server", isComplete: true }],
@@ -69,7 +70,7 @@
             }],
             trials: ["part:b"],
         },
-        desiredWeights: [{ model: "menu", version: 2, revision: 9 }],
+        desiredWeights: [{ model: "menu", version: 2, position: { era: 1, revision: 9 } }],
         report: undefined,
     };
 }
@@ -178,6 +179,7 @@
                 waitMs: () => 1,
                 batchDelayMs: () => 0,
                 ownersReregister: false,
+                restoration: restoration.asStored,
                 mayBeStale: () => false,
             },
             {
@@ -185,6 +187,7 @@
                 clock: clocks.systemClock,
                 journal: journals.silentJournal,
                 onChange: () => undefined,
+                onEraChange: () => undefined,
             },
         );
         await using exchange = new documents.DocumentExchange({
--- a/test/placement/prefills.test.ts
+++ b/test/placement/prefills.test.ts
@@ -22,7 +22,7 @@
         incarnation: "run",
         sequence: 1,
         isLeaving: false,
-        changeRevisions: {},
+        lastChanges: {},
         spentTokens: {},
         serverLoads: {},
         prefills: entries,
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -52,7 +52,9 @@
     fastCheck.assert(
         fastCheck.property(fastCheck.jsonValue(), value => {
             records.decodeServers([storedRecord("a", value)]);
-            records.decodeWeights([storedRecord("a", value)]);
+            records.decodeWeights([storedRecord("a", value)], 1);
+            records.serverVersion(storedRecord("a", value));
+            records.weightsVersion(storedRecord("a", value));
             records.decodeConfigurations([
                 storedRecord("main", value),
                 storedRecord("main", { version: 1, routes: value }),
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -2,6 +2,7 @@
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
 import * as copies from "../../src/store-access/kind-copy.js";
+import * as restoration from "../../src/store-access/restoration.js";
 import type * as types from "../../src/store-access/types.js";
 
 function record(name: string, revision: number): types.StoredRecord {
@@ -13,14 +14,14 @@
 }
 
 testing.test("guards against an older listing that replaces a newer copy", () => {
-    const copy = new copies.KindCopy({ ownersReregister: false });
+    const copy = new copies.KindCopy({ ownersReregister: false, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 10, records: [record("a", 10)] }, 0);
     assert.equal(copy.replace({ era: 0, revision: 9, records: [record("a", 5)] }, 0), false);
     assert.equal(copy.records(0)[0]?.revision, 10);
 });
 
 testing.test("a server that the registry removed during an outage is kept for two seconds and then dropped", () => {
-    const copy = new copies.KindCopy({ ownersReregister: true });
+    const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1), record("b", 1)] }, 0);
     copy.storeRecovered(10_000);
     copy.replace({ era: 0, revision: 5, records: [record("b", 1)] }, 10_000);
@@ -29,7 +30,7 @@
 });
 
 testing.test("a server that registers again within the grace period is kept", () => {
-    const copy = new copies.KindCopy({ ownersReregister: true });
+    const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
     copy.storeRecovered(10_000);
     copy.replace({ era: 0, revision: 5, records: [] }, 10_000);
@@ -38,9 +39,116 @@
 });
 
 testing.test("without an outage a removal takes effect at once", () => {
-    const copy = new copies.KindCopy({ ownersReregister: true });
+    const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
     copy.apply({ era: 0, revision: 2, changes: [{ record: record("a", 1), isDeleted: true }] }, 100);
     assert.deepEqual(names(copy, 100), []);
-    assert.equal(copy.lastChangeRevision, 2);
+    assert.equal(copy.lastChange.revision, 2);
+});
+
+const BY_VERSION = restoration.byVersion(({ spec }) => (spec as { readonly version: readonly number[]; }).version);
+/** Time in milliseconds by which all grace periods are over. */
+const SETTLED_MS = 60_000;
+
+function versioned(name: string, revision: number, ...version: readonly number[]): types.StoredRecord {
+    return { name, revision, spec: { version }, isDeleting: false };
+}
+
+function versionOf(copy: copies.KindCopy, name: string, now: number): readonly number[] | undefined {
+    const stored = copy.records(now).find(candidate => candidate.name === name);
+    return (stored?.spec as { readonly version: readonly number[]; } | undefined)?.version;
+}
+
+/** A copy of the first era, at revision 50. */
+function copyBeforeRestore(
+    records: readonly types.StoredRecord[],
+    policy: restoration.RestorationPolicy = BY_VERSION,
+): copies.KindCopy {
+    const copy = new copies.KindCopy({ ownersReregister: true, restoration: policy });
+    copy.replace({ era: 1, revision: 50, records }, 0);
+    return copy;
+}
+
+testing.test("restored store: guards against an older state that comes into force again", () => {
+    const copy = copyBeforeRestore([versioned("main", 50, 7)]);
+    copy.replace({ era: 2, revision: 45, records: [versioned("main", 41, 6)] }, 0);
+    assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [7]);
+    copy.apply({ era: 2, revision: 46, changes: [{ record: versioned("main", 46, 6), isDeleted: false }] }, 0);
+    assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [7]);
+    copy.apply({ era: 2, revision: 47, changes: [{ record: versioned("main", 47, 8), isDeleted: false }] }, 0);
+    assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [8]);
+});
+
+testing.test("restored store: guards against a server that was leaving and is used again", () => {
+    const copy = copyBeforeRestore([versioned("server", 50, 1000, 1), versioned("other", 48, 900, 0)]);
+    copy.replace({ era: 2, revision: 45, records: [versioned("server", 30, 1000, 0)] }, 0);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [1000, 1]);
+    copy.apply({ era: 2, revision: 46, changes: [{ record: versioned("server", 46, 2000, 0), isDeleted: false }] }, 0);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [2000, 0]);
+});
+
+testing.test("restored store: guards against a server that is gone and returns until the registry removes it again", () => {
+    const copy = copyBeforeRestore([versioned("gone", 20, 1000, 0), versioned("other", 20, 900, 0)]);
+    const gone = versioned("gone", 20, 1000, 0);
+    copy.apply({ era: 1, revision: 51, changes: [{ record: gone, isDeleted: true }] }, 100);
+    copy.replace({ era: 2, revision: 45, records: [gone, versioned("other", 20, 900, 0)] }, 200);
+    assert.deepEqual(names(copy, 200), ["other"]);
+    copy.apply({ era: 2, revision: 46, changes: [{ record: gone, isDeleted: true }] }, 4000);
+    assert.deepEqual(names(copy, SETTLED_MS), ["other"]);
+});
+
+testing.test("restored store: a server that registers again, or is still listed after the grace period, is used", () => {
+    const back = versioned("back", 20, 1000, 0);
+    const late = versioned("late", 20, 1000, 0);
+    const copy = copyBeforeRestore([]);
+    copy.apply({
+        era: 1,
+        revision: 51,
+        changes: [{ record: back, isDeleted: false }, { record: late, isDeleted: false }],
+    }, 0);
+    copy.apply({
+        era: 1,
+        revision: 52,
+        changes: [{ record: back, isDeleted: true }, { record: late, isDeleted: true }],
+    }, 0);
+    copy.replace({ era: 2, revision: 45, records: [back, late] }, 200);
+    copy.apply({ era: 2, revision: 46, changes: [{ record: versioned("back", 46, 1000, 0), isDeleted: false }] }, 300);
+    assert.deepEqual(names(copy, 300), ["back"]);
+    assert.deepEqual(names(copy, SETTLED_MS), ["back", "late"]);
+});
+
+testing.test("restored store: records that it lost are kept until their owners write them again, or for a limited time", () => {
+    const copy = copyBeforeRestore([versioned("written again", 49, 1, 0), versioned("lost", 50, 1, 0)]);
+    copy.replace({ era: 2, revision: 45, records: [] }, 0);
+    assert.deepEqual(names(copy, 100), ["lost", "written again"]);
+    const again = { record: versioned("written again", 46, 1, 0), isDeleted: false };
+    copy.apply({ era: 2, revision: 46, changes: [again] }, 500);
+    assert.deepEqual(names(copy, SETTLED_MS), ["written again"]);
+});
+
+testing.test("restored store: an order without a version is kept until it is written again; its status is the store's", () => {
+    const order = (revision: number, target: string, status?: string): types.StoredRecord => {
+        return { name: "service", revision, spec: { target }, status, isDeleting: false };
+    };
+    const copy = copyBeforeRestore([order(50, "v3", "ended")], restoration.unordered);
+    copy.replace({ era: 2, revision: 45, records: [order(30, "v2", "ended")] }, 0);
+    assert.deepEqual(copy.records(100)[0]?.spec, { target: "v3" });
+    copy.apply({ era: 2, revision: 46, changes: [{ record: order(46, "v3"), isDeleted: false }] }, 200);
+    assert.deepEqual(copy.records(SETTLED_MS), [order(46, "v3")]);
+    copy.replace({ era: 3, revision: 46, records: [order(46, "v3", "lost status")] }, 300);
+    assert.deepEqual(copy.records(300), [order(46, "v3", "lost status")]);
+});
+
+testing.test("restored store: a second restore, while the first one is not settled, brings nothing older back", () => {
+    const copy = copyBeforeRestore([versioned("main", 50, 7), versioned("lost", 49, 3)]);
+    copy.replace({ era: 2, revision: 45, records: [versioned("main", 41, 6)] }, 0);
+    copy.replace({ era: 3, revision: 40, records: [versioned("main", 30, 5), versioned("lost", 10, 2)] }, 500);
+    assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [7]);
+    assert.deepEqual(versionOf(copy, "lost", SETTLED_MS), [3]);
+});
+
+testing.test("restored store: records of this system are those of the store, so that lost ones are written again", () => {
+    const copy = copyBeforeRestore([record("refused", 50)], restoration.asStored);
+    copy.replace({ era: 2, revision: 45, records: [] }, 0);
+    assert.deepEqual(names(copy, 0), []);
 });
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -6,6 +6,7 @@
 import * as journals from "../../src/logging/journal.js";
 import type * as copies from "../../src/store-access/kind-copy.js";
 import * as watches from "../../src/store-access/kind-watch.js";
+import * as restoration from "../../src/store-access/restoration.js";
 import type * as types from "../../src/store-access/types.js";
 
 /** Simulated clock that only `sleep` advances. */
@@ -48,21 +49,31 @@
 
 async function runWatch(script: readonly ScriptedResult[]) {
     const calls: string[] = [];
+    const clock = simulatedClock();
     const revisions: number[] = [];
+    const eras: number[] = [];
     const watch = new watches.KindWatch(
-        { kind: "config", waitMs: () => 1000, batchDelayMs: () => 0, ownersReregister: false, mayBeStale: () => false },
+        {
+            kind: "config",
+            waitMs: () => 1000,
+            batchDelayMs: () => 0,
+            ownersReregister: false,
+            restoration: restoration.asStored,
+            mayBeStale: () => false,
+        },
         {
             store: scriptedStore(script, calls),
-            clock: simulatedClock(),
+            clock,
             journal: journals.silentJournal,
             onChange: (copy: copies.KindCopy) => void revisions.push(copy.revision),
+            onEraChange: era => void eras.push(era),
         },
     );
     watch.start();
     while (calls.length <= script.length) {
         await new Promise(resolve => setImmediate(resolve));
     }
-    return { calls, revisions, watch };
+    return { calls, revisions, eras, clock, watch };
 }
 
 testing.test("guards against missed changes when the store has discarded its history", async () => {
@@ -95,3 +106,42 @@
     watch.adopt({ era: 0, revision: 7, records: [record("main", 7)] }, "peer");
     assert.deepEqual(revisions, [5, 7]);
 });
+
+testing.test("restored store: guards against missing a change whose revision was given out before", async () => {
+    const { calls, revisions, eras } = await runWatch([
+        outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }),
+        // The store lost revisions 41 and 42, and has given out both again.
+        outcomes.succeed({ era: 2, revision: 43, changes: [{ record: record("other", 43), isDeleted: false }] }),
+        outcomes.succeed({ era: 2, revision: 43, records: [record("main", 42), record("other", 43)] }),
+    ]);
+    assert.deepEqual(calls, ["list", "watch 42", "list", "watch 43"]);
+    assert.deepEqual(revisions, [42, 43]);
+    assert.deepEqual(eras, [2]);
+});
+
+testing.test("restored store: guards against a listing of the new era that is ignored for its lower revision", async () => {
+    const { calls, revisions } = await runWatch([
+        outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }),
+        outcomes.fail("store-history-lost", "42"),
+        outcomes.succeed({ era: 2, revision: 40, records: [record("main", 39)] }),
+    ]);
+    assert.deepEqual(calls, ["list", "watch 42", "list", "watch 40"]);
+    assert.deepEqual(revisions, [42, 40]);
+});
+
+testing.test("restored store: a peer's copy of the new era replaces one of a higher revision, and none of the old era returns", async () => {
+    const { watch } = await runWatch([outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] })]);
+    watch.adopt({ era: 2, revision: 40, records: [record("main", 39), record("other", 40)] }, "peer");
+    watch.adopt({ era: 1, revision: 50, records: [] }, "peer");
+    assert.deepEqual(watch.copy.position, { era: 2, revision: 40 });
+    assert.equal(watch.copy.records(0).length, 2);
+});
+
+testing.test("restored store: a stale answer of the era before changes nothing", async () => {
+    const { watch } = await runWatch([
+        outcomes.succeed({ era: 2, revision: 40, records: [record("main", 40)] }),
+        outcomes.succeed({ era: 1, revision: 42, changes: [{ record: record("main", 42), isDeleted: true }] }),
+    ]);
+    assert.deepEqual(watch.copy.position, { era: 2, revision: 40 });
+    assert.equal(watch.copy.records(0).length, 1);
+});
--- a/test/weights/update-step.test.ts
+++ b/test/weights/update-step.test.ts
@@ -4,7 +4,7 @@
 import type * as types from "../../src/weights/types.js";
 import * as updateSteps from "../../src/weights/update-step.js";
 
-const DESIRED = { model: "menu", version: 2, revision: 40 };
+const DESIRED = { model: "menu", version: 2, position: { era: 0, revision: 40 } };
 
 function engine(version: number, changes: Partial<types.EngineState> = {}): types.EngineState {
     return {
@@ -62,7 +62,7 @@
 });
 
 testing.test("guards against a server that stays out of use for a superseded version", () => {
-    const newer = { model: "menu", version: 3, revision: 41 };
+    const newer = { model: "menu", version: 3, position: { era: 0, revision: 41 } };
     const waiting = updateSteps.nextStep({ engine: engine(1), desired: newer, timing: "later", update: update() }, 500);
     assert.equal(waiting.kind, "finish");
     const next = updateSteps.nextStep({ engine: engine(1), desired: newer, timing: "now", update: update() }, 500);
@@ -122,7 +122,7 @@
 
 testing.test("guards against a pending phase that restarts with each new desired version", () => {
     const pending = update({ announcedAt: undefined });
-    const newer = { model: "menu", version: 3, revision: 41 };
+    const newer = { model: "menu", version: 3, position: { era: 0, revision: 41 } };
     const loaded = engine(1, { running: 20 });
     const step = updateSteps.nextStep({ engine: loaded, desired: newer, timing: "now", update: pending }, 900);
     assert.equal(step.kind === "announce" && step.update.version, 3);
--- a/tools/capacity/heartbeat.ts
+++ b/tools/capacity/heartbeat.ts
@@ -14,7 +14,11 @@
         incarnation: "9c0b2df7d4cc8fe0fb43da7d",
         sequence: 12_345,
         isLeaving: false,
-        changeRevisions: { configuration: 1200, servers: 1201, weights: 1202 },
+        lastChanges: {
+            configuration: { era: 1, revision: 1200 },
+            servers: { era: 1, revision: 1201 },
+            weights: { era: 1, revision: 1202 },
+        },
         spentTokens: Object.fromEntries(names(customers, "customer").map(name => [name, 1_234_567])),
         serverLoads: Object.fromEntries(
             names(servers, "i-5fc1d1dc2").map(id => [id, { calls: 3, pendingPromptTokens: 4567 }]),
@@ -25,7 +29,7 @@
         rollouts: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
-        desiredWeights: [{ model: "model", version: 12, revision: 345 }],
+        desiredWeights: [{ model: "model", version: 12, position: { era: 0, revision: 345 } }],
         report: undefined,
     };
 }
