Pause between listings that do not help

Listing again at once helps once; after that the same backoff applies as after failed calls, until a watch succeeds.

The new test fails on the code before (18 calls in 0 ms).

--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -43,6 +43,7 @@
     private readonly stop = new AbortController();
     private disconnectedAt: number | undefined;
     private consecutiveFailures = 0;
+    private consecutiveRelistings = 0;
     private isListed = false;
     /** Ends the wait for changes. */
     private interrupt: (() => void) | undefined;
@@ -168,6 +169,7 @@
         const isApplied = this.copy.apply(batch.value, now);
         const hasAdvanced = positions.isAfter(this.copy.position, previous);
         const changes = isApplied ? batch.value.changes : [];
+        this.consecutiveRelistings = isApplied ? 0 : this.consecutiveRelistings;
         if (changes.length > 0 || isSettled) {
             const names = changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
             this.reportChange(isSettled ? "grace period over" : names.slice(0, 8).join(" "), "store");
@@ -202,10 +204,12 @@
         }
     }
 
-    /** Lists the kind with the next call. */
-    private relist(position: types.Position): undefined {
+    /** Lists the kind with the next call. Returns the pause before it: a listing that does not help is not repeated at once. */
+    private relist(position: types.Position): number | undefined {
         this.isListed = false;
         this.ports.journal.emit("store-history-lost", { kind: this.options.kind, ...position });
+        this.consecutiveRelistings++;
+        return this.consecutiveRelistings === 1 ? undefined : this.backoffMs(this.consecutiveRelistings - 1);
     }
 
     private replaceCopy(listing: types.Listing): boolean {
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -145,3 +145,25 @@
     assert.deepEqual(watch.copy.position, { era: 2, revision: 40 });
     assert.equal(watch.copy.records(0).length, 1);
 });
+
+testing.test("guards against listing and watching at full speed while the store has no history of the copy", async () => {
+    const listing = outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] });
+    const lost = outcomes.fail("store-history-lost", "42");
+    const rounds = 8;
+    const { calls, clock } = await runWatch([listing, ...Array.from({ length: rounds }, () => [lost, listing]).flat()]);
+    assert.deepEqual(calls.slice(0, 3), ["list", "watch 42", "list"]);
+    assert.ok(clock.now() > 3000, `${calls.length} calls in ${clock.now()} ms`);
+});
+
+testing.test("guards against watching at full speed while changes are answered that the copy has", async () => {
+    const repeated = outcomes.succeed({
+        era: 1,
+        revision: 42,
+        changes: [{ record: record("main", 42), isDeleted: false }],
+    });
+    const { clock } = await runWatch([
+        outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }),
+        ...Array.from({ length: 8 }, () => repeated),
+    ]);
+    assert.ok(clock.now() > 2000, `8 answers in ${clock.now()} ms`);
+});
