Fence orders with the era of the store, so that tokens do not go back

The fencing token of an order was the revision of the record that names the weights. Once a restored store gives out revisions again, a later order has a lower token: servers that check tokens refuse it (412), at the others an order that arrives late passes for the newest.

The position of the newest version never goes back, also when a peer that is cut off tells of the era before, and all models of a server share the latest one.

Limit: an agent that restarts and learns the weights only from a peer of the era before the restore, before it reaches the store, has the lower token.

--- a/src/weights/desired-versions.ts
+++ b/src/weights/desired-versions.ts
@@ -1,5 +1,6 @@
 /** History of the desired weights versions of one model. */
 import type * as fleet from "../fleet/types.js";
+import * as positions from "../store-access/position.js";
 
 /** Number of versions that are kept; servers with even older weights have been excluded from calls long before. */
 const MAXIMUM_VERSIONS = 32;
@@ -19,14 +20,19 @@
         return this.versions.at(-1);
     }
 
-    /** Adds a version. False when it is not newer than the newest. */
+    /**
+     * Adds a version. False when it is not newer than the newest. The position of the newest version never goes back: a
+     * restored store gives the same version another one, and peers may tell of a version at its position before that.
+     */
     add(desired: fleet.DesiredWeights, now: number): boolean {
         const { newest } = this;
+        const position = positions.latest(newest?.position ?? positions.NOWHERE, desired.position);
         if (newest !== undefined && newest.version >= desired.version) {
+            this.versions = [...this.versions.slice(0, -1), { ...this.versions.at(-1)!, position }];
             return false;
         }
         const seenAt = newest === undefined ? now - this.ageAtStartMs : now;
-        this.versions = [...this.versions, { ...desired, seenAt }].slice(-MAXIMUM_VERSIONS);
+        this.versions = [...this.versions, { ...desired, position, seenAt }].slice(-MAXIMUM_VERSIONS);
         return true;
     }
 
--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -32,6 +32,8 @@
     /** Undefined when the server does not respond. */
     readonly engine: types.EngineState | undefined;
     readonly desired: fleet.DesiredWeights;
+    /** Token of orders to the server; it does not go back from one order to the next. */
+    readonly fencingToken: number;
     /** When the server may update, depending on the other servers. */
     readonly timing: rollingUpdates.UpdateTiming;
     /** The update in progress. */
@@ -90,7 +92,7 @@
     const order = {
         model: desired.model,
         version: desired.version,
-        fencingToken: desired.position.revision,
+        fencingToken: input.fencingToken,
         expectedOrderCount: engine.orderCount,
     };
     return { kind: "order", order };
--- a/src/weights/updater.ts
+++ b/src/weights/updater.ts
@@ -3,7 +3,9 @@
 import type * as event from "../core/event.js";
 import type * as fleet from "../fleet/types.js";
 import type * as peering from "../peering/types.js";
+import * as positions from "../store-access/position.js";
 import * as desiredVersions from "./desired-versions.js";
+import * as fencingTokens from "./fencing-token.js";
 import * as rollingUpdates from "./rolling-update.js";
 import type * as types from "./types.js";
 import * as updateSteps from "./update-step.js";
@@ -118,12 +120,27 @@
         const engine = this.failedReads === 0 ? this.engine : undefined;
         const update = this.update?.model === desired.model ? this.update : undefined;
         const step = updateSteps.nextStep(
-            { engine, desired, timing: this.updateTiming(history, desired, now), update },
+            {
+                engine,
+                desired,
+                fencingToken: this.fencingToken(),
+                timing: this.updateTiming(history, desired, now),
+                update,
+            },
             now,
         );
         await STEP_HANDLERS[step.kind](this, step as never, now);
     }
 
+    /** The latest position of all models, since the server compares the tokens of all orders. */
+    private fencingToken(): number {
+        const latest = this.desiredWeights().map(weights => weights.position).reduce(
+            positions.latest,
+            positions.NOWHERE,
+        );
+        return fencingTokens.fencingToken(latest);
+    }
+
     private updateTiming(
         history: desiredVersions.DesiredVersionHistory,
         desired: fleet.DesiredWeights,
--- a/test/weights/update-step.test.ts
+++ b/test/weights/update-step.test.ts
@@ -23,13 +23,28 @@
 }
 
 testing.test("an update is announced first, and ordered once calls have stopped arriving", () => {
-    const begin = updateSteps.nextStep({ engine: engine(1), desired: DESIRED, timing: "now", update: undefined }, 0);
+    const begin = updateSteps.nextStep({
+        engine: engine(1),
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "now",
+        update: undefined,
+    }, 0);
     assert.equal(begin.kind, "announce");
     assert.equal(
-        updateSteps.nextStep({ engine: engine(1), desired: DESIRED, timing: "now", update: update() }, 10).kind,
+        updateSteps.nextStep(
+            { engine: engine(1), desired: DESIRED, fencingToken: 40, timing: "now", update: update() },
+            10,
+        ).kind,
         "wait",
     );
-    const step = updateSteps.nextStep({ engine: engine(1), desired: DESIRED, timing: "now", update: update() }, 100);
+    const step = updateSteps.nextStep({
+        engine: engine(1),
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "now",
+        update: update(),
+    }, 100);
     assert.deepEqual(step, {
         kind: "order",
         order: { model: "menu", version: 2, fencingToken: 40, expectedOrderCount: 3 },
@@ -38,74 +53,139 @@
 
 testing.test("guards against a second order while the first may still be accepted", () => {
     const ordered = update({ orderedAt: 100 });
-    const soon = updateSteps.nextStep({ engine: engine(1), desired: DESIRED, timing: "now", update: ordered }, 300);
+    const soon = updateSteps.nextStep({
+        engine: engine(1),
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "now",
+        update: ordered,
+    }, 300);
     assert.equal(soon.kind, "wait");
-    const later = updateSteps.nextStep({ engine: engine(1), desired: DESIRED, timing: "now", update: ordered }, 600);
+    const later = updateSteps.nextStep({
+        engine: engine(1),
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "now",
+        update: ordered,
+    }, 600);
     assert.equal(later.kind, "order");
 });
 
 testing.test("guards against an order to a busy server, also after a restart of the agent", () => {
     const busy = engine(1, { isBusy: true });
     assert.equal(
-        updateSteps.nextStep({ engine: busy, desired: DESIRED, timing: "now", update: undefined }, 0).kind,
+        updateSteps.nextStep({ engine: busy, desired: DESIRED, fencingToken: 40, timing: "now", update: undefined }, 0)
+            .kind,
         "idle",
     );
     assert.equal(
-        updateSteps.nextStep({ engine: busy, desired: DESIRED, timing: "now", update: update() }, 500).kind,
+        updateSteps.nextStep({ engine: busy, desired: DESIRED, fencingToken: 40, timing: "now", update: update() }, 500)
+            .kind,
         "wait",
     );
 });
 
 testing.test("an update ends when the version is in force, whatever caused it", () => {
-    const step = updateSteps.nextStep({ engine: engine(2), desired: DESIRED, timing: "later", update: update() }, 500);
+    const step = updateSteps.nextStep({
+        engine: engine(2),
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "later",
+        update: update(),
+    }, 500);
     assert.deepEqual(step, { kind: "finish", version: 2 });
 });
 
 testing.test("guards against a server that stays out of use for a superseded version", () => {
     const newer = { model: "menu", version: 3, position: { era: 0, revision: 41 } };
-    const waiting = updateSteps.nextStep({ engine: engine(1), desired: newer, timing: "later", update: update() }, 500);
+    const waiting = updateSteps.nextStep({
+        engine: engine(1),
+        desired: newer,
+        fencingToken: 41,
+        timing: "later",
+        update: update(),
+    }, 500);
     assert.equal(waiting.kind, "finish");
-    const next = updateSteps.nextStep({ engine: engine(1), desired: newer, timing: "now", update: update() }, 500);
+    const next = updateSteps.nextStep({
+        engine: engine(1),
+        desired: newer,
+        fencingToken: 41,
+        timing: "now",
+        update: update(),
+    }, 500);
     assert.equal(next.kind === "announce" && next.update.version, 3);
 });
 
 testing.test("a silent server gets no order", () => {
     assert.equal(
-        updateSteps.nextStep({ engine: undefined, desired: DESIRED, timing: "now", update: undefined }, 0).kind,
+        updateSteps.nextStep({
+            engine: undefined,
+            desired: DESIRED,
+            fencingToken: 40,
+            timing: "now",
+            update: undefined,
+        }, 0).kind,
         "idle",
     );
     assert.equal(
-        updateSteps.nextStep({ engine: undefined, desired: DESIRED, timing: "now", update: update() }, 500).kind,
+        updateSteps.nextStep(
+            { engine: undefined, desired: DESIRED, fencingToken: 40, timing: "now", update: update() },
+            500,
+        ).kind,
         "wait",
     );
 });
 
 testing.test("guards against a server that is out of use while long calls finish on it", () => {
     const loaded = engine(1, { running: 20 });
-    const begin = updateSteps.nextStep({ engine: loaded, desired: DESIRED, timing: "now", update: undefined }, 0);
+    const begin = updateSteps.nextStep({
+        engine: loaded,
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "now",
+        update: undefined,
+    }, 0);
     assert.equal(begin.kind === "set-pending" && begin.update.announcedAt, undefined);
     const pending = update({ announcedAt: undefined });
     assert.equal(
-        updateSteps.nextStep({ engine: loaded, desired: DESIRED, timing: "now", update: pending }, 500).kind,
+        updateSteps.nextStep(
+            { engine: loaded, desired: DESIRED, fencingToken: 40, timing: "now", update: pending },
+            500,
+        ).kind,
         "wait",
     );
     assert.equal(
-        updateSteps.nextStep({ engine: loaded, desired: DESIRED, timing: "now", update: pending }, 900).kind,
+        updateSteps.nextStep(
+            { engine: loaded, desired: DESIRED, fencingToken: 40, timing: "now", update: pending },
+            900,
+        ).kind,
         "announce",
     );
 });
 
 testing.test("the update of the next server is pending, and the server serves until the servers before it have updated", () => {
     const loaded = engine(1, { running: 20 });
-    const begin = updateSteps.nextStep({ engine: loaded, desired: DESIRED, timing: "next", update: undefined }, 0);
+    const begin = updateSteps.nextStep({
+        engine: loaded,
+        desired: DESIRED,
+        fencingToken: 40,
+        timing: "next",
+        update: undefined,
+    }, 0);
     assert.equal(begin.kind, "set-pending");
     const pending = update({ announcedAt: undefined });
     assert.equal(
-        updateSteps.nextStep({ engine: loaded, desired: DESIRED, timing: "next", update: pending }, 3000).kind,
+        updateSteps.nextStep(
+            { engine: loaded, desired: DESIRED, fencingToken: 40, timing: "next", update: pending },
+            3000,
+        ).kind,
         "wait",
     );
     assert.equal(
-        updateSteps.nextStep({ engine: loaded, desired: DESIRED, timing: "later", update: pending }, 3000).kind,
+        updateSteps.nextStep(
+            { engine: loaded, desired: DESIRED, fencingToken: 40, timing: "later", update: pending },
+            3000,
+        ).kind,
         "finish",
     );
 });
@@ -114,6 +194,7 @@
     const step = updateSteps.nextStep({
         engine: engine(1, { running: 1 }),
         desired: DESIRED,
+        fencingToken: 40,
         timing: "now",
         update: undefined,
     }, 0);
@@ -124,6 +205,12 @@
     const pending = update({ announcedAt: undefined });
     const newer = { model: "menu", version: 3, position: { era: 0, revision: 41 } };
     const loaded = engine(1, { running: 20 });
-    const step = updateSteps.nextStep({ engine: loaded, desired: newer, timing: "now", update: pending }, 900);
+    const step = updateSteps.nextStep({
+        engine: loaded,
+        desired: newer,
+        fencingToken: 41,
+        timing: "now",
+        update: pending,
+    }, 900);
     assert.equal(step.kind === "announce" && step.update.version, 3);
 });
