Register again when the store has come back from an older copy

A process wrote its member record once, at its start. A store that comes back from a copy made before that has lost the record, and a process that starts later does not find this one: they share neither spending nor load until one of them restarts. Each process now registers again when a copy reaches a new era, and lists the members once more.

--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -26,10 +26,10 @@
 export class Agent implements AsyncDisposable {
     private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
+    private readonly directory: directories.MemberDirectory;
     private readonly updater: updaters.WeightsUpdater;
     private readonly watch: watches.KindWatch;
     private readonly heartbeats: heartbeatExchanges.HeartbeatExchange;
-    private readonly stop = new AbortController();
     private readonly incarnation: string;
     private isLeaving = false;
 
@@ -42,6 +42,8 @@
         this.incarnation = clock.identifier();
         this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
+        const { members } = this;
+        this.directory = new directories.MemberDirectory(this.member, { clock, journal, platform, members });
         const address = settings.serverAddress!;
         this.updater = new updaters.WeightsUpdater({
             clock,
@@ -66,7 +68,7 @@
                 clock,
                 journal,
                 onChange: copy => this.adoptWeights(copy),
-                onEraChange: () => undefined,
+                onEraChange: () => void this.directory.register(),
             },
         );
         this.heartbeats = new heartbeatExchanges.HeartbeatExchange({
@@ -85,8 +87,7 @@
         this.heartbeats.start(settings.beatAddress);
         this.updater.start();
         this.watch.start();
-        const { clock, journal, platform, members } = this;
-        void directories.register(this.member, { clock, journal, platform, members }, this.stop.signal);
+        void this.directory.register();
     }
 
     /** Announces the shutdown to the peers; an agent has no calls to finish. */
@@ -97,7 +98,7 @@
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        this.stop.abort();
+        this.directory[Symbol.dispose]();
         await Promise.all([
             this.updater[Symbol.asyncDispose](),
             this.watch[Symbol.asyncDispose](),
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -87,6 +87,9 @@
 export class Entry implements AsyncDisposable {
     private readonly member: peering.Member;
     private readonly members: memberTables.MemberTable;
+    private readonly directory: directories.MemberDirectory;
+    /** Latest era of the store that a copy has reached. */
+    private storeEra = 0;
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly serverLimits: serverLimits.ServerLimits;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
@@ -107,7 +110,6 @@
     private readonly watches: Readonly<Record<WatchedKind, watches.KindWatch>>;
     private readonly documents: documents.DocumentExchange;
     private readonly heartbeats: heartbeatExchanges.HeartbeatExchange;
-    private readonly stop = new AbortController();
     private readonly startedAt: number;
     private readonly incarnation: string;
     private drainingSince: number | undefined;
@@ -123,6 +125,8 @@
         this.incarnation = clock.identifier();
         this.member = directories.memberOf(settings);
         this.members = new memberTables.MemberTable(settings.name);
+        const { members } = this;
+        this.directory = new directories.MemberDirectory(this.member, { clock, journal, platform, members });
         const health = new serverHealth.ServerHealth();
         const silence = {
             silenceMs: () => PEER_SILENCE_MS * this.heartbeats.periodFactor,
@@ -252,8 +256,7 @@
         this.heartbeats.start(settings.beatAddress);
         Object.values(this.watches).forEach(watch => watch.start());
         this.rolloutStatuses.start();
-        const { clock, journal, platform, members } = this;
-        void directories.register(this.member, { clock, journal, platform, members }, this.stop.signal);
+        void this.directory.register();
     }
 
     /**
@@ -278,7 +281,7 @@
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        this.stop.abort();
+        this.directory[Symbol.dispose]();
         await this.heartbeats[Symbol.asyncDispose]();
         await Promise.all([
             this.server[Symbol.asyncDispose](),
@@ -306,7 +309,7 @@
                 clock: this.clock,
                 journal: this.journal,
                 onChange,
-                onEraChange: (era: number) => Object.values(this.watches).forEach(watch => watch.expectEra(era)),
+                onEraChange: (era: number) => this.enterEra(era),
             };
             return new watches.KindWatch({ kind, ...options }, ports);
         };
@@ -394,6 +397,16 @@
         return Math.min(MAXIMUM_WAIT_FACTOR, Math.max(1, factor));
     }
 
+    /** The store has come back from an older copy of itself: all copies are read again. */
+    private enterEra(era: number): void {
+        if (era <= this.storeEra) {
+            return;
+        }
+        this.storeEra = era;
+        Object.values(this.watches).forEach(watch => watch.expectEra(era));
+        void this.directory.register();
+    }
+
     private adoptConfiguration(copy: copies.KindCopy): void {
         const decoded = this.platform.decodeConfigurations(copy.records(this.clock.now()));
         this.reportInvalid(this.platform.kinds.configuration, decoded.invalid);
--- a/src/runtime/member-directory.ts
+++ b/src/runtime/member-directory.ts
@@ -1,4 +1,4 @@
-/** Registers this process in the store and reads the other members once; heartbeats keep the table current afterwards. */
+/** Registers this process in the store and reads the other members; heartbeats keep the table current afterwards. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import type * as memberTables from "../peering/member-table.js";
@@ -11,7 +11,7 @@
 export interface DirectoryPorts {
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
-    readonly platform: types.Platform;
+    readonly platform: Pick<types.Platform, "store" | "kinds">;
     readonly members: memberTables.MemberTable;
 }
 
@@ -21,26 +21,55 @@
     return { name, role, dataCentre, beatAddress, documentAddress, serverAddress };
 }
 
-/**
- * Registers `self`, then adds the listed members to the table; retries until both succeed. Of two processes that start at
- * the same time, at least one finds the other's record, and the other learns of it from its heartbeats.
- */
-export async function register(self: peering.Member, ports: DirectoryPorts, signal: AbortSignal): Promise<void> {
-    const { store, kinds } = ports.platform;
-    let isRegistered = false;
-    while (!signal.aborted) {
-        if (!isRegistered) {
-            const outcome = await store.put(kinds.members, self.name, self);
-            isRegistered = outcome.ok;
-        }
-        const listing = isRegistered ? await store.list(kinds.members) : undefined;
-        if (listing?.ok === true) {
-            ports.members.add(listing.value.records.map(record => record.spec).filter(isMember));
+/** The record of this process in the store, and the other processes that are registered there. */
+export class MemberDirectory implements Disposable {
+    private readonly stop = new AbortController();
+    private isRegistering = false;
+    private isOutdated = false;
+
+    constructor(private readonly self: peering.Member, private readonly ports: DirectoryPorts) {}
+
+    /**
+     * Registers this process, then adds the listed members to the table; retries until both succeed. Of two processes that
+     * start at the same time, at least one finds the other's record, and the other learns of it from its heartbeats.
+     *
+     * Called at the start, and again when the store has come back from an older copy, which may lack the record: processes
+     * that start later would not find this one.
+     */
+    async register(): Promise<void> {
+        this.isOutdated = true;
+        if (this.isRegistering) {
             return;
         }
-        const reason = listing === undefined ? "registration" : listing.failure.detail;
-        ports.journal.emit("member-registration-failed", { reason });
-        await ports.clock.sleep(RETRY_DELAY_MS * (0.5 + ports.clock.random()), signal);
+        this.isRegistering = true;
+        while (this.isOutdated && !this.stop.signal.aborted) {
+            this.isOutdated = false;
+            await this.registerOnce();
+        }
+        this.isRegistering = false;
+    }
+
+    [Symbol.dispose](): void {
+        this.stop.abort();
+    }
+
+    private async registerOnce(): Promise<void> {
+        const { journal, clock, members, platform: { store, kinds } } = this.ports;
+        let isRegistered = false;
+        while (!this.stop.signal.aborted) {
+            if (!isRegistered) {
+                const outcome = await store.put(kinds.members, this.self.name, this.self);
+                isRegistered = outcome.ok;
+            }
+            const listing = isRegistered ? await store.list(kinds.members) : undefined;
+            if (listing?.ok === true) {
+                members.add(listing.value.records.map(record => record.spec).filter(isMember));
+                return;
+            }
+            const reason = listing === undefined ? "registration" : listing.failure.detail;
+            journal.emit("member-registration-failed", { reason });
+            await clock.sleep(RETRY_DELAY_MS * (0.5 + clock.random()), this.stop.signal);
+        }
     }
 }
 
