Write refused parts again when the store has lost their record

An entry takes what it has read or written as stored. When the store came back from a copy without the record, nothing told the entry: a missing record was ignored, so that the refused parts were not written again, and after a restart of all entries they would have crashed servers anew. A missing record now counts as an empty one.

The new test, for a record that is gone and for an older one, ends after milliseconds; on the code before it waits for the write without end (ended after 10 s).

--- a/src/quarantine/refusal-record.ts
+++ b/src/quarantine/refusal-record.ts
@@ -32,10 +32,15 @@
 
     constructor(private readonly ports: RefusalRecordPorts) {}
 
-    /** Adopts the record that was read from the store or from a peer's copy of it. */
+    /**
+     * Adopts the record that was read from the store or from a peer's copy of it; undefined if there is none. The record may
+     * lack what was written before, since the store may come back from an older copy.
+     */
     adopt(record: storeAccess.StoredRecord | undefined): void {
         const { clock, suspects, journal } = this.ports;
         if (record === undefined) {
+            this.stored = [];
+            this.update(true);
             return;
         }
         const decoded = decode(record.spec);
--- a/test/quarantine/refusal-record.test.ts
+++ b/test/quarantine/refusal-record.test.ts
@@ -101,3 +101,21 @@
     assert.ok(process.suspects.isEmpty);
     await process.refusals[Symbol.asyncDispose]();
 });
+
+testing.test("restored store: guards against a refused part that the store has lost and that is not written again", async () => {
+    for (const restored of [undefined, { refused: [] }]) {
+        const clock = new manualClock.ManualClock();
+        const store = new MemoryStore();
+        const process = new Process(store, clock);
+        process.crash("a", []);
+        process.crash("b", []);
+        process.crash("c", [DEADLY]);
+        await manualClock.waitUntil(() => store.record !== undefined);
+        await new Promise(resolve => setImmediate(resolve));
+        store.record = restored && { name: refusalRecords.RECORD_NAME, revision: 1, spec: restored, isDeleting: false };
+        process.refusals.adopt(store.record);
+        clock.endSleeps();
+        await manualClock.waitUntil(() => JSON.stringify(store.record?.spec ?? {}).includes(DEADLY));
+        await process.refusals[Symbol.asyncDispose]();
+    }
+});
