Send no more calls to a server that states that it is leaving

Entries knew only the registry, which lists such a server as ready until it tells, or for good. The statement now holds for this run of the server, from any answer of its own (refusals too, 421 of another server not), and is dropped with its registration or its next start.

Also here: the place where times to come back will be kept, and the filter for it; nothing records them yet.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -158,6 +158,7 @@
         const serverId = this.input.choice.candidate.server.id;
         if (status !== MISDIRECTED_REQUEST) {
             this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
+            this.recordNotices(responseHead);
         }
         if (responseHead.isNotExecuted || status === MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
@@ -293,6 +294,15 @@
         this.finish({ kind: "answered", reason: "" });
     }
 
+    /** Records what the server states about further calls. */
+    private recordNotices({ isLeaving }: dialects.ResponseHead): void {
+        const { view, journal } = this.ports;
+        const { server } = this.input.choice.candidate;
+        if (isLeaving && view.notices.recordLeaving(server)) {
+            journal.emit("server-leaving", { backendServer: server.id });
+        }
+    }
+
     /** Reason why the response is not valid for this call; undefined if it is valid. */
     private responseFault(
         status: number,
--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -13,7 +13,7 @@
 /** Why a call is not placed: no server can take it, or calls like it are suspected of crashing servers. */
 export type Placement =
     | ServerChoice
-    | { readonly kind: "none"; readonly reason: placement.UnplacedReason | "on-trial"; }
+    | { readonly kind: "none"; readonly reason: placement.UnplacedReason | "on-trial"; readonly pauseMs?: number; }
     | { readonly kind: "quarantined"; readonly fingerprint: string; readonly retryAfterMs: number; };
 
 export interface PlacedSubject {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -26,6 +26,7 @@
     "all-outdated": 500,
     "all-moving": 300,
     "all-limited": 500,
+    "all-paused": 300,
     "all-full": 400,
 };
 const RETRY_AFTER_REJECTION_MS = 300;
@@ -225,6 +226,12 @@
         }
         const now = this.ports.clock.now();
         const timeoutAt = this.waitEndsAt(admission, now);
+        if (
+            firstChoice.kind === "none" && this.executedAttempts === 0 && now + (firstChoice.pauseMs ?? 0) > timeoutAt
+        ) {
+            this.refuseUnplaced(admission, firstChoice.reason, firstChoice.pauseMs);
+            return undefined;
+        }
         let reason = firstChoice.kind === "none" ? firstChoice.reason : "all-full";
         this.log("call-waits", {
             reason,
@@ -304,10 +311,15 @@
         return choice;
     }
 
-    private refuseUnplaced(admission: Admission, reason: placement.UnplacedReason | "on-trial"): void {
+    /** `pauseMs` is the time in milliseconds for which no server takes calls, if known. */
+    private refuseUnplaced(
+        admission: Admission,
+        reason: placement.UnplacedReason | "on-trial",
+        pauseMs = 0,
+    ): void {
         if (this.executedAttempts === 0) {
             this.refund(admission);
-            const retryAfterMs = reason === "on-trial" ? RETRY_AFTER_TRIAL_MS : RETRY_AFTER_MS[reason];
+            const retryAfterMs = pauseMs + (reason === "on-trial" ? RETRY_AFTER_TRIAL_MS : RETRY_AFTER_MS[reason]);
             this.refuse("no-server-available", reason, retryAfterMs);
             return;
         }
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -33,6 +33,10 @@
     /** The response carries the seal with which a server confirms it as its own. */
     readonly isSealed: boolean;
     readonly weightsVersion: number | undefined;
+    /** The server is leaving and takes no further calls. */
+    readonly isLeaving: boolean;
+    /** Time in milliseconds for which a server that does not take the call wants no others either. */
+    readonly retryAfterMs: number | undefined;
     /** Requests a second that the server takes from all entries together; undefined while it names no limit. */
     readonly requestsPerSecond: number | undefined;
 }
--- a/src/forwarding/events.ts
+++ b/src/forwarding/events.ts
@@ -70,4 +70,16 @@
         message: fields => `record ${fields.record} of kind ${fields.kind} is invalid: ${fields.reason}`,
         hint: "The record is ignored; another program may have written it.",
     },
+    "server-leaving": {
+        number: 3312,
+        level: "info",
+        message: fields => `${fields.backendServer} states that it is leaving; it gets no more calls`,
+        hint: "",
+    },
+    "server-paused": {
+        number: 3313,
+        level: "info",
+        message: fields => `${fields.backendServer} wants no calls for ${fields.pauseMs} ms`,
+        hint: "",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -5,6 +5,7 @@
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
+import * as serverNotices from "../placement/server-notices.js";
 import type * as placement from "../placement/types.js";
 import * as desiredVersions from "../weights/desired-versions.js";
 
@@ -37,6 +38,9 @@
     /** End of the exclusion of servers whose identity or weights did not match, by server id. */
     private readonly mismatchedUntil = new Map<string, number>();
 
+    /** What servers stated in their responses. */
+    readonly notices = new serverNotices.ServerNotices();
+
     constructor(private readonly ports: ViewPorts) {}
 
     get routingTable(): routingTables.RoutingTable | undefined {
@@ -66,6 +70,7 @@
         const addresses = new Set(servers.map(server => server.address));
         this.ports.serverHealth.retain(ids);
         this.ports.serverLimits.retain(ids);
+        this.notices.retain(ids);
         retain(this.observedVersions, ids);
         retain(this.mismatchedUntil, ids);
         retain(this.reports, addresses);
@@ -127,7 +132,8 @@
         const weightsVersion = model === undefined ? undefined : this.weightsVersionOf(server, report, model);
         const history = model === undefined ? undefined : this.histories.get(model);
         return {
-            server,
+            // The registry lists a leaving server as ready until the server has told it, or for good.
+            server: this.notices.isLeaving(server) ? { ...server, state: "draining" } : server,
             calls: load.calls,
             pendingPromptTokens: load.pendingPromptTokens,
             weightsVersion,
@@ -135,6 +141,7 @@
             isUpdatingWeights: report?.isUpdatingWeights === true || now < (this.mismatchedUntil.get(server.id) ?? 0),
             isUpdatePending: report?.isUpdatePending === true,
             isSuspected: isDead || this.ports.serverHealth.isSuspected(server.id, now),
+            pauseMs: this.notices.remainingPauseMs(server, now),
             limit: this.ports.serverLimits.stateOf(server.id, now),
             failureShare: this.ports.serverHealth.failureShare(server.id, now),
         };
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -63,15 +63,18 @@
         ["all-suspected", candidate => !candidate.isSuspected],
         ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedExcludedFromMs],
         ["all-moving", candidate => !candidate.isUpdatingWeights],
+        ["all-paused", candidate => candidate.pauseMs === 0],
         ["all-limited", candidate => candidate.limit !== "closed"],
         ["all-full", candidate => hasCapacity(candidate, request, latency)],
     ];
     let eligible: readonly types.Candidate[] = ready;
     for (const [reason, accepts] of filters) {
-        eligible = eligible.filter(accepts);
-        if (eligible.length === 0) {
-            return { kind: "none", reason };
+        const accepted = eligible.filter(accepts);
+        if (accepted.length === 0) {
+            const pauseMs = Math.min(...eligible.map(candidate => candidate.pauseMs));
+            return reason === "all-paused" ? { kind: "none", reason, pauseMs } : { kind: "none", reason };
         }
+        eligible = accepted;
     }
     eligible = spareLimited(eligible, request);
     const preferred = findPreferred(ready, request);
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -18,6 +18,8 @@
     readonly isUpdatePending: boolean;
     /** Avoided after a refused or reset connection, or a timeout. */
     readonly isSuspected: boolean;
+    /** Time in milliseconds for which the server wants no calls of this entry; 0 if it takes them. */
+    readonly pauseMs: number;
     /** Whether the server names a limit of requests, and whether that leaves one for this entry now. */
     readonly limit: "none" | "open" | "closed";
     /** Share of recent calls that failed, from 0 to 1. */
@@ -59,7 +61,14 @@
 }
 
 /** Why no server is chosen: the first filter that leaves no candidate. */
-export type UnplacedReason = "no-server" | "all-moving" | "all-suspected" | "all-limited" | "all-full" | "all-outdated";
+export type UnplacedReason =
+    | "no-server"
+    | "all-moving"
+    | "all-suspected"
+    | "all-limited"
+    | "all-paused"
+    | "all-full"
+    | "all-outdated";
 
 export type PlacementDecision =
     | {
@@ -72,4 +81,9 @@
         /** Cost of the chosen server in milliseconds. */
         readonly costMs: number;
     }
-    | { readonly kind: "none"; readonly reason: UnplacedReason; };
+    | {
+        readonly kind: "none";
+        readonly reason: UnplacedReason;
+        /** Time in milliseconds until the first server takes calls again, for the reason `all-paused`. */
+        readonly pauseMs?: number;
+    };
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -31,6 +31,7 @@
         weightsVersion: 1,
         outdatedForMs: undefined,
         isUpdatingWeights: false,
+        pauseMs: 0,
         limit: "none",
         isUpdatePending: false,
         isSuspected: false,
--- a/test/placement/spread.test.ts
+++ b/test/placement/spread.test.ts
@@ -31,6 +31,7 @@
         pendingPromptTokens: index === 0 ? 0 : 6000,
         weightsVersion: outdated(index) ? 1 : 2,
         outdatedForMs: outdated(index) ? 2000 : undefined,
+        pauseMs: 0,
         limit: "none" as const,
         isUpdatingWeights: false,
         isUpdatePending: false,
--- a/test/rollout/service-rollouts.test.ts
+++ b/test/rollout/service-rollouts.test.ts
@@ -61,6 +61,7 @@
         isUpdatingWeights: false,
         isUpdatePending: false,
         isSuspected: false,
+        pauseMs: 0,
         limit: "none",
         failureShare: 0,
     };
