Honour the time for which a refusing server wants no calls

A call for which all servers are paused longer than it may wait is refused at once, with the time until the first one takes calls; before, it waited and was refused with 0.3 s.

Of the three new tests, on sockets, all fail on the code before (2 calls within the time, Retry-After 0.300, no pause kept).

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -22,6 +22,7 @@
 /** Limit of a buffered response in bytes; a server in trouble may send a body without end. */
 const MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
 const MISDIRECTED_REQUEST = 421;
+const SERVICE_UNAVAILABLE = 503;
 /** Statuses of final responses. */
 const MINIMUM_STATUS = 200;
 const MAXIMUM_STATUS = 599;
@@ -158,7 +159,7 @@
         const serverId = this.input.choice.candidate.server.id;
         if (status !== MISDIRECTED_REQUEST) {
             this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
-            this.recordNotices(responseHead);
+            this.recordNotices(status, responseHead, now);
         }
         if (responseHead.isNotExecuted || status === MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
@@ -295,12 +296,16 @@
     }
 
     /** Records what the server states about further calls. */
-    private recordNotices({ isLeaving }: dialects.ResponseHead): void {
+    private recordNotices(status: number, { isLeaving, retryAfterMs }: dialects.ResponseHead, now: number): void {
         const { view, journal } = this.ports;
         const { server } = this.input.choice.candidate;
         if (isLeaving && view.notices.recordLeaving(server)) {
             journal.emit("server-leaving", { backendServer: server.id });
         }
+        if (status === SERVICE_UNAVAILABLE && retryAfterMs !== undefined) {
+            view.notices.recordPause(server, retryAfterMs, now);
+            journal.emit("server-paused", { backendServer: server.id, pauseMs: Math.round(retryAfterMs) });
+        }
     }
 
     /** Reason why the response is not valid for this call; undefined if it is valid. */
--- a/test/forwarding/server-notices.test.ts
+++ b/test/forwarding/server-notices.test.ts
@@ -59,3 +59,52 @@
     assert.equal(harness.view.notices.isLeaving(first!), true);
     assert.equal(harness.view.notices.isLeaving(second!), false);
 });
+
+testing.test("a server that refuses with a time to come back gets no calls until then, and then again", async () => {
+    const counts = [0, 0];
+    const pauseMs = 1000;
+    const refusing = counting(counts, 0, id => {
+        const refusal = harnesses.response(id, "", "503 Service Unavailable");
+        return withHeader(withHeader(refusal, "Not-Executed: 1"), `Retry-After: ${pauseMs / 1000}`);
+    });
+    const serving = counting(counts, 1, id => harnesses.response(id, "answer"));
+    await using harness = await harnesses.EntryHarness.start([refusing, serving]);
+    for (let round = 1; round <= 2; round++) {
+        const startedAt = performance.now();
+        while (performance.now() - startedAt < pauseMs * 0.8 || counts[0]! < round) {
+            assert.equal((await harness.call("lookup")).status, 200);
+            assert.ok(counts[0]! <= round, `${counts[0]} calls at the refusing server in round ${round}`);
+        }
+        const [refusingServer] = harness.view.listedServers();
+        const remainingMs = harness.view.notices.remainingPauseMs(refusingServer!, performance.now());
+        await new Promise(resolve => setTimeout(resolve, remainingMs + 1));
+    }
+});
+
+testing.test("a call is refused at once when all servers are paused for longer than it may wait", async () => {
+    const counts = [0];
+    const refusing = counting(counts, 0, id => {
+        return withHeader(harnesses.response(id, "", "503 Service Unavailable"), "Retry-After: 30\r\nNot-Executed: 1");
+    });
+    await using harness = await harnesses.EntryHarness.start([refusing]);
+    await harness.call("booking");
+    for (let call = 0; call < CALLS; call++) {
+        const startedAt = performance.now();
+        const result = await harness.call("booking");
+        assert.equal(result.status, 503);
+        assert.ok(performance.now() - startedAt < 500, "it does not wait");
+        assert.ok(Number(result.headers["retry-after"]) > 25, `Retry-After ${result.headers["retry-after"]}`);
+    }
+    assert.equal(counts[0], 1);
+});
+
+testing.test("a server's own failure with a time to come back is honoured, and a faulty time does not exclude it for good", async () => {
+    const failing = counting([0], 0, id => {
+        return withHeader(harnesses.response(id, "", "503 Service Unavailable"), "Retry-After: 99999999999999999999");
+    });
+    await using harness = await harnesses.EntryHarness.start([failing]);
+    assert.equal((await harness.call("booking")).status, 503);
+    const [server] = harness.view.listedServers();
+    const remainingMs = harness.view.notices.remainingPauseMs(server!, performance.now());
+    assert.ok(remainingMs > 0 && remainingMs < 3_600_000, `${remainingMs} ms`);
+});
