End a stream that cannot be resumed when the next server answers with something else

The answer was dropped and the call counted as answered, but the stream stayed open for its caller without end. A success that is no event stream is now treated as every other answer that does not continue the stream: the attempt has failed, and without another one the stream is broken off.

The test for it failed before (no end within 3 s). Six other answers after a beginning (errors, refusals, bytes that are no answer) were and are kept out of the stream.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -170,7 +170,7 @@
         if (responseHead.weightsVersion !== undefined) {
             this.ports.view.recordObservedVersion(serverId, responseHead.weightsVersion);
         }
-        const isStream = isSuccess(status) && (response.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+        const isStream = isEventStream(status, response);
         this.mode = isStream ? "streaming" : "buffering";
         if (!isStream) {
             clearTimeout(this.timer);
@@ -289,9 +289,7 @@
         const now = this.ports.clock.now();
         this.ports.serverHealth.recordResponse(this.input.choice.candidate.server.id, false, now);
         this.ports.latencyEstimates.recordResponse(this.input.admission.service, now - this.startedAt);
-        if (!this.input.callerResponse.hasStarted) {
-            this.input.callerResponse.forward(buffered);
-        }
+        this.input.callerResponse.forward(buffered);
         this.finish({ kind: "answered", reason: "" });
     }
 
@@ -330,8 +328,8 @@
         if (response.headers["content-encoding"] !== undefined) {
             return "response in a content encoding that was not requested";
         }
-        return this.input.callerResponse.hasStarted && !isSuccess(status) && !responseHead.isNotExecuted &&
-                status !== MISDIRECTED_REQUEST
+        const isRefusal = responseHead.isNotExecuted || status === MISDIRECTED_REQUEST;
+        return this.input.callerResponse.hasStarted && !isRefusal && !isEventStream(status, response)
             ? `the stream could not be resumed: status ${status}`
             : undefined;
     }
@@ -401,6 +399,10 @@
     return status >= 200 && status < 300;
 }
 
+function isEventStream(status: number, response: http.IncomingMessage): boolean {
+    return isSuccess(status) && (response.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+}
+
 /** Methods whose requests declare a content length even if the body is empty. */
 const METHODS_WITH_BODY: ReadonlySet<string> = new Set(["POST", "PUT", "PATCH"]);
 
