Repeat a call on a connection of its own

Calls that cannot be repeated never use a kept connection, so that this concerned lookups and resumable streams. Further attempts of a call now use a connection of their own, as those of other calls do.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -53,6 +53,8 @@
     /** Namespace of the cached prompt parts; undefined without a model or a known weights version. */
     readonly cacheScope: string | undefined;
     readonly cachePlan: cachePlans.CachePlan | undefined;
+    /** The call has had an attempt before. */
+    readonly isRepeated: boolean;
     /** The call may be run again after this attempt. */
     readonly hasAttemptLeft: boolean;
 }
@@ -112,7 +114,9 @@
                 path: request.url ?? "/",
                 headers,
                 body: admission.body,
-                mayReuseConnection: admission.route.kind === "idempotent" || this.isResumable,
+                // On a kept connection, a second copy of the answer to an earlier attempt would have the id of this one.
+                mayReuseConnection: !this.input.isRepeated
+                    && (admission.route.kind === "idempotent" || this.isResumable),
             },
             this.ports.connectionPool,
             this,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -403,6 +403,7 @@
             cacheScope: cacheLookup.scope,
             cachePlan: cacheLookup.plan,
             onBegun: () => this.onBegun(admission),
+            isRepeated: this.attempts > 1,
             hasAttemptLeft: this.executedAttempts + 1 < admission.route.maximumAttempts,
         });
         const mayWithdraw = admission.route.kind !== "at-most-once";
--- a/test/forwarding/reported-faults.test.ts
+++ b/test/forwarding/reported-faults.test.ts
@@ -51,6 +51,27 @@
     }
 }
 
+for (const route of ["lookup", "review"]) {
+    testing.test(`${route}: guards against an earlier refusal of the same call that is taken for the answer to its next attempt`, async () => {
+        let runs = 0;
+        let requests = 0;
+        const faulty: harnesses.ServerScript = (socket, { id, number }) => {
+            requests++;
+            if (requests === 1) {
+                socket.write(refusal(id));
+                return;
+            }
+            runs++;
+            // On a kept connection the refusal comes once more, and the request runs all the same.
+            socket.write((number > 1 ? refusal(id) : "") + harnesses.response(id, "answer"));
+        };
+        await using harness = await harnesses.EntryHarness.start([faulty]);
+        const result = await harness.call(route);
+        assert.equal(runs, 1, "it runs once");
+        assert.deepEqual([result.status, result.body], [200, "answer"]);
+    });
+}
+
 const FAILURES_AFTER_BEGINNING: Readonly<Record<string, (id: string) => string>> = {
     "an error of the server": id => harnesses.response(id, "the server's error text", "500 Internal Server Error"),
     "a refusal": refusal,
