Start the planned stop of the test once its callers have made enough calls

The load before the stop lasted a fixed 300 ms, in which the machine made too few calls. The stop now begins after at least that time and 48 calls; all assertions are as before.

--- a/test/forwarding/planned-stop.test.ts
+++ b/test/forwarding/planned-stop.test.ts
@@ -40,7 +40,11 @@
         }
         agent?.destroy();
     });
-    await new Promise(resolve => setTimeout(resolve, LOAD_MS));
+    // However slow the machine is, the stop comes while each caller is in the middle of several calls.
+    do {
+        await new Promise(resolve => setTimeout(resolve, LOAD_MS));
+    }
+    while (records.length <= 2 * CALLERS);
     harness.isDraining = true;
     await new Promise(resolve => setTimeout(resolve, KEEP_ACCEPTING_MS));
     do {
