--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -23,13 +23,20 @@
 /** Statuses with which the system states that the request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+interface Route {
+    readonly path: string;
+    readonly service: string;
+    readonly routeType: "streaming" | "non_idempotent" | "idempotent";
+    readonly resumable: boolean;
+}
+
 /** Routes of each call type, which decides whether a request may run again. */
 const ROUTES = [
     { path: "/review/", service: MODEL_SERVICE, routeType: "streaming", resumable: true },
     { path: "/note/", service: MODEL_SERVICE, routeType: "streaming", resumable: false },
     { path: "/book/", service: "desk", routeType: "non_idempotent", resumable: false },
     { path: "/look/", service: "desk", routeType: "idempotent", resumable: false },
-] as const;
+] as const satisfies readonly Route[];
 
 export interface Call {
     readonly id: string;
@@ -62,6 +69,7 @@
     readonly log = standIns.createWorkerLog();
     private readonly nodes: Node[] = [];
     private readonly workers: standIns.Worker[] = [];
+    private readonly addedRoutes: Route[] = [];
     private configurationVersion = 1;
     private weightsVersion = 1;
     private callCount = 0;
@@ -116,6 +124,19 @@
         return this.send("/review/", extraParts, random);
     }
 
+    /** Adds a route for calls that may run again to the configuration. */
+    addRoute(routePath: string): void {
+        this.addedRoutes.push({ path: routePath, service: "desk", routeType: "idempotent", resumable: false });
+        this.publishConfiguration();
+    }
+
+    /** Sends a call on an added route to each entry. */
+    callAddedRoute(routePath: string): Promise<readonly Call[]> {
+        return Promise.all(Array.from({ length: ENTRY_COUNT }, (_, index) => {
+            return this.send(routePath, [], () => index / ENTRY_COUNT);
+        }));
+    }
+
     private async send(routePath: string, extraParts: readonly string[], random: () => number): Promise<Call> {
         const entry = this.entries[Math.floor(random() * ENTRY_COUNT)]!;
         const id = `call-${this.callCount++}`;
@@ -192,8 +213,14 @@
             holders.set(worker, (holders.get(worker) ?? new Set()).add(holder));
         });
         const contested = [...holders].filter(([, names]) => names.size > 1);
+        const tokens = new Map<string, readonly number[]>();
+        this.log.orders.forEach(({ worker, fence }) => tokens.set(worker, [...tokens.get(worker) ?? [], fence]));
+        const fallen = [...tokens].filter(([, fences]) =>
+            fences.some((fence, index) => fence < (fences[index - 1] ?? 0))
+        );
         return [
             ...found,
+            ...fallen.map(([worker, fences]) => `${worker} received tokens that go back: ${fences.join(" ")}`),
             ...unexpectedRuns.map(run => `unexpected run: ${JSON.stringify(run)}`),
             ...contested.map(([worker, names]) => `${worker} received orders from ${[...names].join(" and ")}`),
         ];
@@ -234,32 +261,24 @@
         this.store.mode = "healthy";
     }
 
+    /** The store is away, then comes back from an older copy, and what it lost is written again by its owners. */
+    async restoreStore(ageMs: number, awayMs: number): Promise<void> {
+        await this.setStoreMode("unavailable", awayMs);
+        this.store.restore(ageMs);
+        this.putConfiguration(this.configurationVersion - 1);
+        this.publishWeights();
+        this.workers.forEach(worker => worker.registerAgain());
+    }
+
     /** @internal Used by `FAULTS`. */
     publishNextWeights(): void {
-        this.store.put("versions", MODEL, { model: MODEL, version: ++this.weightsVersion });
+        this.weightsVersion++;
+        this.publishWeights();
     }
 
     /** @internal Used by `FAULTS`. */
     publishConfiguration(): void {
-        const services = [
-            {
-                name: MODEL_SERVICE,
-                maxConnections: 200,
-                engine: { slots: 32, kvCapacity: 90_000, models: [{ name: MODEL }] },
-            },
-            { name: "desk", maxConnections: 100 },
-        ];
-        const routes = ROUTES.map(({ path: pathPrefix, ...route }) => {
-            return { hostname: HOST, pathPrefix, ...route, timeoutMs: 4000, maxAttempts: 3, priority: 1 };
-        });
-        const tenants = [{ name: TENANT.name, apiKeys: [TENANT.key] }];
-        this.store.put("config", "main", {
-            version: this.configurationVersion++,
-            routes,
-            services,
-            tenants,
-            limits: {},
-        });
+        this.putConfiguration(this.configurationVersion++);
     }
 
     private get entries(): readonly Node[] {
@@ -269,7 +288,7 @@
     private async startAll(): Promise<void> {
         await this.store.listen();
         this.publishConfiguration();
-        this.publishInitialWeights();
+        this.publishWeights();
         const workerOptions = [
             ...Array.from({ length: MODEL_WORKER_COUNT }, () => ({ service: MODEL_SERVICE, model: MODEL })),
             ...Array.from({ length: HTTP_WORKER_COUNT }, () => ({ service: "desk", model: undefined })),
@@ -295,7 +314,29 @@
         });
     }
 
-    private publishInitialWeights(): void {
+    private putConfiguration(version: number): void {
+        const services = [
+            {
+                name: MODEL_SERVICE,
+                maxConnections: 200,
+                engine: { slots: 32, kvCapacity: 90_000, models: [{ name: MODEL }] },
+            },
+            { name: "desk", maxConnections: 100 },
+        ];
+        const routes = [...ROUTES, ...this.addedRoutes].map(({ path: pathPrefix, ...route }) => {
+            return { hostname: HOST, pathPrefix, ...route, timeoutMs: 4000, maxAttempts: 3, priority: 1 };
+        });
+        const tenants = [{ name: TENANT.name, apiKeys: [TENANT.key] }];
+        this.store.put("config", "main", {
+            version,
+            routes,
+            services,
+            tenants,
+            limits: {},
+        });
+    }
+
+    private publishWeights(): void {
         this.store.put("versions", MODEL, { model: MODEL, version: this.weightsVersion });
     }
 
@@ -349,6 +390,7 @@
     "worker-crashed": (fleet, random) => fleet.crashWorker(random, 300 + random() * 1500),
     "store-unavailable": (fleet, random) => fleet.setStoreMode("unavailable", 300 + random() * 2000),
     "store-unresponsive": (fleet, random) => fleet.setStoreMode("unresponsive", 300 + random() * 2000),
+    "store-restored": (fleet, random) => fleet.restoreStore(500 + random() * 4000, 200 + random() * 800),
     "weights-published": fleet => fleet.publishNextWeights(),
     "configuration-changed": fleet => fleet.publishConfiguration(),
 } satisfies Readonly<Record<string, Fault>>;
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -2,6 +2,9 @@
 import * as http from "node:http";
 
 const HTTP_CONFLICT = 409;
+const HTTP_GONE = 410;
+/** Number of earlier states of the store from which it can come back. */
+const MAXIMUM_BACKUPS = 256;
 const HTTP_MISDIRECTED = 421;
 const HTTP_UNAVAILABLE = 503;
 const EVENT_INTERVAL_MS = 4;
@@ -28,6 +31,13 @@
     readonly deleted: boolean;
 }
 
+/** State of the store at a time in milliseconds. */
+interface Backup {
+    readonly takenAt: number;
+    readonly revision: number;
+    readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+}
+
 abstract class StandIn implements AsyncDisposable {
     protected isDisposed = false;
     private server: http.Server | undefined;
@@ -73,14 +83,27 @@
     /** `unavailable` responds with status 503; `unresponsive` never responds. */
     mode: "healthy" | "unavailable" | "unresponsive" = "healthy";
     private revision = 1;
-    private readonly kinds = new Map<string, Map<string, StoredObject>>();
-    private readonly events: StoreEvent[] = [];
+    private era = 1;
+    private kinds = new Map<string, Map<string, StoredObject>>();
+    private events: readonly StoreEvent[] = [];
+    private readonly backups: Backup[] = [];
     private readonly watchers = new Set<() => void>();
 
     put(kind: string, name: string, spec: unknown): void {
         this.replace(kind, name, spec, this.objects(kind).get(name)?.status);
     }
 
+    /** Comes back from a copy of this age in milliseconds: later changes are lost, and their revisions are given out again. */
+    restore(ageMs: number): void {
+        const takenBy = performance.now() - ageMs;
+        const backup = this.backups.findLast(candidate => candidate.takenAt <= takenBy) ?? this.backups[0]!;
+        this.era++;
+        this.revision = backup.revision;
+        this.kinds = new Map([...backup.kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+        this.events = this.events.filter(event => event.revision <= backup.revision);
+        this.watchers.forEach(wake => wake());
+    }
+
     /** Status of an object; undefined if none was written. */
     status(kind: string, name: string): unknown {
         return this.objects(kind).get(name)?.status;
@@ -111,6 +134,7 @@
             response.writeHead(HTTP_UNAVAILABLE).end();
             return;
         }
+        response.setHeader("Store-Era", String(this.era));
         const url = new URL(request.url ?? "/", "http://store");
         const [kind, name, part] = url.pathname.split("/").slice(3);
         if (part === "status") {
@@ -130,8 +154,13 @@
         }
         if (url.searchParams.has("watch")) {
             const after = Number(url.searchParams.get("watch"));
+            if (after > this.revision) {
+                response.writeHead(HTTP_GONE).end("{}");
+                return;
+            }
             await this.waitForEvent(kind!, after, Number(url.searchParams.get("waitMs")));
             const events = this.events.filter(event => event.kind === kind && event.revision > after);
+            response.setHeader("Store-Era", String(this.era));
             response.end(JSON.stringify({ events, storeRevision: this.revision }));
             return;
         }
@@ -158,7 +187,13 @@
     }
 
     private publish(event: StoreEvent): void {
-        this.events.push(event);
+        this.events = [...this.events, event];
+        this.backups.push({
+            takenAt: performance.now(),
+            revision: this.revision,
+            kinds: new Map([...this.kinds].map(([kind, objects]) => [kind, new Map(objects)])),
+        });
+        this.backups.splice(0, this.backups.length - MAXIMUM_BACKUPS);
         this.watchers.forEach(wake => wake());
     }
 
@@ -274,6 +309,13 @@
         this.register("draining");
     }
 
+    /** Writes its record again, as a worker does that finds it lost. */
+    registerAgain(): void {
+        if (this.isListening) {
+            this.register("ready");
+        }
+    }
+
     protected async handle(
         request: http.IncomingMessage,
         response: http.ServerResponse,
