--- /dev/null
+++ b/test/platform/store-client.test.ts
@@ -0,0 +1,50 @@
+/** Guards against listings that mix states of the store from before and after it came back from an older copy. */
+import * as assert from "node:assert/strict";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as testing from "node:test";
+import * as stores from "../../platform/store.js";
+
+interface Page {
+    readonly era: string | undefined;
+    readonly name: string;
+    readonly hasMore: boolean;
+    readonly revision: number;
+}
+
+async function listingOf(pages: readonly Page[]) {
+    let next = 0;
+    const server = http.createServer((_request, response) => {
+        const { era, name, hasMore, revision } = pages[next++]!;
+        if (era !== undefined) {
+            response.setHeader("Store-Era", era);
+        }
+        const items = [{ metadata: { name, revision }, spec: {} }];
+        response.end(JSON.stringify({ items, hasMore, storeRevision: revision }));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const store = new stores.ObjectStore(`127.0.0.1:${(server.address() as net.AddressInfo).port}`);
+    const listing = await store.list("kind");
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+    return listing;
+}
+
+testing.test("restored store: guards against a listing whose pages are from two eras", async () => {
+    const listing = await listingOf([
+        { era: "1", name: "a", hasMore: true, revision: 50 },
+        { era: "2", name: "b", hasMore: false, revision: 40 },
+    ]);
+    assert.equal(listing.ok, false);
+});
+
+testing.test("a listing has the era of its pages, and era 0 where the store tells none", async () => {
+    for (const [era, expected] of [["3", 3], [undefined, 0], ["three", 0]] as const) {
+        const listing = await listingOf([
+            { era, name: "a", hasMore: true, revision: 50 },
+            { era, name: "b", hasMore: false, revision: 51 },
+        ]);
+        assert.ok(listing.ok);
+        assert.deepEqual([listing.value.era, listing.value.revision, listing.value.records.length], [expected, 50, 2]);
+    }
+});
