List a kind once for each era of which a peer tells

Found on reading. Heartbeats arrive several times a second; as long as the store did not confirm the era of which one tells, each of them made the entry list the kind again. The new test fails on the code before (20 heartbeats, 2 listings expected).

--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -45,6 +45,8 @@
     private consecutiveFailures = 0;
     private consecutiveRelistings = 0;
     private isListed = false;
+    /** Latest era of which a peer or another kind told; the kind is listed once for each. */
+    private expectedEra = -1;
     /** Ends the wait for changes. */
     private interrupt: (() => void) | undefined;
     private loop: Promise<void> = Promise.resolve();
@@ -86,7 +88,8 @@
 
     /** Lists the kind again if the copy is from an earlier era: the wait for changes of that era would not tell. */
     expectEra(era: number): void {
-        if (this.isListed && era > this.copy.position.era) {
+        if (this.isListed && era > Math.max(this.copy.position.era, this.expectedEra)) {
+            this.expectedEra = era;
             this.isListed = false;
             this.interrupt?.();
         }
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -47,12 +47,13 @@
     return { name, revision, spec: {}, isDeleting: false };
 }
 
-async function runWatch(script: readonly ScriptedResult[]) {
-    const calls: string[] = [];
-    const clock = simulatedClock();
-    const revisions: number[] = [];
-    const eras: number[] = [];
-    const watch = new watches.KindWatch(
+function watchOf(
+    store: types.RecordStore,
+    clock: clocks.Clock,
+    onChange: (copy: copies.KindCopy) => void,
+    onEraChange: (era: number) => void,
+): watches.KindWatch {
+    return new watches.KindWatch(
         {
             kind: "config",
             waitMs: () => 1000,
@@ -61,13 +62,20 @@
             restoration: restoration.asStored,
             mayBeStale: () => false,
         },
-        {
-            store: scriptedStore(script, calls),
-            clock,
-            journal: journals.silentJournal,
-            onChange: (copy: copies.KindCopy) => void revisions.push(copy.revision),
-            onEraChange: era => void eras.push(era),
-        },
+        { store, clock, journal: journals.silentJournal, onChange, onEraChange },
+    );
+}
+
+async function runWatch(script: readonly ScriptedResult[]) {
+    const calls: string[] = [];
+    const clock = simulatedClock();
+    const revisions: number[] = [];
+    const eras: number[] = [];
+    const watch = watchOf(
+        scriptedStore(script, calls),
+        clock,
+        copy => void revisions.push(copy.revision),
+        era => void eras.push(era),
     );
     watch.start();
     while (calls.length <= script.length) {
@@ -167,3 +175,21 @@
     ]);
     assert.ok(clock.now() > 2000, `8 answers in ${clock.now()} ms`);
 });
+
+testing.test("guards against listing again with each heartbeat that tells of an era which the store does not confirm", async () => {
+    let listings = 0;
+    const store: types.RecordStore = {
+        ...scriptedStore([], []),
+        list: () => {
+            listings++;
+            return Promise.resolve(outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }));
+        },
+    };
+    const watch = watchOf(store, simulatedClock(), () => undefined, () => undefined);
+    watch.start();
+    for (let heartbeat = 0; heartbeat < 20; heartbeat++) {
+        await new Promise(resolve => setImmediate(resolve));
+        watch.expectEra(7);
+    }
+    assert.equal(listings, 2);
+});
