Test that a rollout whose status the store has lost does not begin again

A restored store may lack the status that ended a rollout. The stage of an entry does not go back, and the status is written again on condition of the new revision. The test passes on the code before as well; it was missing.

--- a/test/rollout/service-rollouts.test.ts
+++ b/test/rollout/service-rollouts.test.ts
@@ -219,3 +219,20 @@
     rollouts.adopt([{ ...ORDER, state: "in-progress", revision: 8 }], { now: clock.now(), wallTime: clock.wallTime() });
     assert.deepEqual(rollouts.outdatedStatuses(), []);
 });
+
+testing.test("restored store: guards against a rollout that begins again once its status is lost; it is written again", () => {
+    const moment = { now: 60_000, wallTime: 1_000_000 };
+    const rollouts = new serviceRollouts.ServiceRollouts({
+        journal: { emit: () => undefined },
+        onStageChange: () => undefined,
+    });
+    rollouts.adopt([{ ...ORDER, state: "rolled-back", revision: 50 }], moment);
+    rollouts.adopt([{ ...ORDER, state: undefined, revision: 30 }], { ...moment, now: moment.now + 1000 });
+    const old = candidate("1", "v1");
+    const updated = candidate("2", TARGET);
+    for (let call = 0; call < 200; call++) {
+        assert.deepEqual(rollouts.groups(SERVICE, `call-${call}`, [old, updated]), [[old]]);
+    }
+    const outdated = rollouts.outdatedStatuses();
+    assert.deepEqual(outdated.map(({ order, state }) => [order.revision, state]), [[30, "rolled-back"]]);
+});
