--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -56,10 +56,15 @@
  * the name of an isolated customer.
  */
 export function cacheScope(model: string, weightsVersion: number, customer: fleet.Customer | undefined): string {
-    const customerSuffix = customer?.isolated === true ? `/${customer.name}` : "";
+    const customerSuffix = customer?.isolated === true ? `/${asciiName(customer.name)}` : "";
     return `${model}/${weightsVersion}${customerSuffix}`;
 }
 
+/** The name in characters that a header can hold, different for each name. */
+function asciiName(name: string): string {
+    return encodeURIComponent(JSON.stringify(name).slice(1, -1));
+}
+
 /**
  * Plans the cache transfers of a call at the server that was chosen for it.
  *
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -31,6 +31,8 @@
     readonly id: string;
     /** Number of the request on its connection, from 1. */
     readonly number: number;
+    /** Request line and headers. */
+    readonly head: string;
 }
 
 export type ServerScript = (socket: net.Socket, request: ReceivedRequest) => void;
@@ -59,7 +61,7 @@
     private readonly sockets = new Set<net.Socket>();
     private readonly pool = new connectionPools.ConnectionPool();
     private readonly queues = new serviceQueues.ServiceQueues(clocks.systemClock);
-    private readonly serverLoad = new serverLoads.ServerLoadTracker();
+    readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly health = new serverHealth.ServerHealth();
     readonly serverLimits = new serverLimits.ServerLimits({
         journal: { emit: () => undefined },
@@ -85,7 +87,7 @@
     });
     isDraining = false;
     readonly entry: entryServers.EntryServer;
-    private port = 0;
+    port = 0;
 
     private constructor() {
         this.entry = new entryServers.EntryServer(this.ports());
@@ -205,9 +207,10 @@
                 pending += chunk.toString("latin1");
                 const end = pending.indexOf("\r\n\r\n");
                 if (end >= 0) {
-                    const id = /^request-id: *(\S+)$/im.exec(pending.slice(0, end))?.[1] ?? "";
+                    const head = pending.slice(0, end);
+                    const id = /^request-id: *(\S+)$/im.exec(head)?.[1] ?? "";
                     pending = "";
-                    script(socket, { id, number: ++number });
+                    script(socket, { id, number: ++number, head });
                 }
             });
         });
