Close the connection of a refusal whose body does not end

Cause: an attempt ends with the head of a refusal, and nothing bounds the body that follows.

Evidence: the new tests fail before for all four kinds of routes (one connection open after 700 ms) and pass with the change.

The rest of such a response is now read for at most 500 ms and 64 KB, so that a short one keeps its connection for other calls, and any other ends with it.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -168,6 +168,7 @@
         if (responseHead.isNotExecuted || status === MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
             const mismatch = status !== MISDIRECTED_REQUEST ? undefined : isOtherServer ? "server" : "weights";
+            this.inFlight?.discard();
             this.finish({ kind: "not-executed", reason: `status ${status}`, mismatch });
             return;
         }
--- a/src/forwarding/server-request.ts
+++ b/src/forwarding/server-request.ts
@@ -7,6 +7,9 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Limit of a response head in bytes; a server in trouble may send one without end. */
 const MAXIMUM_HEAD_BYTES = 16 * 1024;
+/** Limits of a body that nobody needs. A longer one is not worth the connection, which is closed. */
+const DISCARD_TIMEOUT_MS = 500;
+const MAXIMUM_DISCARDED_BYTES = 64 * 1024;
 /** Limit of the interim responses (1xx) before the final one; a server in trouble may send them without end. */
 const MAXIMUM_INTERIM_RESPONSES = 8;
 
@@ -43,6 +46,8 @@
 export interface InFlightRequest {
     /** Closes the connection. The listener is not called any more. */
     abort(): void;
+    /** Ignores the rest of the response, and keeps the connection if that is short. The listener is not called any more. */
+    discard(): void;
     /** Stops reading the response, for backpressure when the caller reads slowly. */
     pause(): void;
     /** Continues reading the response. */
@@ -145,11 +150,27 @@
             clearTimeout(connectTimer);
             outgoing.destroy();
         },
+        discard: () => {
+            isDone = true;
+            discardRest(outgoing, response);
+        },
         pause: () => void response?.pause(),
         resume: () => void response?.resume(),
     };
 }
 
+function discardRest(outgoing: http.ClientRequest, response: http.IncomingMessage | undefined): void {
+    let discardedBytes = 0;
+    const timer = setTimeout(() => outgoing.destroy(), DISCARD_TIMEOUT_MS);
+    outgoing.once("close", () => clearTimeout(timer));
+    response?.on("data", (chunk: Buffer) => {
+        discardedBytes += chunk.length;
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            outgoing.destroy();
+        }
+    });
+}
+
 /** Whether the headers delimit the body. Otherwise the end of the connection is the end of the body. */
 function hasExplicitLength(response: http.IncomingMessage): boolean {
     return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
--- a/test/forwarding/hostile-servers.test.ts
+++ b/test/forwarding/hostile-servers.test.ts
@@ -10,6 +10,8 @@
 
 /** Time in milliseconds by which a call to a server in trouble has to end: the timeout of its route and a margin. */
 const LATEST_END_MS = 2500;
+/** Time in milliseconds after which the connection of a call that has ended is closed. */
+const DISCARDED_WITHIN_MS = 700;
 const CHUNK = Buffer.alloc(64 * 1024, "x");
 /** More than a server may make an entry read, and the part of it that may be in memory at once. */
 const EXCESSIVE_BYTES = 64 * 1024 * 1024;
@@ -83,6 +85,19 @@
     }
 }
 
+for (const route of ["lookup", "booking", "review", "note"]) {
+    testing.test(`${route}: guards against a refusal whose body does not end, on a connection that stays open`, async () => {
+        await using harness = await harnesses.EntryHarness.start([(socket, { id }) => {
+            const head = `HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\n`;
+            socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n`);
+        }]);
+        const result = await harness.call(route);
+        assert.equal(result.status, 503);
+        await new Promise(resolve => setTimeout(resolve, DISCARDED_WITHIN_MS));
+        assert.equal(harness.openConnections, 0);
+    });
+}
+
 const MALFORMED_HEADS = [
     "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n",
