End an at-most-once call without its caller at its deadline

Callers saw: a server that does not answer gets fewer calls with each caller that leaves, until it gets none.

Cause: a call that may run once only goes on when its caller leaves, and the deadline of the call did nothing from then on. At a server that never answers it counted without end.

Evidence: the new test fails before (one connection open 700 ms after the deadline) and passes with the change.

The deadline now interrupts the attempt whether or not a caller waits for it. A server stops at the deadline as well, so that nothing is cut that it would have completed.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -546,6 +546,8 @@
     private onDeadline(): void {
         const admission = this.admission;
         if (this.isFinished || admission === undefined || this.callerResponse.isEnded) {
+            // An attempt that goes on without its caller is not to occupy its server for longer than the caller allowed.
+            this.interrupt?.();
             return;
         }
         if (this.executedAttempts === 0 && !this.isAttempting) {
