Answer and release each call whose handling throws

Callers saw: after 36 requests with a tab in the path from one caller to one entry, all entries refused all calls of all callers for that service with 503, while its servers were idle. The requests themselves ended with a closed connection.

Cause: Node.js parses some bytes in a request that it refuses to send. The error of http.request left the handling of the call between the placing of the call and its release, so that the call counted at its server without end; heartbeats told all entries. Any other error between the two did the same, an error in placing a waiting call lost the whole queue of its service, and a server whose address has a port out of range ended each call placed at it.

The place at the server, the announced prefill and the trial now belong to one scope that ends with the attempt, however it does. Malformed calls are answered with 400 before they are placed; an attempt that cannot be sent is an outcome like the others, which blames the server only for its address; any other error is answered by the call itself with 500, or 502 once it was placed. A waiting call that cannot be placed for an error leaves the queue alone.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a call at a backend server, including the relay of the response to the caller. */
 import type * as http from "node:http";
 import type * as fleet from "../fleet/types.js";
+import * as jsonClient from "../http/json-client.js";
 import type * as cachePlans from "../placement/cache-plan.js";
 import type * as placement from "../placement/types.js";
 import type * as callOutcomes from "../rollout/call-outcome.js";
@@ -27,6 +28,13 @@
 const MINIMUM_STATUS = 200;
 const MAXIMUM_STATUS = 599;
 const MINIMUM_FAILURE_STATUS = 500;
+/** Codes of the errors of a request whose path or headers have characters that no request can hold. */
+const UNSENDABLE_CODES: ReadonlySet<string> = new Set([
+    "ERR_UNESCAPED_CHARACTERS",
+    "ERR_INVALID_CHAR",
+    "ERR_INVALID_HTTP_TOKEN",
+    "ERR_HTTP_INVALID_HEADER_VALUE",
+]);
 const EVENT_STREAM = "text/event-stream";
 
 export interface AttemptAdmission {
@@ -107,20 +115,24 @@
             ...this.ports.dialect.attemptHeaders(this.attemptHead()),
             ...bodyHeaders(request, admission.body),
         ];
-        this.inFlight = serverRequests.send(
-            {
-                address: server.address,
-                method: request.method ?? "GET",
-                path: request.url ?? "/",
-                headers,
-                body: admission.body,
-                // On a kept connection, a second copy of the answer to an earlier attempt would have the id of this one.
-                mayReuseConnection: !this.input.isRepeated
-                    && (admission.route.kind === "idempotent" || this.isResumable),
-            },
-            this.ports.connectionPool,
-            this,
-        );
+        const options = {
+            address: server.address,
+            method: request.method ?? "GET",
+            path: request.url ?? "/",
+            headers,
+            body: admission.body,
+            // On a kept connection, a second copy of the answer to an earlier attempt would have the id of this one.
+            mayReuseConnection: !this.input.isRepeated
+                && (admission.route.kind === "idempotent" || this.isResumable),
+        };
+        try {
+            this.inFlight = serverRequests.send(options, this.ports.connectionPool, this);
+        }
+        catch (error) {
+            const reason = jsonClient.errorCode(error as Error);
+            this.finish({ kind: UNSENDABLE_CODES.has(reason) ? "unsendable" : "not-sent", reason });
+            return this.result;
+        }
         this.restartTimer(this.initialTimeoutMs());
         return this.result;
     }
--- a/src/forwarding/call-queue.ts
+++ b/src/forwarding/call-queue.ts
@@ -18,6 +18,8 @@
     readonly tryPlace: () => boolean;
     /** Called when the call leaves the queue without a server. */
     readonly onTimeout: () => void;
+    /** Called when placing the call threw an error, with which it leaves the queue. */
+    readonly onError: (error: unknown) => void;
     readonly timeoutAt: number;
 }
 
@@ -47,17 +49,17 @@
         const remaining: QueuedCall[] = [];
         for (const call of pending) {
             const isUnplaceable = call.requirements !== undefined && unplaceable.has(call.requirements);
-            if (!isUnplaceable && call.tryPlace()) {
+            if (!isUnplaceable && leavesQueue(call, call.tryPlace)) {
                 continue;
             }
             if (call.requirements !== undefined) {
                 unplaceable.add(call.requirements);
             }
-            if (now >= call.timeoutAt) {
-                call.onTimeout();
+            if (now < call.timeoutAt) {
+                remaining.push(call);
                 continue;
             }
-            remaining.push(call);
+            leavesQueue(call, call.onTimeout);
         }
         // Calls that were enqueued during this pass go behind those of equal order that were already queued.
         const added = this.calls;
@@ -82,6 +84,17 @@
     }
 }
 
+/** An error ends the call that it belongs to, and not the pass over the others. */
+function leavesQueue(call: QueuedCall, action: () => boolean | void): boolean {
+    try {
+        return action() === true;
+    }
+    catch (error) {
+        call.onError(error);
+        return true;
+    }
+}
+
 function isBefore(left: QueuedCall, right: QueuedCall): boolean {
     return left.priority < right.priority || left.priority === right.priority && left.arrivedAt < right.arrivedAt;
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -13,6 +13,7 @@
 import * as callAttempts from "./call-attempt.js";
 import * as callFingerprints from "./call-fingerprints.js";
 import * as callPlacements from "./call-placement.js";
+import * as callSyntax from "./call-syntax.js";
 import * as callerResponses from "./caller-response.js";
 import * as promptCacheAccess from "./prompt-cache-access.js";
 import * as retries from "./retry-decision.js";
@@ -56,10 +57,18 @@
     "broken": "lost",
     "silent": "abandoned",
     "withdrawn": undefined,
+    "unsendable": undefined,
     "not-sent": undefined,
     "not-executed": undefined,
 };
 
+/** Attempts that reached no server or were rejected without being run. */
+const UNEXECUTED_KINDS: ReadonlySet<callAttempts.AttemptResult["kind"]> = new Set([
+    "not-sent",
+    "not-executed",
+    "unsendable",
+]);
+
 /** A call that has passed the checks of `admit`. */
 interface Admission {
     readonly head: fleet.CallHead;
@@ -107,31 +116,53 @@
         response.on("close", () => this.onCallerDisconnect());
     }
 
-    /** Handles the call. Returns when its response has ended or its caller has disconnected. */
+    /** Handles the call. Returns when its response has ended or its caller has disconnected; does not reject. */
     async run(): Promise<void> {
-        const admission = await this.admit();
-        if (admission === undefined) {
+        try {
+            const admission = await this.admit();
+            if (admission !== undefined) {
+                this.admission = admission;
+                await this.serve(admission);
+            }
+        }
+        catch (error) {
+            this.failInternally(error);
+        }
+        finally {
             this.finish();
-            return;
         }
-        this.admission = admission;
+    }
+
+    /** Runs attempts until one is final. */
+    private async serve(admission: Admission): Promise<void> {
         const remainingMs = admission.deadlineAt - this.ports.clock.now();
         this.deadlineTimer = setTimeout(() => this.onDeadline(), Math.max(0, remainingMs));
+        using _trial = { [Symbol.dispose]: () => admission.placement.endTrial() };
         while (!this.isFinished) {
             const placed = await this.waitForServer(admission);
             if (placed === undefined) {
-                break;
+                return;
             }
-            const result = this.isFinished ? undefined : await this.runAttempt(admission, placed);
-            placed[Symbol.dispose]();
-            this.ports.queues.dispatch(admission.service);
-            admission.placement.endTrial();
+            const result = await this.runPlaced(admission, placed);
             if (result === undefined || !this.handleFailedAttempt(admission, placed.choice, result)) {
-                break;
+                return;
             }
         }
-        admission.placement.endTrial();
-        this.finish();
+    }
+
+    /** Runs one attempt, and gives back what was reserved for it however it ends. */
+    private async runPlaced(
+        admission: Admission,
+        placed: PlacedCall,
+    ): Promise<callAttempts.AttemptResult | undefined> {
+        try {
+            using _placed = placed;
+            return this.isFinished ? undefined : await this.runAttempt(admission, placed);
+        }
+        finally {
+            admission.placement.endTrial();
+            this.ports.queues.dispatch(admission.service);
+        }
     }
 
     private get elapsedMs(): number {
@@ -146,6 +177,10 @@
             return this.refuse("call-invalid", "no request id");
         }
         this.callerResponse.callId = head.id;
+        const malformation = callSyntax.malformation(this.request);
+        if (malformation !== undefined) {
+            return this.refuse("call-invalid", malformation);
+        }
         const headLimitBytes = view.routingTable?.configuration.limits.headerBytes ?? Number.MAX_SAFE_INTEGER;
         if (headBytes(this.request) > headLimitBytes) {
             this.callerResponse.closeAfterResponse();
@@ -239,7 +274,7 @@
             service: admission.service,
             limitMs: Math.round(timeoutAt - now),
         });
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             const queuedCall = {
                 priority: priorityOf(admission),
                 arrivedAt: this.arrivedAt,
@@ -248,6 +283,10 @@
                     ? admission.head.model ?? ""
                     : undefined,
                 tryPlace: () => {
+                    if (this.isFinished) {
+                        resolve(undefined);
+                        return true;
+                    }
                     const choice = admission.placement.choose();
                     if (choice.kind === "quarantined") {
                         this.refuseQuarantined(admission, choice.fingerprint, choice.retryAfterMs);
@@ -265,6 +304,7 @@
                     this.refuseUnplaced(admission, reason);
                     resolve(undefined);
                 },
+                onError: reject,
             };
             this.interrupt = () => {
                 queue.remove(queuedCall);
@@ -368,8 +408,9 @@
         });
         this.ports.serverLimits.recordRequest(candidate.server.id, now);
         this.ports.demand.record(service, uncachedTokens, head.promptTokens, now);
-        const load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
         const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
+        // Nothing after this may throw, since the call would then count at its server without an owner.
+        const load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
         return {
             choice,
             cacheLookup,
@@ -413,12 +454,20 @@
         });
         this.interrupt = () => attempt.abort();
         this.isAttempting = true;
-        const result = await attempt.run();
-        this.recordOutcome(admission, candidate.server, attempt, result);
-        await this.reportLoss(admission, choice, result);
-        this.isAttempting = false;
-        this.interrupt = undefined;
-        return result;
+        try {
+            const result = await attempt.run();
+            this.recordOutcome(admission, candidate.server, attempt, result);
+            await this.reportLoss(admission, choice, result);
+            return result;
+        }
+        catch (error) {
+            attempt.abort();
+            throw error;
+        }
+        finally {
+            this.isAttempting = false;
+            this.interrupt = undefined;
+        }
     }
 
     /** Counts the attempt for the rollout of its service, if there is one. */
@@ -474,7 +523,7 @@
             return false;
         }
         const now = this.ports.clock.now();
-        const wasUnexecuted = result.kind === "not-sent" || result.kind === "not-executed";
+        const wasUnexecuted = UNEXECUTED_KINDS.has(result.kind);
         this.executedAttempts += wasUnexecuted ? 0 : 1;
         this.unexecutedAttempts += wasUnexecuted ? 1 : 0;
         this.updateServerHealth(choice.candidate.server, result, now);
@@ -518,7 +567,7 @@
             }
             return;
         }
-        if (result.kind === "withdrawn") {
+        if (result.kind === "withdrawn" || result.kind === "unsendable") {
             return;
         }
         if (result.kind === "server-failure") {
@@ -542,6 +591,13 @@
         this.refuse("call-outcome-unknown", result.reason);
     }
 
+    /** Ends a call whose handling threw an unexpected error. */
+    private failInternally(error: unknown): void {
+        const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+        this.log("call-faulted", { reason });
+        this.refuse(this.attempts > 0 ? "call-outcome-unknown" : "call-failed-internally", "internal error");
+    }
+
     /** Ends the call at its deadline. */
     private onDeadline(): void {
         const admission = this.admission;
--- a/src/forwarding/entry-server.ts
+++ b/src/forwarding/entry-server.ts
@@ -99,12 +99,16 @@
             await new calls.Call(this.ports, request, response).run();
         }
         catch (error) {
+            if (!response.writableEnded) {
+                response.destroy();
+            }
             this.ports.journal.emit("call-faulted", { reason: (error as Error).stack ?? String(error) });
-            response.destroy();
         }
-        this.inFlight--;
-        connection.calls--;
-        connection.hasServed = true;
+        finally {
+            this.inFlight--;
+            connection.calls--;
+            connection.hasServed = true;
+        }
     }
 }
 
--- a/src/forwarding/failures.ts
+++ b/src/forwarding/failures.ts
@@ -107,4 +107,12 @@
         message: detail => `no response before the deadline: ${detail}`,
         hint: "The call may have run.",
     },
+    "call-failed-internally": {
+        number: 3314,
+        status: 500,
+        execution: "not-run",
+        retry: "after-delay",
+        message: detail => `the entry could not send the call: ${detail}`,
+        hint: "Report this as a bug, with the event call-faulted of the same call.",
+    },
 } as const satisfies failure.FailureCatalogue;
--- a/src/forwarding/retry-decision.ts
+++ b/src/forwarding/retry-decision.ts
@@ -5,13 +5,21 @@
  * How an attempt failed.
  *
  * - `not-sent`: no connection was established, so the server did not receive the call.
+ * - `unsendable`: the call cannot be expressed as a request, so no server could receive it.
  * - `not-executed`: the server states that it did not run the call.
  * - `broken`: the connection was lost, or the response was not valid for this call; the call may have run.
  * - `silent`: no response within the timeout of the attempt; the call may still be running.
  * - `withdrawn`: the entry gave up the attempt, since calls like it crash servers; the server may have begun to run it.
  * - `server-failure`: the server responded with a 5xx status.
  */
-export type AttemptFailure = "not-sent" | "not-executed" | "broken" | "silent" | "withdrawn" | "server-failure";
+export type AttemptFailure =
+    | "not-sent"
+    | "unsendable"
+    | "not-executed"
+    | "broken"
+    | "silent"
+    | "withdrawn"
+    | "server-failure";
 
 export interface AttemptHistory {
     readonly kind: fleet.CallKind;
@@ -50,6 +58,7 @@
 
 const HANDLERS: Readonly<Record<AttemptFailure, (history: AttemptHistory) => RetryDecision>> = {
     "not-sent": history => decideUnexecuted(history, true),
+    "unsendable": history => history.executedAttempts === 0 ? "fail-not-run" : "fail-unknown",
     "not-executed": history => decideUnexecuted(history, history.hasRetryBudget),
     "broken": history => canRunAgain(history) ? "retry" : "fail-unknown",
     "silent": history => canRunAgain(history) ? "retry" : "fail-unknown",
--- a/test/forwarding/call-queue.test.ts
+++ b/test/forwarding/call-queue.test.ts
@@ -26,6 +26,7 @@
                 return true;
             },
             onTimeout: () => void timedOut.push(name),
+            onError: () => undefined,
         });
     }
     const dispatch = (free: number, now: number) => {
@@ -80,6 +81,7 @@
             requirements,
             tryPlace,
             onTimeout: () => undefined,
+            onError: () => undefined,
         });
     };
     enqueue("menu 1", "menu", false);
@@ -103,6 +105,7 @@
             requirements: "menu",
             tryPlace: () => false,
             onTimeout,
+            onError: () => undefined,
         });
     }
     queue.dispatch(100);
--- a/tools/bench/decisions.ts
+++ b/tools/bench/decisions.ts
@@ -78,6 +78,7 @@
             requirements: MODEL,
             tryPlace: () => place(view, `part-${call}`).kind === "none",
             onTimeout: () => undefined,
+            onError: () => undefined,
         });
     }
     return queue;
