Ignore changes of the store that the copy contains already

Cause: a watch asks for the changes after the copy's position. Its answer may be held up, and the copy of a peer adopted before it arrives. The changes were compared with the records of the copy only, so one that the newer copy had removed was added again, and the position, which stayed at that of the newer copy, hid its removal for good. Likewise a late removal took away a record that was created again, and an answer of a new era to a question from the era before moved the position past changes that it did not contain.

An answer now belongs to the position at which it was asked for. If the copy is newer, changes up to its revision are left out; a removal, whose record has the revision of the last change before it, is left out if the copy has a later record; and an answer from another era than the one asked from is not applied. Each copy is thus the store's state at its position, whatever the order of the answers.

--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -115,14 +115,20 @@
     }
 
     /**
-     * Applies changes made after the copy's position. Returns false, without effect, for those of another era, since the
-     * copy may lack others that were made before.
+     * Applies the changes after the position `askedAt`. The copy may have become newer since, so that it contains some of
+     * them already. Returns the others; undefined, without effect, for changes of another era or asked for in one, since
+     * the copy may lack some that were made before.
      */
-    apply(batch: types.Changes, now: number): boolean {
-        if (batch.era !== this.currentPosition.era) {
-            return false;
+    apply(batch: types.Changes, askedAt: types.Position, now: number): readonly types.Change[] | undefined {
+        const { era, revision } = batch;
+        if (era !== this.currentPosition.era || era !== askedAt.era) {
+            return undefined;
         }
-        for (const change of batch.changes) {
+        if (positions.isAfter(this.currentPosition, batch)) {
+            return [];
+        }
+        const changes = batch.changes.filter(change => !this.contains(change, askedAt));
+        for (const change of changes) {
             if (change.isDeleted) {
                 this.remove(change.record.name, now);
             }
@@ -130,12 +136,28 @@
                 this.upsert(change.record);
             }
         }
-        const { era, revision } = batch;
-        if (batch.changes.length > 0) {
+        if (changes.length > 0) {
             this.latestChange = positions.latest(this.latestChange, { era, revision });
         }
-        this.currentPosition = positions.latest(this.currentPosition, { era, revision });
-        return true;
+        this.currentPosition = { era, revision };
+        return changes;
+    }
+
+    /**
+     * Whether the copy contains a change already. The record of a removal has the revision of its last change before, so a
+     * removal is known by a record that was created after it.
+     */
+    private contains({ record, isDeleted }: types.Change, askedAt: types.Position): boolean {
+        if (isDeleted) {
+            return (this.storedRevision(record.name) ?? -1) > record.revision;
+        }
+        return positions.isAfter(this.currentPosition, askedAt) && record.revision <= this.currentPosition.revision;
+    }
+
+    /** Revision of what the store has of a record, as far as the copy knows; undefined if it has none. */
+    private storedRevision(name: string): number | undefined {
+        const pending = this.pending.get(name);
+        return pending === undefined ? this.recordsByName.get(name)?.revision : pending.record?.revision;
     }
 
     /** Adopts the records of a store that came back from an older copy of itself. */
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -150,15 +150,17 @@
         const waitMs = this.disconnectedAt === undefined ? this.waitMs() : PROBE_WAIT_MS;
         const mayBeStale = this.disconnectedAt === undefined && this.options.mayBeStale();
         const startedAt = this.ports.clock.now();
+        // The copy of a peer may be adopted before the answer arrives.
+        const askedAt = this.copy.position;
         const batch = await this.interruptible(
-            this.ports.store.watch(this.options.kind, this.copy.revision, { waitMs, mayBeStale }),
+            this.ports.store.watch(this.options.kind, askedAt.revision, { waitMs, mayBeStale }),
         );
         if (batch === undefined) {
             return undefined;
         }
         if (!batch.ok) {
             return batch.failure.kind === "store-history-lost"
-                ? this.relist(this.copy.position)
+                ? this.relist(askedAt)
                 : this.recordFailure(batch.failure.detail);
         }
         this.recordSuccess();
@@ -169,10 +171,10 @@
             return this.relist(batch.value);
         }
         const previous = this.copy.position;
-        const isApplied = this.copy.apply(batch.value, now);
+        const applied = this.copy.apply(batch.value, askedAt, now);
         const hasAdvanced = positions.isAfter(this.copy.position, previous);
-        const changes = isApplied ? batch.value.changes : [];
-        this.consecutiveRelistings = isApplied ? 0 : this.consecutiveRelistings;
+        const changes = applied ?? [];
+        this.consecutiveRelistings = applied === undefined ? this.consecutiveRelistings : 0;
         if (changes.length > 0 || isSettled) {
             const names = changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
             this.reportChange(isSettled ? "grace period over" : names.slice(0, 8).join(" "), "store");
@@ -180,9 +182,9 @@
         if (changes.length > 0 && hasAdvanced) {
             return this.options.batchDelayMs();
         }
-        // A stale copy that is behind this one may answer at once; asking again would not help.
+        // A stale copy that is behind this one may answer at once; asking again from the same position would not help.
         const hasWaited = now - startedAt >= waitMs / 2;
-        return hasWaited ? undefined : EMPTY_ANSWER_PAUSE_MS;
+        return hasWaited || positions.isAfter(previous, askedAt) ? undefined : EMPTY_ANSWER_PAUSE_MS;
     }
 
     /** Longest wait for a change, which ends when a grace period of the copy does. */
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -34,14 +34,14 @@
     copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
     copy.storeRecovered(10_000);
     copy.replace({ era: 0, revision: 5, records: [] }, 10_000);
-    copy.apply({ era: 0, revision: 6, changes: [{ record: record("a", 6), isDeleted: false }] }, 11_000);
+    copy.apply({ era: 0, revision: 6, changes: [{ record: record("a", 6), isDeleted: false }] }, copy.position, 11_000);
     assert.deepEqual(names(copy, 20_000), ["a"]);
 });
 
 testing.test("without an outage a removal takes effect at once", () => {
     const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
-    copy.apply({ era: 0, revision: 2, changes: [{ record: record("a", 1), isDeleted: true }] }, 100);
+    copy.apply({ era: 0, revision: 2, changes: [{ record: record("a", 1), isDeleted: true }] }, copy.position, 100);
     assert.deepEqual(names(copy, 100), []);
     assert.equal(copy.lastChange.revision, 2);
 });
@@ -73,9 +73,17 @@
     const copy = copyBeforeRestore([versioned("main", 50, 7)]);
     copy.replace({ era: 2, revision: 45, records: [versioned("main", 41, 6)] }, 0);
     assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [7]);
-    copy.apply({ era: 2, revision: 46, changes: [{ record: versioned("main", 46, 6), isDeleted: false }] }, 0);
+    copy.apply(
+        { era: 2, revision: 46, changes: [{ record: versioned("main", 46, 6), isDeleted: false }] },
+        copy.position,
+        0,
+    );
     assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [7]);
-    copy.apply({ era: 2, revision: 47, changes: [{ record: versioned("main", 47, 8), isDeleted: false }] }, 0);
+    copy.apply(
+        { era: 2, revision: 47, changes: [{ record: versioned("main", 47, 8), isDeleted: false }] },
+        copy.position,
+        0,
+    );
     assert.deepEqual(versionOf(copy, "main", SETTLED_MS), [8]);
 });
 
@@ -83,17 +91,21 @@
     const copy = copyBeforeRestore([versioned("server", 50, 1000, 1), versioned("other", 48, 900, 0)]);
     copy.replace({ era: 2, revision: 45, records: [versioned("server", 30, 1000, 0)] }, 0);
     assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [1000, 1]);
-    copy.apply({ era: 2, revision: 46, changes: [{ record: versioned("server", 46, 2000, 0), isDeleted: false }] }, 0);
+    copy.apply(
+        { era: 2, revision: 46, changes: [{ record: versioned("server", 46, 2000, 0), isDeleted: false }] },
+        copy.position,
+        0,
+    );
     assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [2000, 0]);
 });
 
 testing.test("restored store: guards against a server that is gone and returns until the registry removes it again", () => {
     const copy = copyBeforeRestore([versioned("gone", 20, 1000, 0), versioned("other", 20, 900, 0)]);
     const gone = versioned("gone", 20, 1000, 0);
-    copy.apply({ era: 1, revision: 51, changes: [{ record: gone, isDeleted: true }] }, 100);
+    copy.apply({ era: 1, revision: 51, changes: [{ record: gone, isDeleted: true }] }, copy.position, 100);
     copy.replace({ era: 2, revision: 45, records: [gone, versioned("other", 20, 900, 0)] }, 200);
     assert.deepEqual(names(copy, 200), ["other"]);
-    copy.apply({ era: 2, revision: 46, changes: [{ record: gone, isDeleted: true }] }, 4000);
+    copy.apply({ era: 2, revision: 46, changes: [{ record: gone, isDeleted: true }] }, copy.position, 4000);
     assert.deepEqual(names(copy, SETTLED_MS), ["other"]);
 });
 
@@ -101,18 +113,30 @@
     const back = versioned("back", 20, 1000, 0);
     const late = versioned("late", 20, 1000, 0);
     const copy = copyBeforeRestore([]);
-    copy.apply({
-        era: 1,
-        revision: 51,
-        changes: [{ record: back, isDeleted: false }, { record: late, isDeleted: false }],
-    }, 0);
-    copy.apply({
-        era: 1,
-        revision: 52,
-        changes: [{ record: back, isDeleted: true }, { record: late, isDeleted: true }],
-    }, 0);
+    copy.apply(
+        {
+            era: 1,
+            revision: 51,
+            changes: [{ record: back, isDeleted: false }, { record: late, isDeleted: false }],
+        },
+        copy.position,
+        0,
+    );
+    copy.apply(
+        {
+            era: 1,
+            revision: 52,
+            changes: [{ record: back, isDeleted: true }, { record: late, isDeleted: true }],
+        },
+        copy.position,
+        0,
+    );
     copy.replace({ era: 2, revision: 45, records: [back, late] }, 200);
-    copy.apply({ era: 2, revision: 46, changes: [{ record: versioned("back", 46, 1000, 0), isDeleted: false }] }, 300);
+    copy.apply(
+        { era: 2, revision: 46, changes: [{ record: versioned("back", 46, 1000, 0), isDeleted: false }] },
+        copy.position,
+        300,
+    );
     assert.deepEqual(names(copy, 300), ["back"]);
     assert.deepEqual(names(copy, SETTLED_MS), ["back", "late"]);
 });
@@ -122,7 +146,7 @@
     copy.replace({ era: 2, revision: 45, records: [] }, 0);
     assert.deepEqual(names(copy, 100), ["lost", "written again"]);
     const again = { record: versioned("written again", 46, 1, 0), isDeleted: false };
-    copy.apply({ era: 2, revision: 46, changes: [again] }, 500);
+    copy.apply({ era: 2, revision: 46, changes: [again] }, copy.position, 500);
     assert.deepEqual(names(copy, SETTLED_MS), ["written again"]);
 });
 
@@ -133,7 +157,7 @@
     const copy = copyBeforeRestore([order(50, "v3", "ended")], restoration.unordered);
     copy.replace({ era: 2, revision: 45, records: [order(30, "v2", "ended")] }, 0);
     assert.deepEqual(copy.records(100)[0]?.spec, { target: "v3" });
-    copy.apply({ era: 2, revision: 46, changes: [{ record: order(46, "v3"), isDeleted: false }] }, 200);
+    copy.apply({ era: 2, revision: 46, changes: [{ record: order(46, "v3"), isDeleted: false }] }, copy.position, 200);
     assert.deepEqual(copy.records(SETTLED_MS), [order(46, "v3")]);
     copy.replace({ era: 3, revision: 46, records: [order(46, "v3", "lost status")] }, 300);
     assert.deepEqual(copy.records(300), [order(46, "v3", "lost status")]);
