Give peers the store's state, and what is shown in its place apart from it

Callers would see, as a test over HTTP shows, an instance that uses a removed server for good.

Cause: for some seconds after an outage a copy keeps the servers that the registry removed, and after a restore it keeps or hides some records. Peers got what the copy showed, at the position of the store's state. For them the kept server was part of that state; its removal lay before the position, so that no later change took it away. In the same way a server that was hidden for six seconds never reached the peers.

The copy now has the store's state at its position, and apart from it what it shows instead and until when. A peer gets both: it keeps or hides the same records for the rest of the time, unless it knows better itself.

--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -104,22 +104,27 @@
             response.writeHead(404).end();
             return;
         }
-        const records = watch.copy.records(this.ports.clock.now());
-        const body = JSON.stringify({ ...watch.copy.position, records });
+        const body = JSON.stringify(watch.copy.listing(this.ports.clock.now()));
         response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
         response.end(body);
     }
 }
 
-/** Processes of earlier versions do not tell the era. */
+/** Processes of earlier versions tell neither the era nor what they show in place of the store's state. */
 function decodeListing(value: unknown): storeAccess.Listing | undefined {
-    const { era = 0, revision, records } = (value ?? {}) as Partial<storeAccess.Listing>;
-    return typeof era === "number" && typeof revision === "number" && Array.isArray(records) && records.every(isRecord)
-        ? { era, revision, records }
-        : undefined;
+    const { era = 0, revision, records, held = [] } = (value ?? {}) as Partial<storeAccess.Listing>;
+    const isValid = typeof era === "number" && typeof revision === "number"
+        && Array.isArray(records) && records.every(isRecord) && Array.isArray(held) && held.every(isHeldRecord);
+    return isValid ? { era, revision, records, held } : undefined;
 }
 
 function isRecord(value: unknown): value is storeAccess.StoredRecord {
     const record = value as Partial<storeAccess.StoredRecord> | undefined;
     return typeof record?.name === "string" && typeof record.revision === "number";
 }
+
+function isHeldRecord(value: unknown): value is storeAccess.HeldRecord {
+    const { name, record, remainingMs } = (value ?? {}) as Partial<storeAccess.HeldRecord>;
+    return typeof name === "string" && (record === undefined || isRecord(record))
+        && (remainingMs === undefined || typeof remainingMs === "number");
+}
--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -22,11 +22,12 @@
     readonly restoration: restoration.RestorationPolicy;
 }
 
-/** What the store has of a record, while the copy still has an earlier state of it; undefined if it is removed. */
-interface PendingState {
+/** What the copy shows of a record in place of what the store has. */
+interface HeldState {
+    /** Undefined if the record is hidden. */
     readonly record: types.StoredRecord | undefined;
-    /** Time in milliseconds from which the copy has it too. */
-    readonly appliesAt: number;
+    /** Time in milliseconds from which the state of the store is shown; infinite if only a later state ends this one. */
+    readonly until: number;
 }
 
 interface RemovedRecord {
@@ -35,8 +36,9 @@
 }
 
 export class KindCopy {
-    private readonly recordsByName = new Map<string, types.StoredRecord>();
-    private readonly pending = new Map<string, PendingState>();
+    /** State of the store at the copy's position. */
+    private readonly stored = new Map<string, types.StoredRecord>();
+    private readonly held = new Map<string, HeldState>();
     private readonly removed = new Map<string, RemovedRecord>();
     private currentPosition = positions.NOWHERE;
     private latestChange = positions.NOWHERE;
@@ -63,28 +65,35 @@
         return this.currentPosition.era >= 0;
     }
 
-    /** Time in milliseconds at which the next pending state applies; undefined without one. */
+    /** Time in milliseconds at which the next held state ends; undefined without one. */
     get nextSettlementAt(): number | undefined {
-        const times = [...this.pending.values()].map(({ appliesAt }) => appliesAt).filter(Number.isFinite);
+        const times = [...this.held.values()].map(({ until }) => until).filter(Number.isFinite);
         return times.length === 0 ? undefined : Math.min(...times);
     }
 
     /** Current records, including those that the store has removed or replaced within a grace period. */
     records(now: number): readonly types.StoredRecord[] {
         this.settle(now);
-        return [...this.recordsByName.values()];
+        const names = new Set([...this.stored.keys(), ...this.held.keys()]);
+        return [...names].map(name => this.shown(name)).filter(record => record !== undefined);
     }
 
-    /** Applies pending states whose grace period is over. Returns whether there were any. */
+    /** The state of the store and the held states, for a peer. */
+    listing(now: number): types.Listing {
+        this.settle(now);
+        const held = [...this.held].map(([name, { record, until }]) => {
+            return { name, record, remainingMs: Number.isFinite(until) ? until - now : undefined };
+        });
+        return { ...this.currentPosition, records: [...this.stored.values()], held };
+    }
+
+    /** Ends held states whose time is over. Returns whether there were any. */
     settle(now: number): boolean {
-        const due = [...this.pending].filter(([, { appliesAt }]) => now >= appliesAt);
+        const due = [...this.held].filter(([, { until }]) => now >= until);
         for (const [name, { record }] of due) {
-            this.pending.delete(name);
-            if (record === undefined) {
-                this.forget(name, now);
-            }
-            else {
-                this.recordsByName.set(name, record);
+            this.held.delete(name);
+            if (!this.stored.has(name)) {
+                this.remember(record, now);
             }
         }
         return due.length > 0;
@@ -100,14 +109,20 @@
         if (positions.isAfter(this.currentPosition, listing)) {
             return false;
         }
-        if (this.isLoaded && listing.era > this.currentPosition.era) {
-            this.restore(listing, now);
+        this.settle(now);
+        const shownBefore = new Map(this.records(now).map(record => [record.name, record]));
+        const wasLoaded = this.isLoaded;
+        if (wasLoaded && listing.era > this.currentPosition.era) {
+            this.restore(listing, shownBefore, now);
         }
         else {
             const names = new Set(listing.records.map(record => record.name));
-            [...this.recordsByName.keys()].filter(name => !names.has(name)).forEach(name => this.remove(name, now));
+            [...this.stored.keys()].filter(name => !names.has(name)).forEach(name => this.remove(name, now));
             listing.records.forEach(record => this.upsert(record));
         }
+        for (const state of listing.held ?? []) {
+            this.adoptHeld(state, wasLoaded ? shownBefore.get(state.name) : state.record, now);
+        }
         this.currentPosition = { era: listing.era, revision: listing.revision };
         const newest = Math.max(-1, ...listing.records.map(record => record.revision));
         this.latestChange = positions.latest(this.latestChange, { era: listing.era, revision: newest });
@@ -149,94 +164,114 @@
      */
     private contains({ record, isDeleted }: types.Change, askedAt: types.Position): boolean {
         if (isDeleted) {
-            return (this.storedRevision(record.name) ?? -1) > record.revision;
+            return (this.stored.get(record.name)?.revision ?? -1) > record.revision;
         }
         return positions.isAfter(this.currentPosition, askedAt) && record.revision <= this.currentPosition.revision;
     }
 
-    /** Revision of what the store has of a record, as far as the copy knows; undefined if it has none. */
-    private storedRevision(name: string): number | undefined {
-        const pending = this.pending.get(name);
-        return pending === undefined ? this.recordsByName.get(name)?.revision : pending.record?.revision;
+    private shown(name: string): types.StoredRecord | undefined {
+        const held = this.held.get(name);
+        return held === undefined ? this.stored.get(name) : held.record;
     }
 
     /** Adopts the records of a store that came back from an older copy of itself. */
-    private restore(listing: types.Listing, now: number): void {
-        this.pending.clear();
+    private restore(
+        listing: types.Listing,
+        shownBefore: ReadonlyMap<string, types.StoredRecord>,
+        now: number,
+    ): void {
+        this.stored.clear();
+        this.held.clear();
         this.storeRecovered(now);
-        const restored = new Map(listing.records.map(record => [record.name, record]));
-        for (const [name, known] of [...this.recordsByName]) {
-            this.restoreKnown(known, restored.get(name), now);
-            restored.delete(name);
-        }
-        for (const record of restored.values()) {
+        listing.records.forEach(record => this.stored.set(record.name, record));
+        shownBefore.forEach(known => this.restoreKnown(known, this.stored.get(known.name), now));
+        for (const record of listing.records.filter(({ name }) => !shownBefore.has(name))) {
             const removed = this.removed.get(record.name)?.record;
             const isCurrent = removed === undefined || record.revision > removed.revision
                 || this.options.restoration.compareRemoved(removed, record) === "current";
-            if (isCurrent) {
-                this.recordsByName.set(record.name, record);
-            }
-            else {
-                this.pending.set(record.name, { record, appliesAt: now + RESTORATION_GRACE_MS });
+            if (!isCurrent) {
+                this.held.set(record.name, { record: undefined, until: now + RESTORATION_GRACE_MS });
             }
         }
     }
 
     private restoreKnown(known: types.StoredRecord, restored: types.StoredRecord | undefined, now: number): void {
-        const { name } = known;
-        const { compareKnown } = this.options.restoration;
         const isLater = restored !== undefined && restored.revision > known.revision;
-        const verdict = compareKnown(known, restored);
+        const verdict = this.options.restoration.compareKnown(known, restored);
         if (verdict === "current" || verdict === "unclear" && isLater) {
-            this.recordsByName.delete(name);
-            if (restored !== undefined) {
-                this.recordsByName.set(name, restored);
+            return;
+        }
+        const isRegistered = restored === undefined && this.options.ownersReregister;
+        const graceUntil = isRegistered ? this.graceUntil : now + RESTORATION_GRACE_MS;
+        const until = verdict === "unclear" ? graceUntil : Number.POSITIVE_INFINITY;
+        this.hold(known, restored?.revision, until);
+    }
+
+    /** Each change in a new era is later than a state of the era before, whatever its revision was. */
+    private hold(record: types.StoredRecord, storedRevision: number | undefined, until: number): void {
+        this.held.set(record.name, { record: { ...record, revision: storedRevision ?? 0 }, until });
+    }
+
+    /** Takes over what a peer shows in place of the store's state, unless this copy knows better. */
+    private adoptHeld(
+        { name, record, remainingMs }: types.HeldRecord,
+        shownBefore: types.StoredRecord | undefined,
+        now: number,
+    ): void {
+        const until = remainingMs === undefined ? Number.POSITIVE_INFINITY : now + remainingMs;
+        const stored = this.stored.get(name);
+        if (record === undefined) {
+            if (stored !== undefined && !this.held.has(name)) {
+                this.held.set(name, { record, until });
             }
             return;
         }
-        // Each change in the new era is later than a state of the era before, whatever its revision was.
-        this.recordsByName.set(name, { ...known, revision: restored?.revision ?? 0 });
-        if (verdict === "unclear") {
-            const isRegistered = restored === undefined && this.options.ownersReregister;
-            const appliesAt = isRegistered ? this.graceUntil : now + RESTORATION_GRACE_MS;
-            this.pending.set(name, { record: restored, appliesAt });
+        const shown = this.shown(name);
+        const isOutdated = shown !== undefined
+            && this.options.restoration.compareKnown(record, shown) === "outdated";
+        const isKept = stored === undefined && shown === undefined && shownBefore !== undefined;
+        if (isOutdated || isKept) {
+            this.hold(record, stored?.revision, until);
         }
     }
 
     private upsert(record: types.StoredRecord): void {
         const { name } = record;
-        const known = this.recordsByName.get(name);
-        const pending = this.pending.get(name);
-        const isOlder = known !== undefined && known.revision > record.revision;
-        const isPending = pending?.record?.revision === record.revision;
-        if (isOlder || isPending) {
+        const known = this.stored.get(name);
+        if (known !== undefined && known.revision > record.revision) {
             return;
         }
-        this.pending.delete(name);
-        const isOutdated = known !== undefined && this.options.restoration.compareKnown(known, record) === "outdated";
-        this.recordsByName.set(name, isOutdated ? { ...known, revision: record.revision } : record);
+        const shown = this.shown(name);
+        this.stored.set(name, record);
+        if (known?.revision === record.revision && this.held.has(name)) {
+            return;
+        }
+        this.held.delete(name);
+        if (shown !== undefined && this.options.restoration.compareKnown(shown, record) === "outdated") {
+            this.hold(shown, record.revision, Number.POSITIVE_INFINITY);
+        }
     }
 
     private remove(name: string, now: number): void {
-        const isKept = this.pending.has(name) && this.pending.get(name)!.record === undefined;
-        if (isKept && now < this.pending.get(name)!.appliesAt) {
+        const shown = this.shown(name);
+        const wasStored = this.stored.delete(name);
+        if (!wasStored) {
             return;
         }
-        if (this.options.ownersReregister && now < this.graceUntil) {
-            this.pending.set(name, { record: undefined, appliesAt: this.graceUntil });
+        this.held.delete(name);
+        if (shown !== undefined && this.options.ownersReregister && now < this.graceUntil) {
+            this.hold(shown, shown.revision, this.graceUntil);
             return;
         }
-        this.forget(name, now);
+        this.remember(shown, now);
     }
 
-    private forget(name: string, now: number): void {
-        this.pending.delete(name);
-        const record = this.recordsByName.get(name);
-        this.recordsByName.delete(name);
+    /** Remembers a record that is no longer shown. */
+    private remember(record: types.StoredRecord | undefined, now: number): void {
         if (record === undefined) {
             return;
         }
-        this.removed.set(name, { record, removedAt: now });
+        this.removed.set(record.name, { record, removedAt: now });
         for (const [other, { removedAt }] of this.removed) {
             if (now - removedAt <= REMOVAL_RETENTION_MS) {
                 break;
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -23,9 +23,20 @@
     readonly revision: number;
 }
 
+/** What a process shows of a record in place of what the store has. */
+export interface HeldRecord {
+    readonly name: string;
+    /** Undefined if the record is hidden. */
+    readonly record: StoredRecord | undefined;
+    /** Time in milliseconds until it shows the state of the store; undefined if only a later state ends this one. */
+    readonly remainingMs: number | undefined;
+}
+
 /** All records of a kind, at the position of the store that they reflect. */
 export interface Listing extends Position {
     readonly records: readonly StoredRecord[];
+    /** Only in the copy of a peer. */
+    readonly held?: readonly HeldRecord[];
 }
 
 export interface Change {
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -18,13 +18,13 @@
     putStatus: () => new Promise(() => undefined),
 };
 
-function watchAt(revision: number): watches.KindWatch {
+function watchAt(revision: number, ownersReregister = false): watches.KindWatch {
     const watch = new watches.KindWatch(
         {
             kind: KIND,
             waitMs: () => 1000,
             batchDelayMs: () => 0,
-            ownersReregister: false,
+            ownersReregister,
             restoration: restoration.asStored,
             mayBeStale: () => false,
         },
@@ -99,6 +99,25 @@
     assert.equal(own.copy.revision, 9);
 });
 
+testing.test("guards against keeping a removed server for good since a peer told of it within its grace period", async () => {
+    const address = await freeAddress();
+    const now = clocks.systemClock.now();
+    const [peer, own] = [watchAt(5, true), watchAt(5, true)] as const;
+    peer.copy.storeRecovered(now);
+    peer.copy.replace({ era: 0, revision: 9, records: [] }, now);
+    await using ahead = exchangeOf(peer);
+    ahead.start(address);
+    await using behind = exchangeOf(own);
+    behind.compare(heartbeat("ahead", address, 9), 0);
+    behind.compare(heartbeat("ahead", address, 9), 600);
+    for (let round = 0; round < 200 && own.copy.revision < 9; round++) {
+        await clocks.systemClock.sleep(10);
+    }
+    assert.equal(own.copy.revision, 9);
+    assert.equal(own.copy.records(now + 1000).length, 1, "its owner may register it again");
+    assert.equal(own.copy.records(now + 10_000).length, 0);
+});
+
 testing.test("guards against fetching a whole copy for a change that the own watch receives in its next batch", async () => {
     const address = await freeAddress();
     await using ahead = exchangeOf(watchAt(9));
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -166,6 +166,9 @@
         '{"revision":9}',
         '{"revision":9,"records":[5]}',
         '{"revision":"9","records":[]}',
+        '{"revision":9,"records":[],"held":{}}',
+        '{"revision":9,"records":[],"held":[{"name":"server","record":5}]}',
+        '{"revision":9,"records":[],"held":[{"name":"server","remainingMs":"5"}]}',
     ];
     for (const body of bodies) {
         const peer = http.createServer((_request, response) => void response.end(body));
--- a/test/store-access/kind-copy-order.test.ts
+++ b/test/store-access/kind-copy-order.test.ts
@@ -116,7 +116,7 @@
     fetch(copy: number): void {
         const other = this.copies[1 - copy]!;
         if (other.isLoaded) {
-            this.listings.push({ copy, listing: { ...other.position, records: other.records(0) } });
+            this.listings.push({ copy, listing: other.listing(0) });
         }
     }
 
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -176,3 +176,28 @@
     copy.replace({ era: 2, revision: 45, records: [] }, 0);
     assert.deepEqual(names(copy, 0), []);
 });
+
+testing.test("guards against a peer that keeps a removed server for good since it adopted a copy within the grace period", () => {
+    const [copy, peer] = [1, 2].map(() => {
+        return new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
+    }) as [copies.KindCopy, copies.KindCopy];
+    for (const each of [copy, peer]) {
+        each.replace({ era: 0, revision: 2, records: [record("removed", 1), record("other", 2)] }, 0);
+    }
+    copy.storeRecovered(10_000);
+    copy.replace({ era: 0, revision: 5, records: [record("other", 2)] }, 10_000);
+    peer.replace(copy.listing(10_500), 10_500);
+    assert.deepEqual(names(peer, 12_100), ["other", "removed"], "the peer keeps it for the rest of the period");
+    assert.deepEqual(names(peer, 12_300), ["other"]);
+});
+
+testing.test("guards against a peer that never gets a server since it adopted a copy which hid it for a time", () => {
+    const server = versioned("back", 20, 1000, 0);
+    const copy = copyBeforeRestore([server]);
+    copy.apply({ era: 1, revision: 51, changes: [{ record: server, isDeleted: true }] }, copy.position, 0);
+    copy.replace({ era: 2, revision: 45, records: [server] }, 200);
+    const peer = copyBeforeRestore([]);
+    peer.replace(copy.listing(1000), 1000);
+    assert.deepEqual(names(peer, 5000), []);
+    assert.deepEqual(names(peer, SETTLED_MS), ["back"]);
+});
