Know a record that was removed by its content when an older state returns

A server that had left could be used again: its owner's last write before, which the store executes late, creates the record of the removed server anew as ready; or the store comes back from a copy of before, and the restored record is used when the grace period of six seconds is over. Nobody has to remove such a record for some seconds.

Cause: a record was compared with the one that is shown, but not with one that was removed, although removed ones are remembered.

A record whose content is older than that of the removed one is now treated as any outdated record: the later state (leaving) is shown until the store has a newer one. A server that was removed while it was ready, as after an outage, is used as soon as it registers again.

Evidence: both new tests fail on the code before (ready instead of leaving), and pass now.

--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -187,14 +187,24 @@
         shownBefore.forEach(known => this.restoreKnown(known, this.stored.get(known.name), now));
         for (const record of listing.records.filter(({ name }) => !shownBefore.has(name))) {
             const removed = this.removed.get(record.name)?.record;
-            const isCurrent = removed === undefined || record.revision > removed.revision
-                || this.options.restoration.compareRemoved(removed, record) === "current";
-            if (!isCurrent) {
-                this.held.set(record.name, { record: undefined, until: now + RESTORATION_GRACE_MS });
+            if (removed !== undefined) {
+                this.restoreRemoved(removed, record, now);
             }
         }
     }
 
+    private restoreRemoved(removed: types.StoredRecord, restored: types.StoredRecord, now: number): void {
+        const { compareKnown, compareRemoved } = this.options.restoration;
+        if (compareKnown(removed, restored) === "outdated") {
+            this.hold(removed, restored.revision, Number.POSITIVE_INFINITY);
+            return;
+        }
+        const isCurrent = restored.revision > removed.revision || compareRemoved(removed, restored) === "current";
+        if (!isCurrent) {
+            this.held.set(restored.name, { record: undefined, until: now + RESTORATION_GRACE_MS });
+        }
+    }
+
     private restoreKnown(known: types.StoredRecord, restored: types.StoredRecord | undefined, now: number): void {
         const isLater = restored !== undefined && restored.revision > known.revision;
         const verdict = this.options.restoration.compareKnown(known, restored);
@@ -241,14 +251,15 @@
         if (known !== undefined && known.revision > record.revision) {
             return;
         }
-        const shown = this.shown(name);
+        // A late write of its owner can create a removed record anew, in an older state.
+        const latest = this.shown(name) ?? this.removed.get(name)?.record;
         this.stored.set(name, record);
         if (known?.revision === record.revision && this.held.has(name)) {
             return;
         }
         this.held.delete(name);
-        if (shown !== undefined && this.options.restoration.compareKnown(shown, record) === "outdated") {
-            this.hold(shown, record.revision, Number.POSITIVE_INFINITY);
+        if (latest !== undefined && this.options.restoration.compareKnown(latest, record) === "outdated") {
+            this.hold(latest, record.revision, Number.POSITIVE_INFINITY);
         }
     }
 
@@ -271,6 +282,7 @@
         if (record === undefined) {
             return;
         }
+        this.removed.delete(record.name);
         this.removed.set(record.name, { record, removedAt: now });
         for (const [other, { removedAt }] of this.removed) {
             if (now - removedAt <= REMOVAL_RETENTION_MS) {
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -201,3 +201,33 @@
     assert.deepEqual(names(peer, 5000), []);
     assert.deepEqual(names(peer, SETTLED_MS), ["back"]);
 });
+
+testing.test("guards against a server that left and is used again since a late write of its owner created its record anew", () => {
+    const copy = copyBeforeRestore([versioned("server", 50, 1000, 1)]);
+    const left = { record: versioned("server", 50, 1000, 1), isDeleted: true };
+    copy.apply({ era: 1, revision: 51, changes: [left] }, copy.position, 100);
+    const late = { record: versioned("server", 52, 1000, 0), isDeleted: false };
+    copy.apply({ era: 1, revision: 52, changes: [late] }, copy.position, 200);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [1000, 1]);
+    const restarted = { record: versioned("server", 53, 2000, 0), isDeleted: false };
+    copy.apply({ era: 1, revision: 53, changes: [restarted] }, copy.position, 300);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [2000, 0]);
+});
+
+testing.test("restored store: guards against a server that left, is restored as ready, and is used after the grace period", () => {
+    const copy = copyBeforeRestore([versioned("server", 50, 1000, 1)]);
+    const left = { record: versioned("server", 50, 1000, 1), isDeleted: true };
+    copy.apply({ era: 1, revision: 51, changes: [left] }, copy.position, 100);
+    copy.replace({ era: 2, revision: 45, records: [versioned("server", 30, 1000, 0)] }, 200);
+    assert.deepEqual(versionOf(copy, "server", 300), [1000, 1]);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [1000, 1]);
+});
+
+testing.test("a server that the registry removed and that registers again as it was is used", () => {
+    const server = versioned("server", 50, 1000, 0);
+    const copy = copyBeforeRestore([server]);
+    copy.apply({ era: 1, revision: 51, changes: [{ record: server, isDeleted: true }] }, copy.position, 100);
+    const again = { record: versioned("server", 52, 1000, 0), isDeleted: false };
+    copy.apply({ era: 1, revision: 52, changes: [again] }, copy.position, 200);
+    assert.deepEqual(versionOf(copy, "server", 200), [1000, 0]);
+});
