Keep the later of two known states of a record that a peer holds

A copy that adopts a peer's copy within a grace period showed the state that the peer holds of a removed record, also where it knew a later one itself: a server that it knew as leaving could be ready again for the rest of the period.

--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -236,11 +236,14 @@
             }
             return;
         }
+        const { compareKnown } = this.options.restoration;
         const shown = this.shown(name);
-        const isOutdated = shown !== undefined
-            && this.options.restoration.compareKnown(record, shown) === "outdated";
-        const isKept = stored === undefined && shown === undefined && shownBefore !== undefined;
-        if (isOutdated || isKept) {
+        const isRemovedNow = stored === undefined && shown === undefined && shownBefore !== undefined;
+        if (isRemovedNow) {
+            const isOlder = compareKnown(shownBefore, record) === "outdated";
+            this.hold(isOlder ? shownBefore : record, undefined, until);
+        }
+        else if (shown !== undefined && compareKnown(record, shown) === "outdated") {
             this.hold(record, stored?.revision, until);
         }
     }
--- a/test/store-access/kind-copy-order.test.ts
+++ b/test/store-access/kind-copy-order.test.ts
@@ -77,15 +77,24 @@
 /** Two processes, which watch the store and adopt each other's copies, and answers that are still on their way. */
 class Simulation {
     store = ModelStore.empty();
-    readonly copies = [0, 1].map(() => {
-        return new copies.KindCopy({ ownersReregister: false, restoration: restoration.asStored });
-    });
+    readonly copies: readonly copies.KindCopy[];
     private readonly answers: { copy: number; askedAt: types.Position; batch: types.Changes; }[] = [];
     private readonly listings: { copy: number; listing: types.Listing; }[] = [];
     /** States of the store by era; a restored store shares the states up to its backup with the era before. */
     private readonly stores = new Map<number, ModelStore>();
     private value = 0;
 
+    constructor(
+        create = () => new copies.KindCopy({ ownersReregister: false, restoration: restoration.asStored }),
+    ) {
+        this.copies = [create(), create()];
+    }
+
+    /** Time in milliseconds. */
+    protected get time(): number {
+        return 0;
+    }
+
     put(name: string): void {
         this.store = this.store.put(name, this.value++);
     }
@@ -116,7 +125,7 @@
     fetch(copy: number): void {
         const other = this.copies[1 - copy]!;
         if (other.isLoaded) {
-            this.listings.push({ copy, listing: other.listing(0) });
+            this.listings.push({ copy, listing: other.listing(this.time) });
         }
     }
 
@@ -126,7 +135,7 @@
         if (answer === undefined) {
             return;
         }
-        this.copies[answer.copy]!.apply(answer.batch, answer.askedAt, 0);
+        this.copies[answer.copy]!.apply(answer.batch, answer.askedAt, this.time);
         if (!isRepeated) {
             this.answers.splice(this.answers.indexOf(answer), 1);
         }
@@ -137,7 +146,7 @@
         if (answer === undefined) {
             return;
         }
-        this.copies[answer.copy]!.replace(answer.listing, 0);
+        this.copies[answer.copy]!.replace(answer.listing, this.time);
         if (!isRepeated) {
             this.listings.splice(this.listings.indexOf(answer), 1);
         }
@@ -148,12 +157,23 @@
         for (const copy of this.copies.filter(candidate => candidate.isLoaded)) {
             const { era, revision } = copy.position;
             const { states } = era === this.store.era ? this.store : this.stores.get(era)!;
-            assert.deepEqual(byName(copy.records(0)), byName(states[revision]!), `era ${era}, revision ${revision}`);
+            assert.deepEqual(
+                byName(copy.records(this.time)),
+                byName(states[revision]!),
+                `era ${era}, revision ${revision}`,
+            );
         }
     }
 
-    /** The answers to a last call of each process arrive. */
     finish(): void {
+        this.update();
+        this.copies.forEach(copy => {
+            assert.deepEqual(byName(copy.records(this.time)), byName(this.store.listing().records));
+        });
+    }
+
+    /** The answers to a last call of each process arrive. */
+    protected update(): void {
         this.copies.forEach((copy, index) => {
             if (copy.position.era < this.store.era) {
                 this.list(index);
@@ -161,7 +181,6 @@
             }
             this.ask(index, 0);
             this.deliverChanges(this.answers.length - 1, false);
-            assert.deepEqual(byName(copy.records(0)), byName(this.store.listing().records));
         });
     }
 }
@@ -208,3 +227,89 @@
         { numRuns: 3000 },
     );
 });
+
+/** Time in milliseconds by which all grace periods are over. */
+const SETTLED_MS = 60_000;
+
+/** Each value of a record is higher than all earlier ones, as versions are. */
+const BY_VALUE = restoration.byVersion(record => [valueOf(record)]);
+
+function valueOf({ spec }: types.StoredRecord): number {
+    return (spec as { readonly value: number; }).value;
+}
+
+/** Remembers the highest value that each copy has shown of each record, while outages and restores come and go. */
+class HoldingSimulation extends Simulation {
+    private now = 0;
+    private readonly highest = new Map<string, number>();
+
+    constructor() {
+        super(() => new copies.KindCopy({ ownersReregister: true, restoration: BY_VALUE }));
+    }
+
+    protected override get time(): number {
+        return this.now;
+    }
+
+    pass(durationMs: number): void {
+        this.now += durationMs;
+    }
+
+    recover(copy: number): void {
+        this.copies[copy]!.storeRecovered(this.now);
+    }
+
+    override check(): void {
+        for (const [index, copy] of this.copies.entries()) {
+            for (const record of copy.records(this.now)) {
+                const key = `${index} ${record.name}`;
+                const shown = valueOf(record);
+                assert.ok(shown >= (this.highest.get(key) ?? -1), `${key} is ${shown} after ${this.highest.get(key)}`);
+                this.highest.set(key, shown);
+            }
+        }
+    }
+
+    /** What is held longer than all grace periods is later than what the store has. */
+    override finish(): void {
+        this.update();
+        this.pass(SETTLED_MS);
+        this.check();
+        const stored = this.store.listing().records;
+        for (const copy of this.copies) {
+            const shown = copy.records(this.now);
+            assert.deepEqual(shown.map(({ name }) => name).sort(), stored.map(({ name }) => name).sort());
+            for (const record of shown) {
+                const known = stored.find(({ name }) => name === record.name)!;
+                assert.equal(record.revision, known.revision);
+                assert.ok(valueOf(record) >= valueOf(known));
+            }
+        }
+    }
+}
+
+const holdingStep: fastCheck.Arbitrary<(simulation: HoldingSimulation) => void> = fastCheck.oneof(
+    { weight: 20, arbitrary: step },
+    { weight: 3, arbitrary: restore },
+    { weight: 2, arbitrary: process.map(copy => (simulation: HoldingSimulation) => simulation.recover(copy)) },
+    {
+        weight: 3,
+        arbitrary: fastCheck.nat(8000).map(durationMs => (simulation: HoldingSimulation) =>
+            simulation.pass(durationMs)
+        ),
+    },
+);
+
+testing.test("guards against an older state that is shown after a newer one in outages and restores of the store", () => {
+    fastCheck.assert(
+        fastCheck.property(fastCheck.array(holdingStep, { maxLength: 60, size: "max" }), steps => {
+            const simulation = new HoldingSimulation();
+            for (const take of steps) {
+                take(simulation);
+                simulation.check();
+            }
+            simulation.finish();
+        }),
+        { numRuns: 3000 },
+    );
+});
