Keep removed servers only after an outage that can stop heartbeats

An instance could use a server for 2.2 s after its removal, although the bound for leaving servers is 2 s and the store was never down.

Cause: after any failed call, a single watch that was cut off included, the copy kept removed servers for the time in which they may register again. Only servers that could not send heartbeats for several periods are removed in an outage; a connection of this process that breaks is none.

The grace period now starts only if neither this process nor a peer whose copy it adopted reached the store for a second. A call that is not answered counts from the time at which its answer was due. A peer's copy tells how long the peer itself still keeps removed servers, so that a process that learns of an outage through a peer keeps them as well.

Evidence: with a watch that is cut off, and with an outage of this process alone, the new tests show the removed server 300 ms later on the code before, and no longer now. After an outage it is kept, as before.

--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -112,10 +112,10 @@
 
 /** Processes of earlier versions tell neither the era nor what they show in place of the store's state. */
 function decodeListing(value: unknown): storeAccess.Listing | undefined {
-    const { era = 0, revision, records, held = [] } = (value ?? {}) as Partial<storeAccess.Listing>;
-    const isValid = typeof era === "number" && typeof revision === "number"
+    const { era = 0, revision, records, held = [], graceMs = 0 } = (value ?? {}) as Partial<storeAccess.Listing>;
+    const isValid = typeof era === "number" && typeof revision === "number" && typeof graceMs === "number"
         && Array.isArray(records) && records.every(isRecord) && Array.isArray(held) && held.every(isHeldRecord);
-    return isValid ? { era, revision, records, held } : undefined;
+    return isValid ? { era, revision, records, held, graceMs } : undefined;
 }
 
 function isRecord(value: unknown): value is storeAccess.StoredRecord {
--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -8,6 +8,8 @@
  * whose heartbeats it could not accept during the outage; servers that run write their records again within two seconds.
  */
 const RECOVERY_GRACE_MS = 2200;
+/** Shortest outage in milliseconds in which the registry can miss enough heartbeats of a server to remove it. */
+const MINIMUM_OUTAGE_MS = 1000;
 /**
  * Time in milliseconds after which the restored store is believed where the known state contradicts it. Until then owners
  * have written again what was lost, and the registry has removed the servers that do not send heartbeats.
@@ -84,7 +86,8 @@
         const held = [...this.held].map(([name, { record, until }]) => {
             return { name, record, remainingMs: Number.isFinite(until) ? until - now : undefined };
         });
-        return { ...this.currentPosition, records: [...this.stored.values()], held };
+        const graceMs = Math.max(0, this.graceUntil - now);
+        return { ...this.currentPosition, records: [...this.stored.values()], held, graceMs };
     }
 
     /** Ends held states whose time is over. Returns whether there were any. */
@@ -99,9 +102,14 @@
         return due.length > 0;
     }
 
-    /** Starts the grace period for removed records; called when the store responds again after an outage. */
-    storeRecovered(now: number): void {
-        this.graceUntil = now + RECOVERY_GRACE_MS;
+    /**
+     * Starts the grace period for removed records; called when the store responds again. A shorter outage, such as a watch
+     * that was cut off, does not keep servers from their heartbeats.
+     */
+    storeRecovered(now: number, outageMs: number): void {
+        if (outageMs >= MINIMUM_OUTAGE_MS) {
+            this.graceUntil = now + RECOVERY_GRACE_MS;
+        }
     }
 
     /** Replaces the copy with a listing. Returns false if the copy is newer. */
@@ -109,7 +117,7 @@
         if (positions.isAfter(this.currentPosition, listing)) {
             return false;
         }
-        this.settle(now);
+        this.graceUntil = Math.max(this.graceUntil, now + (listing.graceMs ?? 0));
         const shownBefore = new Map(this.records(now).map(record => [record.name, record]));
         const wasLoaded = this.isLoaded;
         if (wasLoaded && listing.era > this.currentPosition.era) {
@@ -182,7 +190,7 @@
     ): void {
         this.stored.clear();
         this.held.clear();
-        this.storeRecovered(now);
+        this.graceUntil = now + RECOVERY_GRACE_MS;
         listing.records.forEach(record => this.stored.set(record.name, record));
         shownBefore.forEach(known => this.restoreKnown(known, this.stored.get(known.name), now));
         for (const record of listing.records.filter(({ name }) => !shownBefore.has(name))) {
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -42,6 +42,8 @@
     readonly copy: copies.KindCopy;
     private readonly stop = new AbortController();
     private disconnectedAt: number | undefined;
+    /** Last time in milliseconds at which the store is known to have been up: it has answered this process or a peer. */
+    private storeUpAt = Number.NEGATIVE_INFINITY;
     private consecutiveFailures = 0;
     private consecutiveRelistings = 0;
     private isListed = false;
@@ -82,6 +84,7 @@
     /** Replaces the copy with a peer's copy if that one is newer. */
     adopt(listing: types.Listing, peer: string): void {
         if (positions.isAfter(listing, this.copy.position) && this.replaceCopy(listing)) {
+            this.storeUpAt = this.ports.clock.now();
             this.reportChange("copy of a peer", peer);
         }
     }
@@ -115,15 +118,16 @@
                 kind: this.options.kind,
                 reason: (error as Error).stack ?? String(error),
             });
-            return this.recordFailure((error as Error).message);
+            return this.recordFailure((error as Error).message, this.ports.clock.now());
         }
     }
 
     /** Lists all records. Returns the pause before the next call in milliseconds, if any. */
     private async listOnce(): Promise<number | undefined> {
+        const startedAt = this.ports.clock.now();
         const listing = await this.ports.store.list(this.options.kind);
         if (!listing.ok) {
-            return this.recordFailure(listing.failure.detail);
+            return this.recordFailure(listing.failure.detail, startedAt);
         }
         this.recordSuccess();
         this.isListed = true;
@@ -161,7 +165,7 @@
         if (!batch.ok) {
             return batch.failure.kind === "store-history-lost"
                 ? this.relist(askedAt)
-                : this.recordFailure(batch.failure.detail);
+                : this.recordFailure(batch.failure.detail, startedAt + waitMs);
         }
         this.recordSuccess();
         const now = this.ports.clock.now();
@@ -238,19 +242,20 @@
 
     private recordSuccess(): void {
         this.consecutiveFailures = 0;
-        if (this.disconnectedAt === undefined) {
-            return;
-        }
         const now = this.ports.clock.now();
-        this.copy.storeRecovered(now);
-        const lostMs = Math.round(now - this.disconnectedAt);
-        this.disconnectedAt = undefined;
-        this.ports.journal.emit("store-kind-regained", { kind: this.options.kind, lostMs });
+        if (this.disconnectedAt !== undefined) {
+            this.copy.storeRecovered(now, now - Math.max(this.disconnectedAt, this.storeUpAt));
+            const lostMs = Math.round(now - this.disconnectedAt);
+            this.disconnectedAt = undefined;
+            this.ports.journal.emit("store-kind-regained", { kind: this.options.kind, lostMs });
+        }
+        this.storeUpAt = now;
     }
 
-    private recordFailure(reason: string): number {
+    /** `dueAt` is the time in milliseconds by which the store should have answered. */
+    private recordFailure(reason: string, dueAt: number): number {
         if (this.disconnectedAt === undefined) {
-            this.disconnectedAt = this.ports.clock.now();
+            this.disconnectedAt = Math.min(dueAt, this.ports.clock.now());
             const revision = this.copy.revision;
             this.ports.journal.emit("store-kind-lost", { kind: this.options.kind, reason, revision });
         }
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -35,8 +35,10 @@
 /** All records of a kind, at the position of the store that they reflect. */
 export interface Listing extends Position {
     readonly records: readonly StoredRecord[];
-    /** Only in the copy of a peer. */
+    /** Only in the copy of a peer, as well as the next field. */
     readonly held?: readonly HeldRecord[];
+    /** Time in milliseconds for which the peer keeps removed records, since the store was away; 0 if it does not. */
+    readonly graceMs?: number;
 }
 
 export interface Change {
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -11,6 +11,8 @@
 import type * as storeAccess from "../../src/store-access/types.js";
 
 const KIND = "configuration";
+/** Time in milliseconds in which the registry removes servers that cannot send heartbeats. */
+const LONG_OUTAGE_MS = 4000;
 const UNRESPONSIVE_STORE: storeAccess.RecordStore = {
     list: () => new Promise(() => undefined),
     watch: () => new Promise(() => undefined),
@@ -103,7 +105,7 @@
     const address = await freeAddress();
     const now = clocks.systemClock.now();
     const [peer, own] = [watchAt(5, true), watchAt(5, true)] as const;
-    peer.copy.storeRecovered(now);
+    peer.copy.storeRecovered(now, LONG_OUTAGE_MS);
     peer.copy.replace({ era: 0, revision: 9, records: [] }, now);
     await using ahead = exchangeOf(peer);
     ahead.start(address);
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -167,6 +167,7 @@
         '{"revision":9,"records":[5]}',
         '{"revision":"9","records":[]}',
         '{"revision":9,"records":[],"held":{}}',
+        '{"revision":9,"records":[],"graceMs":"5"}',
         '{"revision":9,"records":[],"held":[{"name":"server","record":5}]}',
         '{"revision":9,"records":[],"held":[{"name":"server","remainingMs":"5"}]}',
     ];
--- a/test/store-access/kind-copy-order.test.ts
+++ b/test/store-access/kind-copy-order.test.ts
@@ -255,8 +255,8 @@
         this.now += durationMs;
     }
 
-    recover(copy: number): void {
-        this.copies[copy]!.storeRecovered(this.now);
+    recover(copy: number, outageMs: number): void {
+        this.copies[copy]!.storeRecovered(this.now, outageMs);
     }
 
     override check(): void {
@@ -291,7 +291,11 @@
 const holdingStep: fastCheck.Arbitrary<(simulation: HoldingSimulation) => void> = fastCheck.oneof(
     { weight: 20, arbitrary: step },
     { weight: 3, arbitrary: restore },
-    { weight: 2, arbitrary: process.map(copy => (simulation: HoldingSimulation) => simulation.recover(copy)) },
+    {
+        weight: 2,
+        arbitrary: fastCheck.tuple(process, fastCheck.constantFrom(200, 4000))
+            .map(([copy, outageMs]) => (simulation: HoldingSimulation) => simulation.recover(copy, outageMs)),
+    },
     {
         weight: 3,
         arbitrary: fastCheck.nat(8000).map(durationMs => (simulation: HoldingSimulation) =>
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -5,6 +5,9 @@
 import * as restoration from "../../src/store-access/restoration.js";
 import type * as types from "../../src/store-access/types.js";
 
+/** Time in milliseconds in which the registry removes servers that cannot send heartbeats. */
+const LONG_OUTAGE_MS = 4000;
+
 function record(name: string, revision: number): types.StoredRecord {
     return { name, revision, spec: { revision }, isDeleting: false };
 }
@@ -23,7 +26,7 @@
 testing.test("a server that the registry removed during an outage is kept for two seconds and then dropped", () => {
     const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1), record("b", 1)] }, 0);
-    copy.storeRecovered(10_000);
+    copy.storeRecovered(10_000, LONG_OUTAGE_MS);
     copy.replace({ era: 0, revision: 5, records: [record("b", 1)] }, 10_000);
     assert.deepEqual(names(copy, 11_000), ["a", "b"]);
     assert.deepEqual(names(copy, 12_300), ["b"]);
@@ -32,7 +35,7 @@
 testing.test("a server that registers again within the grace period is kept", () => {
     const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
-    copy.storeRecovered(10_000);
+    copy.storeRecovered(10_000, LONG_OUTAGE_MS);
     copy.replace({ era: 0, revision: 5, records: [] }, 10_000);
     copy.apply({ era: 0, revision: 6, changes: [{ record: record("a", 6), isDeleted: false }] }, copy.position, 11_000);
     assert.deepEqual(names(copy, 20_000), ["a"]);
@@ -184,7 +187,7 @@
     for (const each of [copy, peer]) {
         each.replace({ era: 0, revision: 2, records: [record("removed", 1), record("other", 2)] }, 0);
     }
-    copy.storeRecovered(10_000);
+    copy.storeRecovered(10_000, LONG_OUTAGE_MS);
     copy.replace({ era: 0, revision: 5, records: [record("other", 2)] }, 10_000);
     peer.replace(copy.listing(10_500), 10_500);
     assert.deepEqual(names(peer, 12_100), ["other", "removed"], "the peer keeps it for the rest of the period");
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -52,13 +52,14 @@
     clock: clocks.Clock,
     onChange: (copy: copies.KindCopy) => void,
     onEraChange: (era: number) => void,
+    ownersReregister = false,
 ): watches.KindWatch {
     return new watches.KindWatch(
         {
             kind: "config",
             waitMs: () => 1000,
             batchDelayMs: () => 0,
-            ownersReregister: false,
+            ownersReregister,
             restoration: restoration.asStored,
             mayBeStale: () => false,
         },
@@ -144,6 +145,45 @@
     assert.deepEqual(calls, ["watch 5", "watch 9"]);
 });
 
+/** Records of servers shown 300 ms after an answer without one of two, which comes after the scripted failures. */
+async function shownAfterRemoval(failures: number, duringOutage: (watch: watches.KindWatch) => void) {
+    const calls: string[] = [];
+    const clock = simulatedClock();
+    const failure = outcomes.fail("store-unavailable", "closed");
+    const servers = [record("leaving", 4), record("other", 5)];
+    const removal = { record: record("leaving", 4), isDeleted: true };
+    const script: readonly ScriptedResult[] = [
+        outcomes.succeed({ era: 0, revision: 5, records: servers }),
+        ...Array.from({ length: failures }, () => failure),
+        outcomes.succeed({ era: 0, revision: 7, changes: [] }),
+        outcomes.succeed({ era: 0, revision: 8, changes: [removal] }),
+    ];
+    const store = scriptedStore(script, calls);
+    const watch = watchOf(store, clock, () => undefined, () => undefined, true);
+    watch.start();
+    while (calls.length <= script.length) {
+        await new Promise(resolve => setImmediate(resolve));
+        if (calls.length === failures + 1 && !watch.isConnected) {
+            duringOutage(watch);
+        }
+    }
+    return watch.copy.records(clock.now() + 300).map(({ name }) => name).sort();
+}
+
+testing.test("guards against a server that left and is used for two seconds since a watch was cut off before", async () => {
+    assert.deepEqual(await shownAfterRemoval(1, () => undefined), ["other"]);
+});
+
+testing.test("guards against a server that left and is used for two seconds since this process alone lost the store", async () => {
+    const servers = [record("leaving", 4), record("other", 6)];
+    const shown = await shownAfterRemoval(6, watch => watch.adopt({ era: 0, revision: 6, records: servers }, "peer"));
+    assert.deepEqual(shown, ["other"]);
+});
+
+testing.test("a server that the registry removes after an outage of the store is kept for its next heartbeat", async () => {
+    assert.deepEqual(await shownAfterRemoval(6, () => undefined), ["leaving", "other"]);
+});
+
 testing.test("restored store: guards against missing a change whose revision was given out before", async () => {
     const { calls, revisions, eras } = await runWatch([
         outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }),
