Keep what a server stated while its record is missing or incomplete

A server that had stated that it leaves got calls again from the same instance when its record went missing and came back, as in an outage of the store or a restore, or came back without the time of its start.

Cause: notices were dropped with the record, and belonged to the exact time of the start. The statement holds until the server starts again.

Notices of servers that are not listed are kept now, the newest 1,000 of them, and an unknown start counts as the same run, as for the reports of agents. The same holds for the time for which a server wants no calls.

--- a/src/placement/server-notices.ts
+++ b/src/placement/server-notices.ts
@@ -3,6 +3,8 @@
 
 /** Longest pause in milliseconds that is kept, so that a faulty response does not exclude its server for good. */
 const MAXIMUM_PAUSE_MS = 600_000;
+/** Number of servers that are not listed whose notices are kept, since their records may come back. */
+const MAXIMUM_UNLISTED = 1000;
 
 interface Notice {
     /** Start of the server's run that gave the notice; the next run takes calls again. */
@@ -17,7 +19,7 @@
     /** Records that the server leaves. Returns false if that was known. */
     recordLeaving(server: fleet.BackendServer): boolean {
         const notice = this.noticeOf(server);
-        this.notices.set(server.id, { ...notice, isLeaving: true });
+        this.keep(server.id, { ...notice, isLeaving: true });
         return !notice.isLeaving;
     }
 
@@ -25,7 +27,7 @@
     recordPause(server: fleet.BackendServer, pauseMs: number, now: number): void {
         const notice = this.noticeOf(server);
         const pausedUntil = Math.max(notice.pausedUntil, now + Math.min(pauseMs, MAXIMUM_PAUSE_MS));
-        this.notices.set(server.id, { ...notice, pausedUntil });
+        this.keep(server.id, { ...notice, pausedUntil });
     }
 
     isLeaving(server: fleet.BackendServer): boolean {
@@ -37,15 +39,24 @@
         return Math.max(0, this.noticeOf(server).pausedUntil - now);
     }
 
-    /** Drops the notices of servers that are no longer listed. */
+    /** Drops the oldest notices of servers that are not listed. */
     retain(servers: ReadonlySet<string>): void {
-        [...this.notices.keys()].filter(id => !servers.has(id)).forEach(id => this.notices.delete(id));
+        const unlisted = [...this.notices.keys()].filter(id => !servers.has(id));
+        unlisted.slice(0, Math.max(0, unlisted.length - MAXIMUM_UNLISTED)).forEach(id => this.notices.delete(id));
     }
 
+    /** The last notice is the newest one. */
+    private keep(id: string, notice: Notice): void {
+        this.notices.delete(id);
+        this.notices.set(id, notice);
+    }
+
+    /** A record may lack the time of the start; it is then taken for that of the run that gave the notice. */
     private noticeOf({ id, startedAt }: fleet.BackendServer): Notice {
         const known = this.notices.get(id);
-        return known !== undefined && known.startedAt === startedAt
-            ? known
+        const isSameRun = known?.startedAt === undefined || startedAt === undefined || known.startedAt === startedAt;
+        return known !== undefined && isSameRun
+            ? { ...known, startedAt: known.startedAt ?? startedAt }
             : { startedAt, isLeaving: false, pausedUntil: Number.NEGATIVE_INFINITY };
     }
 }
