Read what a server states when it refuses a call that expects other weights

An instance went on calling a server that had stated that it leaves, if the statement came with a refusal of the expected weights (421). Such a refusal was taken for one of another server, whose statements do not count.

The identity in the refusal tells them apart; without one it may be another server, as before.

Evidence: the new test fails on the code before (not leaving), and passes now.

--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -161,7 +161,8 @@
             return;
         }
         const serverId = this.input.choice.candidate.server.id;
-        if (status !== MISDIRECTED_REQUEST) {
+        // A server also misdirects calls that expect other weights; without its identity it may be another server.
+        if (status !== MISDIRECTED_REQUEST || responseHead.serverId === serverId) {
             this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
             this.recordNotices(status, responseHead, now);
         }
--- a/test/forwarding/server-notices.test.ts
+++ b/test/forwarding/server-notices.test.ts
@@ -60,6 +60,16 @@
     assert.equal(harness.view.notices.isLeaving(second!), false);
 });
 
+testing.test("guards against ignoring that a server leaves when it refuses a call that expects other weights", async () => {
+    const misdirected = counting([0], 0, id => {
+        const refusal = harnesses.response(id, "", "421 Misdirected Request");
+        return withHeader(withHeader(refusal, "Instance-Id: server-0"), "Server-Leaving: 1");
+    });
+    await using harness = await harnesses.EntryHarness.start([misdirected]);
+    await harness.call("booking");
+    assert.equal(harness.view.notices.isLeaving(harness.view.listedServers()[0]!), true);
+});
+
 testing.test("a server that refuses with a time to come back gets no calls until then, and then again", async () => {
     const arrivals: number[] = [];
     const pauseMs = 700;
