Wait only for what is left of a batch before a peer's copy is fetched

In a large deployment an instance that reads the store through stale copies learnt of a leaving server 2.1 to 2.9 s after the store had it, with a bound of 2 or 3 s (trial with two processes' watches in one process, stale by 2.5 and 5 s, batches of 900 ms, heartbeats every 300 and 600 ms).

Cause: delays that add up. The process that reads at once batches changes for up to 900 ms, a heartbeat takes its period, and the reader of stale copies then waited for a whole batch delay of its own, although that delay only begins with a change, besides the time that stale copies may take.

It now waits for the rest of the pause that its watch is in.

The traffic in a large deployment was not measured.

--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -44,6 +44,8 @@
     private disconnectedAt: number | undefined;
     /** Last time in milliseconds at which the store is known to have been up: it has answered this process or a peer. */
     private storeUpAt = Number.NEGATIVE_INFINITY;
+    /** End of the pause before the next call, in milliseconds. */
+    private pausedUntil = Number.NEGATIVE_INFINITY;
     private consecutiveFailures = 0;
     private consecutiveRelistings = 0;
     private isListed = false;
@@ -66,10 +68,11 @@
         return this.isListed && this.disconnectedAt === undefined;
     }
 
-    /** Time in milliseconds by which batching and stale reads delay the copy; 0 while disconnected. */
+    /** Time in milliseconds by which batching and stale reads still delay the next change; 0 while disconnected. */
     get lagMs(): number {
+        const pauseMs = Math.max(0, this.pausedUntil - this.ports.clock.now());
         const staleMs = this.options.mayBeStale() ? STALE_LAG_MS : 0;
-        return this.isConnected ? this.options.batchDelayMs() + staleMs : 0;
+        return this.isConnected ? pauseMs + staleMs : 0;
     }
 
     start(): void {
@@ -102,6 +105,7 @@
         while (!this.stop.signal.aborted) {
             const pauseMs = await this.readSafely();
             if (pauseMs !== undefined) {
+                this.pausedUntil = this.ports.clock.now() + pauseMs;
                 await this.ports.clock.sleep(pauseMs, this.stop.signal);
             }
         }
