--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -5,6 +5,9 @@
 import * as restoration from "../../src/store-access/restoration.js";
 import type * as types from "../../src/store-access/types.js";
 
+/** Time in milliseconds in which the registry removes servers that cannot send heartbeats. */
+const LONG_OUTAGE_MS = 4000;
+
 function record(name: string, revision: number): types.StoredRecord {
     return { name, revision, spec: { revision }, isDeleting: false };
 }
@@ -23,7 +26,7 @@
 testing.test("a server that the registry removed during an outage is kept for two seconds and then dropped", () => {
     const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1), record("b", 1)] }, 0);
-    copy.storeRecovered(10_000);
+    copy.storeRecovered(10_000, LONG_OUTAGE_MS);
     copy.replace({ era: 0, revision: 5, records: [record("b", 1)] }, 10_000);
     assert.deepEqual(names(copy, 11_000), ["a", "b"]);
     assert.deepEqual(names(copy, 12_300), ["b"]);
@@ -32,7 +35,7 @@
 testing.test("a server that registers again within the grace period is kept", () => {
     const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
     copy.replace({ era: 0, revision: 1, records: [record("a", 1)] }, 0);
-    copy.storeRecovered(10_000);
+    copy.storeRecovered(10_000, LONG_OUTAGE_MS);
     copy.replace({ era: 0, revision: 5, records: [] }, 10_000);
     copy.apply({ era: 0, revision: 6, changes: [{ record: record("a", 6), isDeleted: false }] }, copy.position, 11_000);
     assert.deepEqual(names(copy, 20_000), ["a"]);
@@ -184,7 +187,7 @@
     for (const each of [copy, peer]) {
         each.replace({ era: 0, revision: 2, records: [record("removed", 1), record("other", 2)] }, 0);
     }
-    copy.storeRecovered(10_000);
+    copy.storeRecovered(10_000, LONG_OUTAGE_MS);
     copy.replace({ era: 0, revision: 5, records: [record("other", 2)] }, 10_000);
     peer.replace(copy.listing(10_500), 10_500);
     assert.deepEqual(names(peer, 12_100), ["other", "removed"], "the peer keeps it for the rest of the period");
@@ -201,3 +204,33 @@
     assert.deepEqual(names(peer, 5000), []);
     assert.deepEqual(names(peer, SETTLED_MS), ["back"]);
 });
+
+testing.test("guards against a server that left and is used again since a late write of its owner created its record anew", () => {
+    const copy = copyBeforeRestore([versioned("server", 50, 1000, 1)]);
+    const left = { record: versioned("server", 50, 1000, 1), isDeleted: true };
+    copy.apply({ era: 1, revision: 51, changes: [left] }, copy.position, 100);
+    const late = { record: versioned("server", 52, 1000, 0), isDeleted: false };
+    copy.apply({ era: 1, revision: 52, changes: [late] }, copy.position, 200);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [1000, 1]);
+    const restarted = { record: versioned("server", 53, 2000, 0), isDeleted: false };
+    copy.apply({ era: 1, revision: 53, changes: [restarted] }, copy.position, 300);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [2000, 0]);
+});
+
+testing.test("restored store: guards against a server that left, is restored as ready, and is used after the grace period", () => {
+    const copy = copyBeforeRestore([versioned("server", 50, 1000, 1)]);
+    const left = { record: versioned("server", 50, 1000, 1), isDeleted: true };
+    copy.apply({ era: 1, revision: 51, changes: [left] }, copy.position, 100);
+    copy.replace({ era: 2, revision: 45, records: [versioned("server", 30, 1000, 0)] }, 200);
+    assert.deepEqual(versionOf(copy, "server", 300), [1000, 1]);
+    assert.deepEqual(versionOf(copy, "server", SETTLED_MS), [1000, 1]);
+});
+
+testing.test("a server that the registry removed and that registers again as it was is used", () => {
+    const server = versioned("server", 50, 1000, 0);
+    const copy = copyBeforeRestore([server]);
+    copy.apply({ era: 1, revision: 51, changes: [{ record: server, isDeleted: true }] }, copy.position, 100);
+    const again = { record: versioned("server", 52, 1000, 0), isDeleted: false };
+    copy.apply({ era: 1, revision: 52, changes: [again] }, copy.position, 200);
+    assert.deepEqual(versionOf(copy, "server", 200), [1000, 0]);
+});
