Take no server from an entry with a field out of range

Callers saw channels closed without an answer and 502: an entry of another writer among the servers named port 65536, and http.request throws for it, so that the call ended with internal errors. Addresses such as 999.1.1.1, slots of 0, 1e308 or 1.5, a start in the far future beside a sound server's address and states such as "constructor" were taken as well.

Cause: the decoder checked types, not ranges, and looked states up through the prototype of the table. Class: a value of another writer that the functions it reaches do not stand.

Now an address is IPv4 and a port that exists, numbers are whole and within their range, and tables have own entries only; times of the configuration are those that a timer can wait for (a longer one fires at once), and headers with numbers that are not exact count as absent.

--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -48,6 +48,53 @@
     assert.equal(decoded.invalid.length, invalid.length);
 });
 
+testing.test("odd entries: guards against a server to which no socket connects, or that would take all calls", () => {
+    const odd: readonly Readonly<Record<string, unknown>>[] = [
+        ...["10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "999.1.1.1:80", "10.0.9:80", "10.0.0.9", "h:80"]
+            .map(address => ({ address })),
+        ...[0, -1, 1.5, 1e308, Infinity, 2 ** 53 + 2, 65_537, "8", [8]].map(slots => ({ slots })),
+        ...["constructor", "__proto__", ["ready"]].map(state => ({ state })),
+        ...["x", -1, 0.5, 1e308, Infinity, 2 ** 53 - 1].map(born => ({ born })),
+        ...["x", { m: 1 }, [undefined], [{ name: "m" }], [{ name: 1, version: 1 }], [{ name: "m", version: 1e308 }]]
+            .map(models => ({ models })),
+        { version: 3 },
+        { zone: ["one"] },
+        { service: {} },
+    ];
+    const entries = odd.map((fields, index) => storedRecord(`x-${index}`, { ...SERVER, ...fields }));
+    const decoded = records.decodeServers([...entries, storedRecord("i-1", SERVER)]);
+    assert.deepEqual(decoded.values.map(server => server.id), ["i-1"]);
+    assert.equal(decoded.invalid.length, odd.length);
+});
+
+testing.test("guards against times that a timer cannot wait for, and against inherited names of kinds", () => {
+    const route = { hostname: "a", pathPrefix: "/a/", routeType: "idempotent", service: "s" };
+    const limits = { idleTimeoutMs: -5, headerTimeoutMs: 3e9 };
+    const routes = [{ ...route, timeoutMs: 1e300 }, { ...route, routeType: "constructor" }];
+    const [decoded] = records.decodeConfigurations([storedRecord("main", { version: 1, routes, limits })]).values;
+    assert.deepEqual(decoded?.routes.map(({ timeoutMs }) => timeoutMs), [2 ** 31 - 1]);
+    assert.deepEqual([decoded?.limits.idleTimeoutMs, decoded?.limits.headerTimeoutMs], [1, 2 ** 31 - 1]);
+    const status = { target: "v2", state: "toString" };
+    const order = { ...storedRecord("s", { service: "s", target: "v2", durationS: 5 }), status };
+    assert.equal(records.decodeRollouts([order]).values[0]?.state, undefined);
+});
+
+testing.test("guards against numbers in headers that are not exact", () => {
+    const endless = "9".repeat(400);
+    const head = dialect.decodeCall({ "request-id": "r", "deadline-ms": endless, "last-event-id": endless });
+    assert.deepEqual([head?.deadlineMs, head?.resumeAfter], [undefined, undefined]);
+    const answer = dialect.decodeResponse({
+        "server-limit": endless,
+        "retry-after": endless,
+        "weight-versions": endless,
+    });
+    assert.deepEqual([answer.requestsPerSecond, answer.retryAfterMs, answer.weightsVersion], [
+        undefined,
+        undefined,
+        undefined,
+    ]);
+});
+
 testing.test("no value makes a decoder throw", () => {
     fastCheck.assert(
         fastCheck.property(fastCheck.jsonValue(), value => {
