Read the sound entries of a list beside one that cannot be read

Operators reported it: another writer leaves one odd entry among those of the servers, and the processes that read the list end again and again, or cease to follow it.

Cause: the body of a listing was parsed as one value. Bytes that are not JSON in one entry made the whole page unreadable: the watch never got a list, and a page after the first passed as the end of a complete one, so that all servers behind it counted as removed; so did a page with only an unusable object. An entry that nests 500,000 levels, or holds 340,000 objects, was kept as a value of 20 to 60 MB, which a heap of 96 MB does not stand beside the next listing, and which no JSON.stringify or comparison can pass through. Class: a value of another writer that is parsed and kept without bounds.

Now a text is scanned first. Nesting and the number of objects are bounded, and beyond the bounds, or if it is not JSON, the fields of listed objects are parsed one by one; what cannot be read is left out, with the name of its object kept, so that the entry counts as invalid and the listing goes on behind it. A page that does not fit together fails the listing, and the copy stays in use. Heartbeats and copies of peers are read within the same bounds.

--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -1,5 +1,6 @@
 /** Client for small JSON requests over HTTP to other processes, the store and backend servers, with a timeout. */
 import * as http from "node:http";
+import * as jsonParsing from "./json-parsing.js";
 
 export interface JsonRequest {
     readonly method: string;
@@ -11,6 +12,8 @@
     readonly timeoutMs: number;
     /** Connection pool; without it each request opens its own connection. */
     readonly agent?: http.Agent;
+    /** Depth of the values of the response that are left out if they cannot be read; without it, the whole body is. */
+    readonly partsDepth?: number;
 }
 
 /**
@@ -68,7 +71,7 @@
                 chunks.push(chunk);
             });
             response.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
-            response.on("end", () => finish(decode(response, Buffer.concat(chunks))));
+            response.on("end", () => finish(decode(response, Buffer.concat(chunks), options.partsDepth ?? 0)));
         });
         request.end(body);
     });
@@ -79,19 +82,12 @@
     return (error as NodeJS.ErrnoException).code ?? error.message;
 }
 
-function decode(response: http.IncomingMessage, body: Buffer): JsonResult {
+function decode(response: http.IncomingMessage, bytes: Buffer, partsDepth: number): JsonResult {
     const { statusCode: status = 0, headers } = response;
     if (!response.complete) {
         return { kind: "no-response", reason: "incomplete response" };
     }
-    if (body.length === 0) {
-        return { kind: "response", status, headers, body: undefined };
-    }
-    try {
-        return { kind: "response", status, headers, body: JSON.parse(body.toString("utf8")) };
-    }
-    catch {
-        // The status is still meaningful when the body is not JSON, so the response is returned without a body.
-        return { kind: "response", status, headers, body: undefined };
-    }
+    // The status is still meaningful when the body is not JSON, so the response is returned without a body.
+    const value = bytes.length === 0 ? undefined : jsonParsing.parse(bytes.toString("utf8"), { partsDepth });
+    return { kind: "response", status, headers, body: value === jsonParsing.UNREADABLE ? undefined : value };
 }
--- /dev/null
+++ b/src/http/json-parsing.ts
@@ -0,0 +1,131 @@
+/** Parses JSON of other processes within bounds, so that no value of theirs exhausts the stack or the heap. */
+
+export interface ParsingOptions {
+    /**
+     * Depth of the values that are left out if they cannot be read or exceed the bounds, while the others hold; 0 for
+     * the whole text, 1 for the members of its object or array, and so on.
+     */
+    readonly partsDepth: number;
+}
+
+/** A text that cannot be read. */
+export const UNREADABLE = Symbol("unreadable");
+
+/** Nesting of a value. Recursive functions, such as those that encode or compare values, stand far more. */
+const MAXIMUM_NESTING = 64;
+/** Objects and arrays in a value. An empty one takes 2 bytes of text and about 60 in memory. */
+const MAXIMUM_CONTAINERS = 50_000;
+
+const QUOTE = 0x22;
+const COMMA = 0x2c;
+const COLON = 0x3a;
+const BACKSLASH = 0x5c;
+const OPEN_BRACKET = 0x5b;
+const OPEN_BRACE = 0x7b;
+const CLOSE_BRACKET = 0x5d;
+const CLOSE_BRACE = 0x7d;
+const COUNTERPARTS: ReadonlyMap<number, number> = new Map([[OPEN_BRACKET, CLOSE_BRACKET], [OPEN_BRACE, CLOSE_BRACE]]);
+
+/** Structure of a text, as far as the brackets and quotes tell it. */
+interface Structure {
+    /** Each bracket has its counterpart, those below the bound in number only, and no string is left open. */
+    readonly isBalanced: boolean;
+    readonly nesting: number;
+    readonly containers: number;
+    /** Positions of the commas, and of the first colon of each member, directly within the outermost object or array. */
+    readonly commas: readonly number[];
+    readonly colons: readonly number[];
+}
+
+export function parse(text: string, { partsDepth }: ParsingOptions): unknown {
+    const structure = scan(text);
+    if (structure.isBalanced && structure.nesting <= MAXIMUM_NESTING && structure.containers <= MAXIMUM_CONTAINERS) {
+        const value = parseWhole(text);
+        if (value !== UNREADABLE) {
+            return value;
+        }
+    }
+    return partsDepth === 0 || !structure.isBalanced ? UNREADABLE : parseParts(text, structure, partsDepth - 1);
+}
+
+function parseWhole(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return UNREADABLE;
+    }
+}
+
+/** Parses each member by itself. */
+function parseParts(text: string, { commas, colons }: Structure, partsDepth: number): unknown {
+    const start = text.search(/\S/);
+    const end = text.trimEnd().length - 1;
+    const parsePart = (from: number, to: number) => parse(text.slice(from, to), { partsDepth });
+    const starts = [start, ...commas].map(position => position + 1);
+    const ends = [...commas, end];
+    if (text[start] === "[") {
+        return starts.map((from, index) => parsePart(from, ends[index]!)).filter(value => value !== UNREADABLE);
+    }
+    if (text[start] !== "{") {
+        return UNREADABLE;
+    }
+    const members = new Map<string, unknown>();
+    for (const [index, from] of starts.entries()) {
+        const colon = colons[index] ?? from;
+        const name = parseWhole(text.slice(from, colon));
+        if (typeof name !== "string") {
+            return UNREADABLE;
+        }
+        members.set(name, parsePart(colon + 1, ends[index]!));
+    }
+    return Object.fromEntries([...members].filter(([, value]) => value !== UNREADABLE));
+}
+
+function scan(text: string): Structure {
+    const commas: number[] = [];
+    const colons: number[] = [];
+    const openBrackets: number[] = [];
+    let depth = 0;
+    let nesting = 0;
+    let containers = 0;
+    let isInString = false;
+    let awaitsColon = true;
+    for (let index = 0; index < text.length; index++) {
+        const code = text.charCodeAt(index);
+        if (isInString) {
+            if (code === BACKSLASH) {
+                index++;
+            }
+            isInString = code !== QUOTE;
+        }
+        else if (code === QUOTE) {
+            isInString = true;
+        }
+        else if (code === OPEN_BRACE || code === OPEN_BRACKET) {
+            containers++;
+            depth++;
+            if (depth <= MAXIMUM_NESTING) {
+                openBrackets[depth] = code;
+            }
+            nesting = Math.max(nesting, depth);
+        }
+        else if (code === CLOSE_BRACE || code === CLOSE_BRACKET) {
+            const isMatch = depth > MAXIMUM_NESTING || code === COUNTERPARTS.get(openBrackets[depth] ?? 0);
+            if (depth === 0 || !isMatch) {
+                depth = -1;
+                break;
+            }
+            depth--;
+        }
+        else if (depth === 1 && code === COMMA) {
+            commas.push(index);
+            awaitsColon = true;
+        }
+        else if (depth === 1 && code === COLON && awaitsColon) {
+            colons.push(index);
+            awaitsColon = false;
+        }
+    }
+    return { isBalanced: depth === 0 && !isInString, nesting, containers, commas, colons };
+}
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -1,4 +1,5 @@
 /** Encodes heartbeats as JSON arrays without keys, which keeps the frequent traffic between data centres small. */
+import * as jsonParsing from "../http/json-parsing.js";
 import * as stages from "../rollout/service-stage.js";
 import type * as storeAccess from "../store-access/types.js";
 import * as entryStates from "./entry-state.js";
@@ -106,7 +107,7 @@
 /** Returns `undefined` for a datagram that is not a heartbeat of this layout version. */
 export function decode(datagram: Buffer): types.HeartbeatMessage | undefined {
     try {
-        const value = JSON.parse(datagram.toString("utf8")) as HeartbeatTuple;
+        const value = jsonParsing.parse(datagram.toString("utf8"), { partsDepth: 0 }) as HeartbeatTuple;
         if (!Array.isArray(value) || value[0] !== LAYOUT_VERSION) {
             return undefined;
         }
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -11,6 +11,8 @@
 const FETCH_TIMEOUT_MS = 600;
 /** Time in milliseconds that the process's own watch has to catch up before a peer's copy is fetched. */
 const CATCH_UP_MS = 250;
+/** Depth of the records in a copy. */
+const RECORD_DEPTH = 2;
 /** Path of a copy, followed by its kind. */
 const PATH_PREFIX = "/copies/";
 
@@ -76,6 +78,7 @@
             address: peer.documentAddress,
             path: PATH_PREFIX + watch.kind,
             timeoutMs: FETCH_TIMEOUT_MS,
+            partsDepth: RECORD_DEPTH,
         });
         this.fetching.delete(watch.kind);
         const listing = result.kind === "response" && result.status === 200 ? decodeListing(result.body) : undefined;
--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -56,6 +56,20 @@
     isFrozen: boolean;
 }
 
+/** A process that ended although nobody had asked it to. */
+export interface OwnEnd {
+    readonly name: string;
+    readonly status: number | string;
+    readonly output: readonly string[];
+}
+
+export interface FleetOptions {
+    /** Called before the processes start. */
+    readonly prepare?: (store: standIns.Store) => void;
+    /** Heap limit in megabytes of the processes of each role. */
+    readonly heapMb?: Readonly<Record<Node["role"], number>>;
+}
+
 interface Ports {
     readonly store: number;
     readonly worker: number;
@@ -67,6 +81,7 @@
 export class SoakFleet implements AsyncDisposable {
     readonly calls: Call[] = [];
     readonly log = standIns.createWorkerLog();
+    readonly ownEnds: OwnEnd[] = [];
     private readonly nodes: Node[] = [];
     private readonly workers: standIns.Worker[] = [];
     private readonly addedRoutes: Route[] = [];
@@ -79,11 +94,12 @@
         private readonly portBlock: portBlocks.PortBlock,
         private readonly ports: Ports,
         private readonly folder: string,
-        private readonly store: standIns.Store,
+        readonly store: standIns.Store,
+        private readonly options: FleetOptions,
     ) {}
 
     /** Starts all workers and processes; resolves when each entry is ready. */
-    static async start(): Promise<SoakFleet> {
+    static async start(options: FleetOptions = {}): Promise<SoakFleet> {
         const block = await portBlocks.PortBlock.reserve();
         const [store, worker, peers, metrics, front, ready] = block.allocate(6) as [
             number,
@@ -98,7 +114,7 @@
         }
         const folder = await fs.mkdtemp(path.join(os.tmpdir(), "ibisstep-soak-"));
         const ports = { store, worker, peers, front, ready };
-        const fleet = new SoakFleet(block, ports, folder, new standIns.Store(`127.0.1.1:${store}`));
+        const fleet = new SoakFleet(block, ports, folder, new standIns.Store(`127.0.1.1:${store}`), options);
         await fleet.startAll();
         return fleet;
     }
@@ -130,6 +146,14 @@
         this.publishConfiguration();
     }
 
+    /** Replaces each HTTP worker by one with another id at its address. */
+    async replaceHttpWorkers(): Promise<void> {
+        for (const worker of this.workers.slice(MODEL_WORKER_COUNT, MODEL_WORKER_COUNT + HTTP_WORKER_COUNT)) {
+            await worker.crash();
+            await worker.start();
+        }
+    }
+
     /** Sends a call on an added route to each entry. */
     callAddedRoute(routePath: string): Promise<readonly Call[]> {
         return Promise.all(Array.from({ length: ENTRY_COUNT }, (_, index) => {
@@ -300,6 +324,7 @@
             this.workers.push(worker);
             await worker.start();
         }
+        this.options.prepare?.(this.store);
         for (let index = 0; index < ENTRY_COUNT; index++) {
             await this.startNode(`entry-${index}`, "entry", `127.0.2.${index + 1}`, ZONES[index % ZONES.length]!);
         }
@@ -361,7 +386,12 @@
             `address = "127.0.1.1:${store}"`,
         ];
         await fs.writeFile(file, lines.join("\n"));
-        const launch = () => processes.launch(name, "platform/main", [role], { IBISSTEP_BOOT: file });
+        const heapMb = this.options.heapMb?.[role];
+        const environment = {
+            IBISSTEP_BOOT: file,
+            ...heapMb === undefined ? {} : { NODE_OPTIONS: `--max-old-space-size=${heapMb}` },
+        };
+        const launch = () => processes.launch(name, "platform/main", [role], environment);
         const node: Node = { name, role, ip, process: launch(), isFrozen: false };
         this.nodes.push(node);
         void this.supervise(node, launch);
@@ -370,7 +400,10 @@
     /** Restarts the process whenever it exits, as the platform does. */
     private async supervise(node: Node, launch: () => processes.LaunchedProcess): Promise<void> {
         while (!this.isStopping) {
-            await node.process.exited;
+            const status = await node.process.exited;
+            if (!this.isStopping && status !== 0 && status !== "SIGKILL") {
+                this.ownEnds.push({ name: node.name, status, output: [...node.process.output()] });
+            }
             await standIns.pause(RESTART_DELAY_MS);
             if (!this.isStopping) {
                 node.process = launch();
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -3,6 +3,9 @@
 
 const HTTP_CONFLICT = 409;
 const HTTP_GONE = 410;
+/** Limits of a page of a listing; a larger object has a page of its own. */
+const MAXIMUM_PAGE_ITEMS = 500;
+const MAXIMUM_PAGE_BYTES = 1024 * 1024;
 /** Number of earlier states of the store from which it can come back. */
 const MAXIMUM_BACKUPS = 256;
 const HTTP_MISDIRECTED = 421;
@@ -19,6 +22,12 @@
     readonly status: unknown;
 }
 
+/** A spec as the bytes of another writer, which need not be JSON; `isObject` if they are the whole object. */
+export interface RawSpec {
+    readonly raw: Buffer;
+    readonly isObject: boolean;
+}
+
 interface StatusUpdate {
     readonly metadata: { readonly revision: number; };
     readonly status: unknown;
@@ -27,7 +36,8 @@
 interface StoreEvent {
     readonly kind: string;
     readonly revision: number;
-    readonly object: object;
+    readonly name: string;
+    readonly object: StoredObject;
     readonly deleted: boolean;
 }
 
@@ -112,14 +122,14 @@
     private replace(kind: string, name: string, spec: unknown, status: unknown): void {
         const revision = ++this.revision;
         this.objects(kind).set(name, { revision, spec, status });
-        this.publish({ kind, revision, object: { metadata: { name, revision }, spec, status }, deleted: false });
+        this.publish({ kind, revision, name, object: { revision, spec, status }, deleted: false });
     }
 
     remove(kind: string, name: string): void {
         const revision = ++this.revision;
         const spec = this.objects(kind).get(name)?.spec;
         this.objects(kind).delete(name);
-        this.publish({ kind, revision, object: { metadata: { name, revision }, spec }, deleted: true });
+        this.publish({ kind, revision, name, object: { revision, spec, status: undefined }, deleted: true });
     }
 
     protected async handle(
@@ -161,13 +171,31 @@
             await this.waitForEvent(kind!, after, Number(url.searchParams.get("waitMs")));
             const events = this.events.filter(event => event.kind === kind && event.revision > after);
             response.setHeader("Store-Era", String(this.era));
-            response.end(JSON.stringify({ events, storeRevision: this.revision }));
+            const encoded = events.map(event => {
+                return bytes`{"object":${encode(event.name, event.object)},"deleted":${String(event.deleted)}}`;
+            });
+            response.end(bytes`{"events":[${join(encoded)}],"storeRevision":${String(this.revision)}}`);
             return;
         }
-        const items = [...this.objects(kind!)].map(([objectName, { revision, spec, status }]) => {
-            return { metadata: { name: objectName, revision }, spec, status };
-        });
-        response.end(JSON.stringify({ items, hasMore: false, storeRevision: this.revision }));
+        this.list(kind!, url.searchParams.get("after") ?? "", response);
+    }
+
+    private list(kind: string, after: string, response: http.ServerResponse): void {
+        const objects = [...this.objects(kind)].filter(([name]) => name > after)
+            .sort(([left], [right]) => left < right ? -1 : 1);
+        const items: Buffer[] = [];
+        let pageBytes = 0;
+        for (const [name, object] of objects) {
+            const item = encode(name, object);
+            pageBytes += item.length;
+            if (items.length > 0 && (pageBytes > MAXIMUM_PAGE_BYTES || items.length === MAXIMUM_PAGE_ITEMS)) {
+                break;
+            }
+            items.push(item);
+        }
+        const hasMore = String(items.length < objects.length);
+        const revision = String(this.revision);
+        response.end(bytes`{"items":[${join(items)}],"hasMore":${hasMore},"storeRevision":${revision}}`);
     }
 
     private replaceStatus(kind: string, name: string, update: StatusUpdate, response: http.ServerResponse): void {
@@ -216,6 +244,27 @@
     }
 }
 
+function encode(name: string, { revision, spec, status }: StoredObject): Buffer {
+    if (isRaw(spec) && spec.isObject) {
+        return spec.raw;
+    }
+    const metadata = JSON.stringify({ name, revision });
+    const raw = isRaw(spec) ? spec.raw : JSON.stringify(spec) ?? "null";
+    return bytes`{"metadata":${metadata},"spec":${raw},"status":${JSON.stringify(status) ?? "null"}}`;
+}
+
+function isRaw(spec: unknown): spec is RawSpec {
+    return (spec as Partial<RawSpec> | undefined)?.raw instanceof Buffer;
+}
+
+function bytes(texts: TemplateStringsArray, ...values: readonly (string | Buffer)[]): Buffer {
+    return Buffer.concat(texts.flatMap((text, index) => [text, values[index] ?? ""]).map(part => Buffer.from(part)));
+}
+
+function join(values: readonly Buffer[]): Buffer {
+    return Buffer.concat(values.flatMap((value, index) => index === 0 ? [value] : [Buffer.from(","), value]));
+}
+
 /** One execution of a request by a worker. */
 export interface Run {
     readonly requestId: string;
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,4 +1,4 @@
-/** Guards against listings that mix states of the store from before and after it came back from an older copy. */
+/** Guards against listings that mix states of a store that came back from an older copy, or that end too early. */
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
 import type * as net from "node:net";
@@ -48,3 +48,30 @@
         assert.deepEqual([listing.value.era, listing.value.revision, listing.value.records.length], [expected, 50, 2]);
     }
 });
+
+async function namesOf(pages: readonly string[]): Promise<readonly string[] | undefined> {
+    let next = 0;
+    const server = http.createServer((_request, response) => void response.end(pages[next++] ?? "{}"));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const store = new stores.ObjectStore(`127.0.0.1:${(server.address() as net.AddressInfo).port}`);
+    const listing = await store.list("kind");
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+    return listing.ok ? listing.value.records.map(record => record.name) : undefined;
+}
+
+testing.test("odd entries: guards against a listing that ends at one, or passes as complete without the rest", async () => {
+    const page = (items: string, hasMore: boolean) => `{"items":[${items}],"hasMore":${hasMore},"storeRevision":9}`;
+    const item = (name: string, revision = "1", spec = "{}") => {
+        return `{"metadata":{"name":${JSON.stringify(name)},"revision":${revision}},"spec":${spec}}`;
+    };
+    const deep = "[".repeat(9000) + "]".repeat(9000);
+    assert.deepEqual(await namesOf([page(item("a"), true), page(item("b", "1", deep), true), page(item("c"), false)]), [
+        ...["a", "b", "c"],
+    ]);
+    assert.deepEqual(await namesOf([page(item("b", "1e400"), true), page(item("c"), false)]), ["c"]);
+    assert.deepEqual(await namesOf([page(item("b\ud800"), true), page(item("c"), false)]), ["b\ud800", "c"]);
+    assert.deepEqual(await namesOf([page(`${item("a")},7`, true), page(item("c", "1", "NaN"), false)]), ["a", "c"]);
+    assert.equal(await namesOf([page(item("a"), true), '{"items":[{]}']), undefined);
+    assert.equal(await namesOf([page("7", true), page(item("c"), false)]), undefined);
+});
