Tell peers of a removal that is found by listing again

An instance with a silent connection to the store learnt late of a server that was gone, although a peer knew: the peer had found the removal by listing the servers again, as after discarded history, and did not announce it.

Cause: heartbeats announce the newest change that a copy contains. For a listing that was the newest record, and a removed one has none.

A listing that lacks a known record counts as a change at its own position.

Evidence: the new test fails on the code before (2 instead of 9), and passes now.

--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -120,19 +120,23 @@
         this.graceUntil = Math.max(this.graceUntil, now + (listing.graceMs ?? 0));
         const shownBefore = new Map(this.records(now).map(record => [record.name, record]));
         const wasLoaded = this.isLoaded;
+        const names = new Set(listing.records.map(record => record.name));
+        const removed = [...this.stored.keys()].filter(name => !names.has(name));
         if (wasLoaded && listing.era > this.currentPosition.era) {
             this.restore(listing, shownBefore, now);
         }
         else {
-            const names = new Set(listing.records.map(record => record.name));
-            [...this.stored.keys()].filter(name => !names.has(name)).forEach(name => this.remove(name, now));
+            removed.forEach(name => this.remove(name, now));
             listing.records.forEach(record => this.upsert(record));
         }
         for (const state of listing.held ?? []) {
             this.adoptHeld(state, wasLoaded ? shownBefore.get(state.name) : state.record, now);
         }
         this.currentPosition = { era: listing.era, revision: listing.revision };
-        const newest = Math.max(-1, ...listing.records.map(record => record.revision));
+        // A listing does not tell when a record was removed, only that it was.
+        const newest = removed.length > 0
+            ? listing.revision
+            : Math.max(-1, ...listing.records.map(record => record.revision));
         this.latestChange = positions.latest(this.latestChange, { era: listing.era, revision: newest });
         return true;
     }
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -234,3 +234,13 @@
     copy.apply({ era: 1, revision: 52, changes: [again] }, copy.position, 200);
     assert.deepEqual(versionOf(copy, "server", 200), [1000, 0]);
 });
+
+testing.test("guards against a removal that is found by listing again and of which no peer is told", () => {
+    const copy = new copies.KindCopy({ ownersReregister: true, restoration: restoration.asStored });
+    copy.replace({ era: 0, revision: 3, records: [record("leaving", 1), record("other", 2)] }, 0);
+    assert.equal(copy.lastChange.revision, 2, "what was there at the start is no change after the newest record");
+    copy.replace({ era: 0, revision: 9, records: [record("other", 2)] }, 0);
+    assert.equal(copy.lastChange.revision, 9);
+    copy.replace({ era: 0, revision: 12, records: [record("other", 2)] }, 0);
+    assert.equal(copy.lastChange.revision, 9);
+});
