End the grace period of removed servers where it is reported

An instance could use a removed server until the next change of any server, although the grace period was over.

Cause: the copy forgot what it had kept on any read, also when a peer fetched it, and only a read in the watch's own loop told the instance. The loop itself did not look while the store did not respond or a batch was awaited, so the period could end late.

Reading the copy changes nothing now; states whose time is over are only not shown. The loop ends them after each answer and within each pause, and reports that as a change.

Evidence: the new test, in which the copy is read as peers read it and the store is away again, fails on the code before (the removed server stays), and passes now.

--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -75,22 +75,20 @@
 
     /** Current records, including those that the store has removed or replaced within a grace period. */
     records(now: number): readonly types.StoredRecord[] {
-        this.settle(now);
         const names = new Set([...this.stored.keys(), ...this.held.keys()]);
-        return [...names].map(name => this.shown(name)).filter(record => record !== undefined);
+        return [...names].map(name => this.shown(name, now)).filter(record => record !== undefined);
     }
 
     /** The state of the store and the held states, for a peer. */
     listing(now: number): types.Listing {
-        this.settle(now);
-        const held = [...this.held].map(([name, { record, until }]) => {
+        const held = [...this.held].filter(([, { until }]) => now < until).map(([name, { record, until }]) => {
             return { name, record, remainingMs: Number.isFinite(until) ? until - now : undefined };
         });
         const graceMs = Math.max(0, this.graceUntil - now);
         return { ...this.currentPosition, records: [...this.stored.values()], held, graceMs };
     }
 
-    /** Ends held states whose time is over. Returns whether there were any. */
+    /** Forgets held states whose time is over; they are no longer shown. Returns whether there were any. */
     settle(now: number): boolean {
         const due = [...this.held].filter(([, { until }]) => now >= until);
         for (const [name, { record }] of due) {
@@ -117,7 +115,8 @@
         if (positions.isAfter(this.currentPosition, listing)) {
             return false;
         }
-        this.graceUntil = Math.max(this.graceUntil, now + (listing.graceMs ?? 0));
+        this.settle(now);
+        this.graceUntil = Math.max(this.graceUntil, now + Math.min(RECOVERY_GRACE_MS, listing.graceMs ?? 0));
         const shownBefore = new Map(this.records(now).map(record => [record.name, record]));
         const wasLoaded = this.isLoaded;
         const names = new Set(listing.records.map(record => record.name));
@@ -127,7 +126,7 @@
         }
         else {
             removed.forEach(name => this.remove(name, now));
-            listing.records.forEach(record => this.upsert(record));
+            listing.records.forEach(record => this.upsert(record, now));
         }
         for (const state of listing.held ?? []) {
             this.adoptHeld(state, wasLoaded ? shownBefore.get(state.name) : state.record, now);
@@ -160,7 +159,7 @@
                 this.remove(change.record.name, now);
             }
             else {
-                this.upsert(change.record);
+                this.upsert(change.record, now);
             }
         }
         if (changes.length > 0) {
@@ -181,9 +180,9 @@
         return positions.isAfter(this.currentPosition, askedAt) && record.revision <= this.currentPosition.revision;
     }
 
-    private shown(name: string): types.StoredRecord | undefined {
+    private shown(name: string, now: number): types.StoredRecord | undefined {
         const held = this.held.get(name);
-        return held === undefined ? this.stored.get(name) : held.record;
+        return held === undefined || now >= held.until ? this.stored.get(name) : held.record;
     }
 
     /** Adopts the records of a store that came back from an older copy of itself. */
@@ -249,7 +248,7 @@
             return;
         }
         const { compareKnown } = this.options.restoration;
-        const shown = this.shown(name);
+        const shown = this.shown(name, now);
         const isRemovedNow = stored === undefined && shown === undefined && shownBefore !== undefined;
         if (isRemovedNow) {
             const isOlder = compareKnown(shownBefore, record) === "outdated";
@@ -260,14 +259,14 @@
         }
     }
 
-    private upsert(record: types.StoredRecord): void {
+    private upsert(record: types.StoredRecord, now: number): void {
         const { name } = record;
         const known = this.stored.get(name);
         if (known !== undefined && known.revision > record.revision) {
             return;
         }
         // A late write of its owner can create a removed record anew, in an older state.
-        const latest = this.shown(name) ?? this.removed.get(name)?.record;
+        const latest = this.shown(name, now) ?? this.removed.get(name)?.record;
         this.stored.set(name, record);
         if (known?.revision === record.revision && this.held.has(name)) {
             return;
@@ -279,7 +278,7 @@
     }
 
     private remove(name: string, now: number): void {
-        const shown = this.shown(name);
+        const shown = this.shown(name, now);
         const wasStored = this.stored.delete(name);
         if (!wasStored) {
             return;
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -104,28 +104,56 @@
     private async run(): Promise<void> {
         while (!this.stop.signal.aborted) {
             const pauseMs = await this.readSafely();
+            this.settle();
             if (pauseMs !== undefined) {
-                this.pausedUntil = this.ports.clock.now() + pauseMs;
-                await this.ports.clock.sleep(pauseMs, this.stop.signal);
+                await this.pause(pauseMs);
             }
         }
     }
 
+    /** Held states of the copy also end in the pause, which may be long while the store does not respond. */
+    private async pause(pauseMs: number): Promise<void> {
+        const { clock } = this.ports;
+        this.pausedUntil = clock.now() + pauseMs;
+        let remainingMs = pauseMs;
+        while (remainingMs > 0 && !this.stop.signal.aborted) {
+            const settlementMs = Math.max(PROBE_WAIT_MS, (this.copy.nextSettlementAt ?? Infinity) - clock.now());
+            await clock.sleep(Math.min(remainingMs, settlementMs), this.stop.signal);
+            this.settle();
+            remainingMs = this.pausedUntil - clock.now();
+        }
+    }
+
+    private settle(): void {
+        try {
+            if (this.copy.settle(this.ports.clock.now())) {
+                this.reportChange("grace period over", "store");
+            }
+        }
+        catch (error) {
+            this.recordUnusable(error as Error);
+        }
+    }
+
     /** Reads once. Records that cannot be used are listed again later, since the process goes on with its last copy. */
     private async readSafely(): Promise<number | undefined> {
         try {
             return this.isListed ? await this.watchOnce() : await this.listOnce();
         }
         catch (error) {
-            this.isListed = false;
-            this.ports.journal.emit("store-kind-unusable", {
-                kind: this.options.kind,
-                reason: (error as Error).stack ?? String(error),
-            });
-            return this.recordFailure((error as Error).message, this.ports.clock.now());
+            return this.recordUnusable(error as Error);
         }
     }
 
+    private recordUnusable(error: Error): number {
+        this.isListed = false;
+        this.ports.journal.emit("store-kind-unusable", {
+            kind: this.options.kind,
+            reason: error.stack ?? String(error),
+        });
+        return this.recordFailure(error.message, this.ports.clock.now());
+    }
+
     /** Lists all records. Returns the pause before the next call in milliseconds, if any. */
     private async listOnce(): Promise<number | undefined> {
         const startedAt = this.ports.clock.now();
@@ -173,7 +201,6 @@
         }
         this.recordSuccess();
         const now = this.ports.clock.now();
-        const isSettled = this.copy.settle(now);
         const { era } = this.copy.position;
         if (batch.value.era > era) {
             return this.relist(batch.value);
@@ -183,9 +210,9 @@
         const hasAdvanced = positions.isAfter(this.copy.position, previous);
         const changes = applied ?? [];
         this.consecutiveRelistings = applied === undefined ? this.consecutiveRelistings : 0;
-        if (changes.length > 0 || isSettled) {
+        if (changes.length > 0) {
             const names = changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
-            this.reportChange(isSettled ? "grace period over" : names.slice(0, 8).join(" "), "store");
+            this.reportChange(names.slice(0, 8).join(" "), "store");
         }
         if (changes.length > 0 && hasAdvanced) {
             return this.options.batchDelayMs();
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -184,6 +184,30 @@
     assert.deepEqual(await shownAfterRemoval(6, () => undefined), ["leaving", "other"]);
 });
 
+testing.test("guards against a removed server that stays in use since a peer fetched the copy at the end of the grace period", async () => {
+    const removal = { record: record("leaving", 4), isDeleted: true };
+    const failure = outcomes.fail("store-unavailable", "closed");
+    const script: readonly ScriptedResult[] = [
+        outcomes.succeed({ era: 0, revision: 5, records: [record("leaving", 4), record("other", 5)] }),
+        ...Array.from({ length: 6 }, () => failure),
+        outcomes.succeed({ era: 0, revision: 8, changes: [removal] }),
+        ...Array.from({ length: 6 }, () => failure),
+    ];
+    const clock = simulatedClock();
+    const calls: string[] = [];
+    let inUse: readonly string[] = [];
+    const onChange = (copy: copies.KindCopy) => {
+        inUse = copy.records(clock.now()).map(({ name }) => name);
+    };
+    const watch = watchOf(scriptedStore(script, calls), clock, onChange, () => undefined, true);
+    watch.start();
+    while (calls.length <= script.length) {
+        await new Promise(resolve => setImmediate(resolve));
+        watch.copy.records(clock.now());
+    }
+    assert.deepEqual(inUse, ["other"]);
+});
+
 testing.test("restored store: guards against missing a change whose revision was given out before", async () => {
     const { calls, revisions, eras } = await runWatch([
         outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }),
