Log which change added, removed or kept a server, and the list a call used

From the logs it could not be told why a call went to a server that had left: a listing and a peer's copy were logged by their number of records only, and kept records not at all.

`store-kind-changed` now names the records that appeared and vanished, those that are held in an earlier state, and whether the change came through a stale copy; `call-placed` has the revision of the list of servers.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -365,6 +365,7 @@
             weights: candidate.weightsVersion,
             serverLimit: this.ports.serverLimits.limitOf(candidate.server.id),
             configuration: this.ports.view.routingTable?.configuration.version,
+            serversRevision: this.ports.view.serversRevision,
         });
         this.ports.serverLimits.recordRequest(candidate.server.id, now);
         this.ports.demand.record(service, uncachedTokens, head.promptTokens, now);
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -32,6 +32,7 @@
     /** Latest report of each agent by the address of its server. */
     private readonly reports = new Map<string, ReceivedReport>();
     private hasServers = false;
+    private currentServersRevision = -1;
     private readonly histories = new Map<string, desiredVersions.DesiredVersionHistory>();
     /** Weights versions from response headers, by server id. */
     private readonly observedVersions = new Map<string, number>();
@@ -52,6 +53,11 @@
         return this.routing !== undefined && this.hasServers;
     }
 
+    /** Revision of the store from which the list of servers is; negative if it is unknown. */
+    get serversRevision(): number {
+        return this.currentServersRevision;
+    }
+
     /** Applies a configuration. Returns false, without effect, unless its version is higher than the current one. */
     applyConfiguration(configuration: fleet.Configuration): boolean {
         if (this.routing !== undefined && this.routing.configuration.version >= configuration.version) {
@@ -62,7 +68,8 @@
     }
 
     /** Replaces the list of servers. Earlier incarnations at the address of a later one are left out. */
-    updateServers(servers: readonly fleet.BackendServer[]): void {
+    updateServers(servers: readonly fleet.BackendServer[], revision = -1): void {
+        this.currentServersRevision = revision;
         this.servers = latestIncarnations(servers);
         this.serversByService = groupByService(this.servers);
         this.hasServers = true;
--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -73,6 +73,11 @@
         return times.length === 0 ? undefined : Math.min(...times);
     }
 
+    /** Names of the records that are shown in another state than the store's, or hidden. */
+    get heldNames(): readonly string[] {
+        return [...this.held.keys()];
+    }
+
     /** Current records, including those that the store has removed or replaced within a grace period. */
     records(now: number): readonly types.StoredRecord[] {
         const names = new Set([...this.stored.keys(), ...this.held.keys()]);
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -17,6 +17,8 @@
 const EMPTY_ANSWER_PAUSE_MS = 400;
 /** Time in milliseconds that a change may take longer to arrive through stale reads, before it is read from a peer. */
 const STALE_LAG_MS = 800;
+/** Maximum number of names in a field of a log line. */
+const MAXIMUM_LOGGED_NAMES = 8;
 
 export interface WatchOptions extends copies.KindCopyOptions {
     readonly kind: string;
@@ -51,6 +53,8 @@
     private isListed = false;
     /** Latest era of which a peer or another kind told; the kind is listed once for each. */
     private expectedEra = -1;
+    /** Names of the records at the last reported change. */
+    private reportedNames: ReadonlySet<string> = new Set();
     /** Ends the wait for changes. */
     private interrupt: (() => void) | undefined;
     private loop: Promise<void> = Promise.resolve();
@@ -212,7 +216,7 @@
         this.consecutiveRelistings = applied === undefined ? this.consecutiveRelistings : 0;
         if (changes.length > 0) {
             const names = changes.map(change => `${change.isDeleted ? "-" : "+"}${change.record.name}`);
-            this.reportChange(names.slice(0, 8).join(" "), "store");
+            this.reportChange(nameList(names)!, mayBeStale ? "stale copy of the store" : "store");
         }
         if (changes.length > 0 && hasAdvanced) {
             return this.options.batchDelayMs();
@@ -266,8 +270,21 @@
     }
 
     private reportChange(change: string, source: string): void {
-        const revision = this.copy.revision;
-        this.ports.journal.emit("store-kind-changed", { kind: this.options.kind, change, revision, source });
+        const { era, revision } = this.copy.position;
+        const shown = new Set(this.copy.records(this.ports.clock.now()).map(({ name }) => name));
+        const appeared = [...shown].filter(name => !this.reportedNames.has(name));
+        const vanished = [...this.reportedNames].filter(name => !shown.has(name));
+        this.reportedNames = shown;
+        this.ports.journal.emit("store-kind-changed", {
+            kind: this.options.kind,
+            change,
+            revision,
+            era,
+            source,
+            appeared: nameList(appeared),
+            vanished: nameList(vanished),
+            held: nameList(this.copy.heldNames),
+        });
         this.ports.onChange(this.copy);
     }
 
@@ -299,3 +316,10 @@
         return backoffMs * (0.75 + this.ports.clock.random() / 2);
     }
 }
+
+/** Undefined without any. */
+function nameList(names: readonly string[]): string | undefined {
+    const omitted = names.length - MAXIMUM_LOGGED_NAMES;
+    const listed = names.slice(0, MAXIMUM_LOGGED_NAMES).join(" ");
+    return names.length === 0 ? undefined : omitted > 0 ? `${listed} and ${omitted} more` : listed;
+}
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -2,6 +2,7 @@
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
 import type * as clocks from "../../src/clock/clock.js";
+import type * as event from "../../src/core/event.js";
 import * as outcomes from "../../src/core/outcome.js";
 import * as journals from "../../src/logging/journal.js";
 import type * as copies from "../../src/store-access/kind-copy.js";
@@ -53,6 +54,7 @@
     onChange: (copy: copies.KindCopy) => void,
     onEraChange: (era: number) => void,
     ownersReregister = false,
+    journal: event.Journal = journals.silentJournal,
 ): watches.KindWatch {
     return new watches.KindWatch(
         {
@@ -63,7 +65,7 @@
             restoration: restoration.asStored,
             mayBeStale: () => false,
         },
-        { store, clock, journal: journals.silentJournal, onChange, onEraChange },
+        { store, clock, journal, onChange, onEraChange },
     );
 }
 
@@ -208,6 +210,41 @@
     assert.deepEqual(inUse, ["other"]);
 });
 
+testing.test("a change is logged with the records that appear, vanish and are kept, and with its source", async () => {
+    const lines: event.Fields[] = [];
+    const removal = { record: record("leaving", 4), isDeleted: true };
+    const script: readonly ScriptedResult[] = [
+        outcomes.succeed({ era: 0, revision: 5, records: [record("leaving", 4), record("other", 5)] }),
+        ...Array.from({ length: 6 }, () => outcomes.fail("store-unavailable", "closed")),
+        outcomes.succeed({ era: 0, revision: 8, changes: [removal] }),
+    ];
+    const calls: string[] = [];
+    const journal: event.Journal = {
+        emit: (name, fields) => void (name === "store-kind-changed" && lines.push(fields ?? {})),
+    };
+    const watch = watchOf(
+        scriptedStore(script, calls),
+        simulatedClock(),
+        () => undefined,
+        () => undefined,
+        true,
+        journal,
+    );
+    watch.start();
+    while (calls.length <= script.length) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    watch.adopt({ era: 0, revision: 9, records: [record("new", 9)] }, "peer");
+    const described = lines.map(({ revision, source, appeared, vanished, held }) => {
+        return [revision, source, appeared, vanished, held];
+    });
+    assert.deepEqual(described, [
+        [5, "store", "leaving other", undefined, undefined],
+        [8, "store", undefined, undefined, "leaving"],
+        [9, "peer", "new", undefined, "leaving other"],
+    ]);
+});
+
 testing.test("restored store: guards against missing a change whose revision was given out before", async () => {
     const { calls, revisions, eras } = await runWatch([
         outcomes.succeed({ era: 1, revision: 42, records: [record("main", 42)] }),
