Keep a record of a later page that an older listing does not have

A listing has the revision of its first page, while later pages may have newer records. Another listing from a revision between them took such a record away until the next change was read.

A listing now only removes records that are not newer than itself.

--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -125,7 +125,10 @@
         const shownBefore = new Map(this.records(now).map(record => [record.name, record]));
         const wasLoaded = this.isLoaded;
         const names = new Set(listing.records.map(record => record.name));
-        const removed = [...this.stored.keys()].filter(name => !names.has(name));
+        // The records of a listing's later pages may be newer than its position.
+        const removed = [...this.stored.values()]
+            .filter(({ name, revision }) => !names.has(name) && revision <= listing.revision)
+            .map(({ name }) => name);
         if (wasLoaded && listing.era > this.currentPosition.era) {
             this.restore(listing, shownBefore, now);
         }
--- a/test/store-access/kind-copy.test.ts
+++ b/test/store-access/kind-copy.test.ts
@@ -244,3 +244,13 @@
     copy.replace({ era: 0, revision: 12, records: [record("other", 2)] }, 0);
     assert.equal(copy.lastChange.revision, 9);
 });
+
+testing.test("guards against a record of a later page that a listing from before it removes", () => {
+    const copy = new copies.KindCopy({ ownersReregister: false, restoration: restoration.asStored });
+    // The first page is at revision 10, the second one was read later.
+    copy.replace({ era: 0, revision: 10, records: [record("first", 3), record("second", 14)] }, 0);
+    copy.replace({ era: 0, revision: 12, records: [record("first", 3)] }, 0);
+    assert.deepEqual(names(copy, 0), ["first", "second"]);
+    copy.replace({ era: 0, revision: 15, records: [record("first", 3)] }, 0);
+    assert.deepEqual(names(copy, 0), ["first"]);
+});
