--- a/src/store-access/kind-copy.ts
+++ b/src/store-access/kind-copy.ts
@@ -73,24 +73,27 @@
         return times.length === 0 ? undefined : Math.min(...times);
     }
 
+    /** Names of the records that are shown in another state than the store's, or hidden. */
+    get heldNames(): readonly string[] {
+        return [...this.held.keys()];
+    }
+
     /** Current records, including those that the store has removed or replaced within a grace period. */
     records(now: number): readonly types.StoredRecord[] {
-        this.settle(now);
         const names = new Set([...this.stored.keys(), ...this.held.keys()]);
-        return [...names].map(name => this.shown(name)).filter(record => record !== undefined);
+        return [...names].map(name => this.shown(name, now)).filter(record => record !== undefined);
     }
 
     /** The state of the store and the held states, for a peer. */
     listing(now: number): types.Listing {
-        this.settle(now);
-        const held = [...this.held].map(([name, { record, until }]) => {
+        const held = [...this.held].filter(([, { until }]) => now < until).map(([name, { record, until }]) => {
             return { name, record, remainingMs: Number.isFinite(until) ? until - now : undefined };
         });
         const graceMs = Math.max(0, this.graceUntil - now);
         return { ...this.currentPosition, records: [...this.stored.values()], held, graceMs };
     }
 
-    /** Ends held states whose time is over. Returns whether there were any. */
+    /** Forgets held states whose time is over; they are no longer shown. Returns whether there were any. */
     settle(now: number): boolean {
         const due = [...this.held].filter(([, { until }]) => now >= until);
         for (const [name, { record }] of due) {
@@ -117,22 +120,30 @@
         if (positions.isAfter(this.currentPosition, listing)) {
             return false;
         }
-        this.graceUntil = Math.max(this.graceUntil, now + (listing.graceMs ?? 0));
+        this.settle(now);
+        this.graceUntil = Math.max(this.graceUntil, now + Math.min(RECOVERY_GRACE_MS, listing.graceMs ?? 0));
         const shownBefore = new Map(this.records(now).map(record => [record.name, record]));
         const wasLoaded = this.isLoaded;
+        const names = new Set(listing.records.map(record => record.name));
+        // The records of a listing's later pages may be newer than its position.
+        const removed = [...this.stored.values()]
+            .filter(({ name, revision }) => !names.has(name) && revision <= listing.revision)
+            .map(({ name }) => name);
         if (wasLoaded && listing.era > this.currentPosition.era) {
             this.restore(listing, shownBefore, now);
         }
         else {
-            const names = new Set(listing.records.map(record => record.name));
-            [...this.stored.keys()].filter(name => !names.has(name)).forEach(name => this.remove(name, now));
-            listing.records.forEach(record => this.upsert(record));
+            removed.forEach(name => this.remove(name, now));
+            listing.records.forEach(record => this.upsert(record, now));
         }
         for (const state of listing.held ?? []) {
             this.adoptHeld(state, wasLoaded ? shownBefore.get(state.name) : state.record, now);
         }
         this.currentPosition = { era: listing.era, revision: listing.revision };
-        const newest = Math.max(-1, ...listing.records.map(record => record.revision));
+        // A listing does not tell when a record was removed, only that it was.
+        const newest = removed.length > 0
+            ? listing.revision
+            : Math.max(-1, ...listing.records.map(record => record.revision));
         this.latestChange = positions.latest(this.latestChange, { era: listing.era, revision: newest });
         return true;
     }
@@ -156,7 +167,7 @@
                 this.remove(change.record.name, now);
             }
             else {
-                this.upsert(change.record);
+                this.upsert(change.record, now);
             }
         }
         if (changes.length > 0) {
@@ -177,9 +188,9 @@
         return positions.isAfter(this.currentPosition, askedAt) && record.revision <= this.currentPosition.revision;
     }
 
-    private shown(name: string): types.StoredRecord | undefined {
+    private shown(name: string, now: number): types.StoredRecord | undefined {
         const held = this.held.get(name);
-        return held === undefined ? this.stored.get(name) : held.record;
+        return held === undefined || now >= held.until ? this.stored.get(name) : held.record;
     }
 
     /** Adopts the records of a store that came back from an older copy of itself. */
@@ -245,7 +256,7 @@
             return;
         }
         const { compareKnown } = this.options.restoration;
-        const shown = this.shown(name);
+        const shown = this.shown(name, now);
         const isRemovedNow = stored === undefined && shown === undefined && shownBefore !== undefined;
         if (isRemovedNow) {
             const isOlder = compareKnown(shownBefore, record) === "outdated";
@@ -256,14 +267,14 @@
         }
     }
 
-    private upsert(record: types.StoredRecord): void {
+    private upsert(record: types.StoredRecord, now: number): void {
         const { name } = record;
         const known = this.stored.get(name);
         if (known !== undefined && known.revision > record.revision) {
             return;
         }
         // A late write of its owner can create a removed record anew, in an older state.
-        const latest = this.shown(name) ?? this.removed.get(name)?.record;
+        const latest = this.shown(name, now) ?? this.removed.get(name)?.record;
         this.stored.set(name, record);
         if (known?.revision === record.revision && this.held.has(name)) {
             return;
@@ -275,7 +286,7 @@
     }
 
     private remove(name: string, now: number): void {
-        const shown = this.shown(name);
+        const shown = this.shown(name, now);
         const wasStored = this.stored.delete(name);
         if (!wasStored) {
             return;
