Keep the exchange of a process going after an error in one step

Class of the fault that took a service away: something taken that an error never gives back. Seeking it elsewhere found: a request of the JSON client to a port out of range rejected, so that a kind was marked as being fetched from a peer for ever and the process never took a peer's copy again; the same address, or any error while a heartbeat is composed, ended all heartbeats of a process; an error in one step of the weights updater or of a cache store's follower ended them; the registration of a member and the inquiry after a crash stayed marked as running.

Evidence: four new tests fail before (the injected error, or ERR_SOCKET_BAD_PORT, ends the exchange) and pass with the change. The follower, the registration and the inquiry were changed from reading, without a test of their own.

The JSON client now reports such an error as no response, flags are given back where they were taken, and each periodic step logs its error and is scheduled again. Addresses of peers are checked up to the port when they are received.

--- a/src/forwarding/crash-detector.ts
+++ b/src/forwarding/crash-detector.ts
@@ -48,8 +48,13 @@
     }
 
     private async inquire(address: string, incarnation: string, calls: readonly LostCall[]): Promise<void> {
-        const hasCrashed = await (this.ports.isRefusingConnections ?? isRefusingConnections)(address);
-        this.inquiries.delete(incarnation);
+        let hasCrashed = false;
+        try {
+            hasCrashed = await (this.ports.isRefusingConnections ?? isRefusingConnections)(address);
+        }
+        finally {
+            this.inquiries.delete(incarnation);
+        }
         if (!hasCrashed) {
             return;
         }
--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -32,46 +32,56 @@
 /** Sends a request. The promise never rejects. A response body above the limit counts as no response. */
 export function send(options: JsonRequest): Promise<JsonResult> {
     return new Promise(resolve => {
-        const [host, port] = options.address.split(":");
-        const body = options.body === undefined ? undefined : Buffer.from(JSON.stringify(options.body));
-        const headers = {
-            ...options.headers,
-            ...body === undefined ? {} : { "Content-Type": "application/json", "Content-Length": String(body.length) },
-        };
-        const request = http.request({
-            host,
-            port,
-            method: options.method,
-            path: options.path,
-            headers,
-            agent: options.agent ?? false,
-        });
-        const timer = setTimeout(() => {
-            request.destroy();
-            resolve({ kind: "no-response", reason: "timeout" });
-        }, options.timeoutMs);
-        const finish = (result: JsonResult) => {
-            clearTimeout(timer);
-            resolve(result);
-        };
-        request.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
-        request.on("response", response => {
-            const chunks: Buffer[] = [];
-            let length = 0;
-            response.on("data", (chunk: Buffer) => {
-                length += chunk.length;
-                if (length > MAXIMUM_BODY_BYTES) {
-                    request.destroy();
-                    finish({ kind: "no-response", reason: `a body of more than ${MAXIMUM_BODY_BYTES} bytes` });
-                    return;
-                }
-                chunks.push(chunk);
-            });
-            response.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
-            response.on("end", () => finish(decode(response, Buffer.concat(chunks))));
+        try {
+            start(options, resolve);
+        }
+        catch (error) {
+            // Such as an address whose port is out of range.
+            resolve({ kind: "no-response", reason: errorCode(error as Error) });
+        }
+    });
+}
+
+function start(options: JsonRequest, resolve: (result: JsonResult) => void): void {
+    const [host, port] = options.address.split(":");
+    const body = options.body === undefined ? undefined : Buffer.from(JSON.stringify(options.body));
+    const headers = {
+        ...options.headers,
+        ...body === undefined ? {} : { "Content-Type": "application/json", "Content-Length": String(body.length) },
+    };
+    const request = http.request({
+        host,
+        port,
+        method: options.method,
+        path: options.path,
+        headers,
+        agent: options.agent ?? false,
+    });
+    const timer = setTimeout(() => {
+        request.destroy();
+        resolve({ kind: "no-response", reason: "timeout" });
+    }, options.timeoutMs);
+    const finish = (result: JsonResult) => {
+        clearTimeout(timer);
+        resolve(result);
+    };
+    request.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
+    request.on("response", response => {
+        const chunks: Buffer[] = [];
+        let length = 0;
+        response.on("data", (chunk: Buffer) => {
+            length += chunk.length;
+            if (length > MAXIMUM_BODY_BYTES) {
+                request.destroy();
+                finish({ kind: "no-response", reason: `a body of more than ${MAXIMUM_BODY_BYTES} bytes` });
+                return;
+            }
+            chunks.push(chunk);
         });
-        request.end(body);
+        response.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
+        response.on("end", () => finish(decode(response, Buffer.concat(chunks))));
     });
+    request.end(body);
 }
 
 /** Code of a system error, or its message when it has no code. */
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -1,6 +1,7 @@
 /** Encodes heartbeats as JSON arrays without keys, which keeps the frequent traffic between data centres small. */
 import * as stages from "../rollout/service-stage.js";
 import type * as storeAccess from "../store-access/types.js";
+import * as addresses from "./address.js";
 import * as entryStates from "./entry-state.js";
 import * as suspectCodec from "./suspect-codec.js";
 import type * as types from "./types.js";
@@ -15,8 +16,6 @@
 /** Position of the heartbeats that are passed on. */
 const PASSED_ON = 18;
 
-const ADDRESS = /^\d+\.\d+\.\d+\.\d+:\d+$/;
-
 type HeartbeatTuple = readonly [
     layoutVersion: number,
     name: string,
@@ -144,8 +143,9 @@
         rollouts = [],
         changeEras = {},
     ] = tuple;
-    const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
-        && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
+    const isUsable = typeof name === "string" && (role === "entry" || role === "agent") &&
+        addresses.isAddress(beatAddress)
+        && (documentAddress === "" || addresses.isAddress(documentAddress)) && typeof incarnation === "string"
         && typeof sequence === "number" && typeof dataCentre === "string";
     if (!isUsable) {
         throw new TypeError("a heartbeat without a usable sender");
@@ -221,11 +221,6 @@
     return { server, requestsPerSecond: rate < 0 ? undefined : rate, ageMs, requests };
 }
 
-/** IP:PORT. A host name would be looked up with each heartbeat that is sent there. */
-function isAddress(value: unknown): boolean {
-    return typeof value === "string" && ADDRESS.test(value);
-}
-
 function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
     const hashes = values.filter((_, index) => index % 2 === 0);
     return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -71,13 +71,13 @@
 
     private async fetch(watch: watches.KindWatch, peer: types.Member): Promise<void> {
         this.fetching.add(watch.kind);
+        using _fetching = { [Symbol.dispose]: () => void this.fetching.delete(watch.kind) };
         const result = await jsonClient.send({
             method: "GET",
             address: peer.documentAddress,
             path: PATH_PREFIX + watch.kind,
             timeoutMs: FETCH_TIMEOUT_MS,
         });
-        this.fetching.delete(watch.kind);
         const listing = result.kind === "response" && result.status === 200 ? decodeListing(result.body) : undefined;
         if (listing !== undefined) {
             this.adoptSafely(watch, listing, peer);
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -81,7 +81,19 @@
         return Math.max(1, this.recipients / MAXIMUM_RECIPIENTS_AT_BASE_PERIOD);
     }
 
+    /** An error skips one heartbeat, and not those that follow. */
     private tick(): void {
+        try {
+            this.sendDue();
+        }
+        catch (error) {
+            const reason = (error as Error).stack ?? String(error);
+            this.ports.journal.emit("controller-step-failed", { controller: "heartbeats", reason });
+        }
+        this.timer = setTimeout(() => this.tick(), TICK_MS);
+    }
+
+    private sendDue(): void {
         const now = this.ports.clock.now();
         const { local, relays } = this.fanOut(now);
         this.recipients = local.length + relays.length;
@@ -96,7 +108,6 @@
         }
         this.forgetRemovedPeers();
         this.logSilentPeers(now);
-        this.timer = setTimeout(() => this.tick(), TICK_MS);
     }
 
     private fanOut(now: number): fanOuts.FanOut {
@@ -137,12 +148,7 @@
         };
         for (const peer of peers) {
             this.lastSentAt.set(this.recipientKey(peer), now);
-            const [host, port] = peer.beatAddress.split(":");
-            this.socket.send(datagramTo(peer), Number(port), host, error => {
-                if (error) {
-                    this.ports.journal.emit("peer-send-failed", { peer: peer.name, reason: error.message });
-                }
-            });
+            this.sendDatagram(datagramTo(peer), peer);
         }
         for (const role of ["entry", "agent"] as const) {
             if (datagrams.has(`${role} false`)) {
@@ -151,6 +157,21 @@
         }
     }
 
+    private sendDatagram(datagram: Buffer, peer: types.Member): void {
+        const [host, port] = peer.beatAddress.split(":");
+        const reportFailure = (error: Error | null) => {
+            if (error) {
+                this.ports.journal.emit("peer-send-failed", { peer: peer.name, reason: error.message });
+            }
+        };
+        try {
+            this.socket.send(datagram, Number(port), host, reportFailure);
+        }
+        catch (error) {
+            reportFailure(error as Error);
+        }
+    }
+
     /** A datagram with unexpected content is ignored: the port accepts datagrams from any sender. */
     private receiveSafely(datagram: Buffer): void {
         try {
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -14,6 +14,12 @@
         message: fields => `stopped following the cache store at ${fields.address}`,
         hint: "Until it is followed again, its content is estimated. Check the store if this persists.",
     },
+    "cache-store-unusable": {
+        number: 3604,
+        level: "error",
+        message: fields => `the changes of the cache store at ${fields.address} could not be used: ${fields.reason}`,
+        hint: "The store is followed again from its present state. Report this as a bug if it persists.",
+    },
     "server-limit-changed": {
         number: 3603,
         level: "info",
--- a/src/placement/store-follower.ts
+++ b/src/placement/store-follower.ts
@@ -68,13 +68,25 @@
             if (!mayFollow) {
                 this.latestStatus = undefined;
             }
-            if (!mayFollow || !await this.readChanges()) {
+            if (!mayFollow || !await this.readSafely()) {
                 this.markLost();
                 await this.ports.clock.sleep(RETRY_DELAY_MS, this.stop.signal);
             }
         }
     }
 
+    /** Changes that cannot be applied end the reading of this batch only. */
+    private async readSafely(): Promise<boolean> {
+        try {
+            return await this.readChanges();
+        }
+        catch (error) {
+            const reason = (error as Error).stack ?? String(error);
+            this.ports.journal.emit("cache-store-unusable", { address: this.ports.address, reason });
+            return false;
+        }
+    }
+
     /** Reads and applies one batch of changes. Resolves to `false` when the store does not respond. */
     private async readChanges(): Promise<boolean> {
         const { address, index } = this.ports;
--- a/src/runtime/member-directory.ts
+++ b/src/runtime/member-directory.ts
@@ -1,6 +1,7 @@
 /** Registers this process in the store and reads the other members; heartbeats keep the table current afterwards. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import * as addresses from "../peering/address.js";
 import type * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
 import type * as types from "./types.js";
@@ -42,11 +43,15 @@
             return;
         }
         this.isRegistering = true;
-        while (this.isOutdated && !this.stop.signal.aborted) {
-            this.isOutdated = false;
-            await this.registerOnce();
+        try {
+            while (this.isOutdated && !this.stop.signal.aborted) {
+                this.isOutdated = false;
+                await this.registerOnce();
+            }
+        }
+        finally {
+            this.isRegistering = false;
         }
-        this.isRegistering = false;
     }
 
     [Symbol.dispose](): void {
@@ -75,6 +80,6 @@
 
 function isMember(value: unknown): value is peering.Member {
     const member = value as Partial<peering.Member> | undefined;
-    return typeof member?.name === "string" && typeof member.beatAddress === "string"
-        && typeof member.documentAddress === "string" && (member.role === "entry" || member.role === "agent");
+    return typeof member?.name === "string" && addresses.isAddress(member.beatAddress)
+        && addresses.isAddress(member.documentAddress) && (member.role === "entry" || member.role === "agent");
 }
--- a/src/weights/updater.ts
+++ b/src/weights/updater.ts
@@ -78,9 +78,15 @@
 
     private async tick(): Promise<void> {
         const startedAt = this.ports.clock.now();
-        await this.readState();
-        for (const history of this.histories.values()) {
-            await this.step(history);
+        try {
+            await this.readState();
+            for (const history of this.histories.values()) {
+                await this.step(history);
+            }
+        }
+        catch (error) {
+            const reason = (error as Error).stack ?? String(error);
+            this.ports.journal.emit("controller-step-failed", { controller: "weights", reason });
         }
         if (!this.isStopped) {
             const elapsed = this.ports.clock.now() - startedAt;
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -137,3 +137,20 @@
     }
     assert.equal(own.copy.revision, 9);
 });
+
+testing.test("guards against a copy that is never fetched again after a peer with an address that cannot be used", async () => {
+    await using exchange = exchangeOf(watchAt(5));
+    const address = await freeAddress();
+    exchange.start(address);
+    const behind = watchAt(1);
+    await using own = exchangeOf(behind);
+    own.compare(heartbeat("odd", "127.0.0.1:70000", 5), 0);
+    own.compare(heartbeat("odd", "127.0.0.1:70000", 5), 10_000);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    own.compare(heartbeat("sound", address, 5), 20_000);
+    const deadline = performance.now() + 5000;
+    while (behind.copy.revision < 5 && performance.now() < deadline) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    assert.equal(behind.copy.revision, 5);
+});
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -204,3 +204,47 @@
         assert.deepEqual([logged, watch.copy.isLoaded], [["document-fetch-failed"], false], body);
     }
 });
+
+testing.test("guards against an error in one heartbeat, or an address of one peer, that ends all heartbeats", async () => {
+    const received: number[] = [];
+    const receiver = dgram.createSocket("udp4");
+    receiver.on("message", () => void received.push(performance.now()));
+    await new Promise<void>(resolve => receiver.bind(0, HOST, resolve));
+    const members = new memberTables.MemberTable("self");
+    members.add([member("odd", `${HOST}:70000`), member("sound", `${HOST}:${receiver.address().port}`)]);
+    const address = `${HOST}:${await freePort()}`;
+    let composed = 0;
+    const exchange = new heartbeatExchanges.HeartbeatExchange({
+        self: member("self", address),
+        clock: clocks.systemClock,
+        journal: journals.silentJournal,
+        members,
+        compose: sequence => {
+            if (++composed % 2 === 1) {
+                throw new Error("injected");
+            }
+            return heartbeat("self", address, sequence);
+        },
+        onHeartbeat: () => undefined,
+        periodMs: () => 150,
+    });
+    exchange.start(address);
+    const deadline = performance.now() + 5000;
+    while (received.length < 3 && performance.now() < deadline) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    // The last heartbeat, at the end, is to be one that does not throw.
+    while (composed % 2 === 0) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    await exchange[Symbol.asyncDispose]();
+    receiver.close();
+    assert.ok(received.length >= 3, `${received.length} heartbeats`);
+});
+
+testing.test("guards against heartbeats of peers whose address has a port that does not exist", () => {
+    for (const address of ["127.0.0.1:70000", "127.0.0.1:0", "127.0.0.1:", "host:80"]) {
+        const datagram = codec.encode({ heartbeat: heartbeat("peer", address, 1), passedOn: [] });
+        assert.equal(codec.decode(datagram), undefined, address);
+    }
+});
--- a/test/weights/updater.test.ts
+++ b/test/weights/updater.test.ts
@@ -50,3 +50,24 @@
     const tokens = engine.orders.map(order => order.fencingToken);
     assert.deepEqual(tokens, [...tokens].sort((left, right) => left - right));
 });
+
+testing.test("guards against an error in one step that ends all later updates", async () => {
+    const engine = new FakeEngine();
+    const state = testing.mock.method(engine, "state", () => Promise.reject(new Error("injected")), { times: 3 });
+    await using updater = new updaters.WeightsUpdater({
+        clock: clocks.systemClock,
+        journal: journals.silentJournal,
+        engine,
+        address: "127.0.0.1:1",
+        neighbours: () => [],
+        announce: () => undefined,
+    });
+    updater.start();
+    updater.adoptDesiredWeights({ model: "menu", version: 2, position: { era: 1, revision: 5 } });
+    const endsAt = performance.now() + ORDER_TIMEOUT_MS;
+    while (engine.orders.length === 0 && performance.now() < endsAt) {
+        await clocks.systemClock.sleep(20);
+    }
+    assert.ok(state.mock.callCount() >= 3);
+    assert.deepEqual(engine.orders.map(order => order.version), [2]);
+});
