Notice silent connections to the store while changes are still in time

Callers saw: after open connections to the store had gone silent while new ones worked, withdrawn keys were accepted and new ones refused for up to 1.6 s past the limit; the next servers that left would have been used as long.

Cause: a silent connection was noticed when its wait of 6 s (18 s in a large deployment) and 1.5 s more were over, and all entries began to wait at the same moment after each change, so that no peer knew more. Only the timeout of each watch by itself ended its silence.

The waits for the configuration and the servers are now staggered over the entries that read them: the wait of one of them ends in each half of the shortest limit for changes, which comes from the settings. Its number grows with the entries, so that the calls of a deployment do not. A call without a response is repeated at once on a new connection; if that one is answered, the store was up, which is logged apart from an outage and starts no grace period. The finder renews its other connections and tells its peers, which renew theirs. Metrics show the age of each copy since the store last confirmed it.

--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -9,6 +9,8 @@
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: unknown;
     readonly timeoutMs: number;
+    /** Gives the request up when it is aborted. */
+    readonly signal?: AbortSignal;
     /** Connection pool; without it each request opens its own connection. */
     readonly agent?: http.Agent;
 }
@@ -29,6 +31,8 @@
 /** Limit of a response body in bytes. The largest one is a page of a listing, about 1 MB. */
 const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
+const TIMEOUT = "timeout";
+
 /** Sends a request. The promise never rejects. A response body above the limit counts as no response. */
 export function send(options: JsonRequest): Promise<JsonResult> {
     return new Promise(resolve => {
@@ -57,12 +61,17 @@
         headers,
         agent: options.agent ?? false,
     });
-    const timer = setTimeout(() => {
+    const giveUp = (reason: string) => {
         request.destroy();
-        resolve({ kind: "no-response", reason: "timeout" });
-    }, options.timeoutMs);
+        finish({ kind: "no-response", reason });
+    };
+    // A process that could not run for a while first reads what has arrived meanwhile.
+    const timer = setTimeout(() => setImmediate(() => giveUp(TIMEOUT)), options.timeoutMs);
+    const abort = () => giveUp("aborted");
+    options.signal?.addEventListener("abort", abort);
     const finish = (result: JsonResult) => {
         clearTimeout(timer);
+        options.signal?.removeEventListener("abort", abort);
         resolve(result);
     };
     request.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -13,6 +13,7 @@
 const LAYOUT_VERSION = 3;
 
 const NO_LIMIT = -1;
+const NO_SILENCE = -1;
 /** Position of the heartbeats that are passed on. */
 const PASSED_ON = 18;
 
@@ -49,6 +50,8 @@
     rollouts?: types.Heartbeat["rollouts"],
     /** Eras of `changeRevisions`. */
     changeEras?: Readonly<Record<string, number>>,
+    /** Negative if no connection to the store was found to be silent lately. */
+    connectionSilenceAgeMs?: number,
 ];
 
 type ReportTuple = readonly [
@@ -99,6 +102,7 @@
         }),
         heartbeat.rollouts,
         mapValues(heartbeat.lastChanges, ({ era }) => era),
+        heartbeat.connectionSilenceAgeMs === undefined ? NO_SILENCE : Math.round(heartbeat.connectionSilenceAgeMs),
     ];
 }
 
@@ -142,6 +146,7 @@
         serverLimits = [],
         rollouts = [],
         changeEras = {},
+        silenceAgeMs = NO_SILENCE,
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") &&
         addresses.isAddress(beatAddress)
@@ -184,6 +189,7 @@
         suspects: suspects === 0 ? entryStates.noEntryState.suspects : suspectCodec.fromTuple(suspects),
         serverLimits: serverLimits.map(decodeServerLimit),
         rollouts: rollouts.filter(isRollout),
+        ...Number.isFinite(silenceAgeMs) && silenceAgeMs >= 0 ? { connectionSilenceAgeMs: silenceAgeMs } : {},
     };
 }
 
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -141,6 +141,11 @@
     readonly serverLimits: readonly ServerLimit[];
     /** Rollouts of services; entries only. */
     readonly rollouts: readonly ServiceRollout[];
+    /**
+     * Time in milliseconds since open connections to the store were found to be silent while new ones work, if that was a
+     * moment ago; entries only.
+     */
+    readonly connectionSilenceAgeMs?: number;
     readonly desiredWeights: readonly DesiredWeights[];
     /** Agents only. */
     readonly report: ServerReport | undefined;
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -29,18 +29,28 @@
 import * as ledgers from "../quota/ledger.js";
 import * as rolloutStatuses from "../rollout/rollout-statuses.js";
 import * as serviceRollouts from "../rollout/service-rollouts.js";
+import * as silences from "../store-access/connection-silence.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
 import * as restoration from "../store-access/restoration.js";
+import * as staggeredWaits from "../store-access/staggered-wait.js";
 import * as directories from "./member-directory.js";
 import * as meters from "./meter.js";
 import type * as types from "./types.js";
 
 /**
- * Long-poll wait of the watches in milliseconds. A longer wait needs fewer calls but detects an unresponsive connection
- * later; in that case the peers' heartbeats reveal newer revisions earlier.
+ * Long-poll wait in milliseconds of the watches whose changes may be in force some seconds later. A longer wait needs fewer
+ * calls but detects a silent connection later; the watches with shorter waits detect it for all of them.
  */
 const WATCH_WAIT_MS = 6000;
+/**
+ * Waits of the watches whose changes have to be in force in time: the wait of one of their readers ends within this part of
+ * that time, which leaves the rest for noticing that nothing came and for telling the others.
+ */
+const WAIT_INTERVAL_SHARE = 0.5;
+const MAXIMUM_STAGGERED_WAIT_MS = 20_000;
+/** Time in milliseconds without heartbeats after which an entry no longer counts as a reader of the store. */
+const READER_SILENCE_MS = 3000;
 /** Time in milliseconds over which server changes are batched; a leaving server is still known long before its limit. */
 const SERVERS_BATCH_DELAY_MS = 300;
 /**
@@ -90,6 +100,7 @@
     private readonly directory: directories.MemberDirectory;
     /** Latest era of the store that a copy has reached. */
     private storeEra = 0;
+    private readonly connectionSilence = new silences.ConnectionSilence();
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly serverLimits: serverLimits.ServerLimits;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
@@ -219,7 +230,7 @@
             [platform.readinessPath]: () => ({ status: this.isReady ? 200 : 503, body: "" }),
         });
         this.metricsServer = new textServers.TextServer({
-            "/metrics": () => ({ status: 200, body: this.meter.render() }),
+            "/metrics": () => ({ status: 200, body: this.meter.render() + this.renderCopyAges() }),
         });
         this.watches = this.createWatches();
         this.documents = new documents.DocumentExchange({ clock, journal, watches: Object.values(this.watches) });
@@ -310,16 +321,27 @@
                 journal: this.journal,
                 onChange,
                 onEraChange: (era: number) => this.enterEra(era),
+                onSilentConnection: () => this.renewStoreConnections(this.clock.now(), this.settings.name),
             };
             return new watches.KindWatch({ kind, ...options }, ports);
         };
         const { configurationVersion, serverVersion, weightsVersion } = this.platform;
         const waitMs = () => WATCH_WAIT_MS * this.watchWaitFactor;
+        const staggeredWaitMs = (kind: string) => {
+            const wait = new staggeredWaits.StaggeredWait({
+                intervalMs: this.settings.changeLimitMs * WAIT_INTERVAL_SHARE,
+                maximumMs: MAXIMUM_STAGGERED_WAIT_MS,
+            });
+            return (isFirst: boolean) => {
+                const readers = this.directReaders(kind);
+                return readers.rank < 0 ? waitMs() : wait.next(readers, isFirst);
+            };
+        };
         return {
             configuration: create(
                 kinds.configuration,
                 {
-                    waitMs,
+                    waitMs: staggeredWaitMs(kinds.configuration),
                     batchDelayMs: () => 0,
                     ownersReregister: false,
                     restoration: restoration.byVersion(configurationVersion),
@@ -330,7 +352,7 @@
             servers: create(
                 kinds.servers,
                 {
-                    waitMs,
+                    waitMs: staggeredWaitMs(kinds.servers),
                     batchDelayMs: () => SERVERS_BATCH_DELAY_MS * this.watchWaitFactor,
                     ownersReregister: true,
                     restoration: restoration.byVersion(serverVersion),
@@ -379,16 +401,21 @@
      * rendezvous hashing for each kind, read them at once; the others learn of newer revisions from their heartbeats.
      */
     private readsStale(kind: string): boolean {
-        const now = this.clock.now();
-        const entries = this.members.recentHeartbeats(now, PEER_SILENCE_MS * this.heartbeats.periodFactor)
+        return this.directReaders(kind).rank < 0;
+    }
+
+    /** Entries that read changes of a kind from the store at once; the rank of this one is negative if it does not. */
+    private directReaders(kind: string): staggeredWaits.Readers {
+        const peers = this.members.recentHeartbeats(this.clock.now(), READER_SILENCE_MS)
             .map(({ heartbeat }) => heartbeat.member)
             .filter(member => member.role === "entry");
-        const readers = Math.max(MINIMUM_DIRECT_READERS, Math.ceil(entries.length * DIRECT_READER_SHARE));
-        if (entries.length < readers) {
-            return false;
-        }
+        const count = Math.min(
+            peers.length + 1,
+            Math.max(MINIMUM_DIRECT_READERS, Math.ceil(peers.length * DIRECT_READER_SHARE)),
+        );
         const own = rendezvous.score(kind, { id: this.settings.name, weight: 1 });
-        return entries.filter(({ name }) => rendezvous.score(kind, { id: name, weight: 1 }) > own).length >= readers;
+        const rank = peers.filter(({ name }) => rendezvous.score(kind, { id: name, weight: 1 }) > own).length;
+        return { count, rank: rank < count ? rank : -1 };
     }
 
     /** Factor by which the watches' waits grow with the number of entries. */
@@ -407,6 +434,27 @@
         void this.directory.register();
     }
 
+    /** Open connections to the store were silent while a new one worked; the others may be silent as well. */
+    private renewStoreConnections(foundAt: number, source: string): void {
+        if (!this.connectionSilence.record(foundAt)) {
+            return;
+        }
+        this.journal.emit("store-connections-renewed", { source });
+        Object.values(this.watches).forEach(watch => watch.renewConnection());
+        if (source === this.settings.name) {
+            this.heartbeats.sendToAll();
+        }
+    }
+
+    /** Times since the store last confirmed the copies, in the Prometheus text format. */
+    private renderCopyAges(): string {
+        const now = this.clock.now();
+        const lines = Object.values(this.watches).map(watch => [watch.kind, watch.ageMs(now)] as const)
+            .filter(([, ageMs]) => ageMs !== undefined)
+            .map(([kind, ageMs]) => `ibisstep_copy_age_ms{kind="${kind}"} ${Math.round(ageMs!)}\n`);
+        return lines.join("");
+    }
+
     private adoptConfiguration(copy: copies.KindCopy): void {
         const decoded = this.platform.decodeConfigurations(copy.records(this.clock.now()));
         this.reportInvalid(this.platform.kinds.configuration, decoded.invalid);
@@ -517,6 +565,7 @@
     }
 
     private composeHeartbeat(sequence: number, now: number): peering.Heartbeat {
+        const connectionSilenceAgeMs = this.connectionSilence.ageMs(now);
         const changes = Object.values(this.watches).map(watch => [watch.kind, watch.copy.lastChange] as const);
         return {
             member: this.member,
@@ -532,6 +581,7 @@
             serverLimits: this.serverLimits.snapshot(now),
             rollouts: this.rollouts.snapshot(now),
             suspects: this.suspects.snapshot(sequence, { now, wallTime: this.clock.wallTime() }),
+            ...connectionSilenceAgeMs === undefined ? {} : { connectionSilenceAgeMs },
             desiredWeights: this.view.desiredWeights(),
             report: undefined,
         };
@@ -550,6 +600,9 @@
             this.rollouts.applyPeer(name, heartbeat.incarnation, heartbeat.rollouts, now);
             this.suspects.applyPeer(name, heartbeat.suspects, { now, wallTime: this.clock.wallTime() });
             this.documents.compare(heartbeat, now);
+            if (heartbeat.connectionSilenceAgeMs !== undefined) {
+                this.renewStoreConnections(now - heartbeat.connectionSilenceAgeMs, name);
+            }
         }
         if (heartbeat.report !== undefined) {
             this.view.applyReport(heartbeat.report, now);
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -78,6 +78,8 @@
     readonly shutdownGraceMs: number;
     /** Time after newer weights became the desired ones from which no call may start on older ones. */
     readonly outdatedWeightsLimitMs: number;
+    /** Shortest time after which a change that the store has confirmed has to be in force. */
+    readonly changeLimitMs: number;
     /** Maximum ratio of retries to requests, over all entries. */
     readonly retryBudgetRatio: number;
     /** Retries per window allowed beyond that ratio, over all entries. */
--- a/src/store-access/events.ts
+++ b/src/store-access/events.ts
@@ -48,4 +48,17 @@
             `the store came back from an older copy: kind ${fields.kind} is at revision ${fields.revision} of era ${fields.era}`,
         hint: "What the store lost is written again by its owners. Compare the copies if records stay missing.",
     },
+    "store-connection-replaced": {
+        number: 3108,
+        level: "warn",
+        message: fields =>
+            `a connection for kind ${fields.kind} ${fields.isSilent ? "was silent" : "broke"}, and a new one works`,
+        hint: "The store was up all the time. Check the network between this process and the store if this persists.",
+    },
+    "store-connections-renewed": {
+        number: 3109,
+        level: "info",
+        message: fields => `renewing all connections to the store, since ${fields.source} found a silent one`,
+        hint: "",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/store-access/failures.ts
+++ b/src/store-access/failures.ts
@@ -2,6 +2,14 @@
 import type * as failure from "../core/failure.js";
 
 export const failures = {
+    "store-no-response": {
+        number: 3102,
+        status: 503,
+        execution: "unknown",
+        retry: "same-request",
+        message: detail => `the store did not respond: ${detail}`,
+        hint: "The call is sent again on a new connection. Check the store and the network if this persists.",
+    },
     "store-history-lost": {
         number: 3101,
         status: 503,
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -4,6 +4,7 @@
  */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import type * as failure from "../core/failure.js";
 import * as copies from "./kind-copy.js";
 import * as positions from "./position.js";
 import type * as types from "./types.js";
@@ -20,8 +21,11 @@
 
 export interface WatchOptions extends copies.KindCopyOptions {
     readonly kind: string;
-    /** Longest long-poll wait in milliseconds; also the time after which an unresponsive connection is detected. */
-    readonly waitMs: () => number;
+    /**
+     * Longest long-poll wait in milliseconds; also the time after which an unresponsive connection is detected. The first
+     * wait after a change begins at about the same time in all processes.
+     */
+    readonly waitMs: (isFirst: boolean) => number;
     /** Whether changes may arrive seconds late, since peers tell of newer revisions. */
     readonly mayBeStale: () => boolean;
     /** Pause in milliseconds after a change, so that a single call fetches several successive changes. */
@@ -36,12 +40,26 @@
     readonly onChange: (copy: copies.KindCopy) => void;
     /** Called when the copy has reached a later era of the store than before. */
     readonly onEraChange: (era: number) => void;
+    /** Called when an open connection to the store was silent for a whole wait while a new one is answered. */
+    readonly onSilentConnection?: () => void;
+}
+
+/** A call that got no response, so that its connection is suspected rather than the store. */
+interface Suspicion {
+    readonly since: number;
+    /** The connection was silent for the whole wait, and was not closed. */
+    readonly isSilent: boolean;
 }
 
 export class KindWatch implements AsyncDisposable {
     readonly copy: copies.KindCopy;
     private readonly stop = new AbortController();
     private disconnectedAt: number | undefined;
+    private suspicion: Suspicion | undefined;
+    private needsNewConnection = false;
+    /** Time in milliseconds of the last answer of the store. */
+    private answeredAt: number | undefined;
+    private isFirstWait = true;
     private consecutiveFailures = 0;
     private consecutiveRelistings = 0;
     private isListed = false;
@@ -70,12 +88,26 @@
         return this.isConnected ? this.options.batchDelayMs() + staleMs : 0;
     }
 
+    /** Time in milliseconds since the store last confirmed the copy; undefined before its first answer. */
+    ageMs(now: number): number | undefined {
+        return this.answeredAt === undefined ? undefined : now - this.answeredAt;
+    }
+
     start(): void {
         this.loop = this.run();
     }
 
+    /** Goes on with a new connection, since open ones to the store are silent. */
+    renewConnection(): void {
+        if (this.isConnected && this.suspicion === undefined) {
+            this.needsNewConnection = true;
+            this.interrupt?.();
+        }
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         this.stop.abort();
+        this.interrupt?.();
         await Promise.race([this.loop, this.ports.clock.sleep(0)]);
     }
 
@@ -83,6 +115,10 @@
     adopt(listing: types.Listing, peer: string): void {
         if (positions.isAfter(listing, this.copy.position) && this.replaceCopy(listing)) {
             this.reportChange("copy of a peer", peer);
+            // The own connection has not told of the change in time.
+            if (!this.options.mayBeStale()) {
+                this.renewConnection();
+            }
         }
     }
 
@@ -121,12 +157,13 @@
 
     /** Lists all records. Returns the pause before the next call in milliseconds, if any. */
     private async listOnce(): Promise<number | undefined> {
-        const listing = await this.ports.store.list(this.options.kind);
+        const listing = await this.ports.store.list(this.options.kind, this.connectionOptions());
         if (!listing.ok) {
-            return this.recordFailure(listing.failure.detail);
+            return this.handleFailure(listing.failure, false);
         }
         this.recordSuccess();
         this.isListed = true;
+        this.isFirstWait = true;
         if (this.replaceCopy(listing.value)) {
             this.reportChange(`${listing.value.records.length} records listed`, "store");
         }
@@ -147,22 +184,24 @@
     /** Waits for changes once. Returns the pause before the next call in milliseconds, if any. */
     private async watchOnce(): Promise<number | undefined> {
         // A long-poll call during an outage could hang and delay the detection of the recovery for its whole wait.
-        const waitMs = this.disconnectedAt === undefined ? this.waitMs() : PROBE_WAIT_MS;
-        const mayBeStale = this.disconnectedAt === undefined && this.options.mayBeStale();
+        const isProbe = this.disconnectedAt !== undefined || this.suspicion !== undefined;
+        const waitMs = isProbe ? PROBE_WAIT_MS : this.waitMs();
+        const mayBeStale = !isProbe && this.options.mayBeStale();
         const startedAt = this.ports.clock.now();
-        const batch = await this.interruptible(
-            this.ports.store.watch(this.options.kind, this.copy.revision, { waitMs, mayBeStale }),
-        );
+        const options = { waitMs, mayBeStale, ...this.connectionOptions() };
+        const batch = await this.interruptible(signal => {
+            return this.ports.store.watch(this.options.kind, this.copy.revision, { ...options, signal });
+        });
         if (batch === undefined) {
             return undefined;
         }
+        const now = this.ports.clock.now();
         if (!batch.ok) {
             return batch.failure.kind === "store-history-lost"
                 ? this.relist(this.copy.position)
-                : this.recordFailure(batch.failure.detail);
+                : this.handleFailure(batch.failure, now - startedAt >= waitMs);
         }
         this.recordSuccess();
-        const now = this.ports.clock.now();
         const isSettled = this.copy.settle(now);
         const { era } = this.copy.position;
         if (batch.value.era > era) {
@@ -178,6 +217,7 @@
             this.reportChange(isSettled ? "grace period over" : names.slice(0, 8).join(" "), "store");
         }
         if (changes.length > 0 && hasAdvanced) {
+            this.isFirstWait = true;
             return this.options.batchDelayMs();
         }
         // A stale copy that is behind this one may answer at once; asking again would not help.
@@ -187,7 +227,8 @@
 
     /** Longest wait for a change, which ends when a grace period of the copy does. */
     private waitMs(): number {
-        const waitMs = this.options.waitMs();
+        const waitMs = this.options.waitMs(this.isFirstWait);
+        this.isFirstWait = false;
         const settlementAt = this.copy.nextSettlementAt;
         return settlementAt === undefined
             ? waitMs
@@ -195,12 +236,16 @@
     }
 
     /** Undefined if the wait is interrupted. */
-    private async interruptible<Value>(result: Promise<Value>): Promise<Value | undefined> {
+    private async interruptible<Value>(call: (signal: AbortSignal) => Promise<Value>): Promise<Value | undefined> {
+        const abortion = new AbortController();
         const interruption = new Promise<undefined>(resolve => {
-            this.interrupt = () => resolve(undefined);
+            this.interrupt = () => {
+                resolve(undefined);
+                abortion.abort();
+            };
         });
         try {
-            return await Promise.race([result, interruption]);
+            return await Promise.race([interruption, call(abortion.signal)]);
         }
         finally {
             this.interrupt = undefined;
@@ -234,8 +279,44 @@
         this.ports.onChange(this.copy);
     }
 
+    private connectionOptions(): types.ReadOptions {
+        const onNewConnection = this.needsNewConnection;
+        this.needsNewConnection = false;
+        return onNewConnection ? { onNewConnection } : {};
+    }
+
+    /**
+     * Returns the pause before the next call in milliseconds, if any. A connection that fails alone is no outage, so a call
+     * without a response is first repeated at once on a new connection.
+     */
+    private handleFailure(failure: failure.Failure, isSilent: boolean): number | undefined {
+        if (
+            failure.kind === "store-no-response" && this.disconnectedAt === undefined && this.suspicion === undefined
+        ) {
+            this.suspicion = { since: this.ports.clock.now(), isSilent };
+            this.needsNewConnection = true;
+            return undefined;
+        }
+        this.suspicion = undefined;
+        return this.recordFailure(failure.detail);
+    }
+
+    private clearSuspicion({ since, isSilent }: Suspicion, now: number): void {
+        this.suspicion = undefined;
+        const { kind } = this.options;
+        const probeMs = Math.round(now - since);
+        this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs });
+        if (isSilent) {
+            this.ports.onSilentConnection?.();
+        }
+    }
+
     private recordSuccess(): void {
         this.consecutiveFailures = 0;
+        this.answeredAt = this.ports.clock.now();
+        if (this.suspicion !== undefined) {
+            this.clearSuspicion(this.suspicion, this.answeredAt);
+        }
         if (this.disconnectedAt === undefined) {
             return;
         }
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -38,17 +38,27 @@
     readonly changes: readonly Change[];
 }
 
-export interface WatchOptions {
+export interface ReadOptions {
+    /** Open connections are suspected of being silent: the call and all later ones use new connections. */
+    readonly onNewConnection?: boolean;
+    /** Gives the call up when it is aborted. */
+    readonly signal?: AbortSignal;
+}
+
+export interface WatchOptions extends ReadOptions {
     /** Longest wait for a change in milliseconds. */
     readonly waitMs: number;
     /** The store may answer from a copy that is seconds old, which costs it less. */
     readonly mayBeStale: boolean;
 }
 
-/** The platform's store. Each method fails with `store-unavailable` if the store did not respond. */
+/**
+ * The platform's store. Each method fails with `store-unavailable` if the store refused the call, and with
+ * `store-no-response` if no response arrived.
+ */
 export interface RecordStore {
     /** Lists all records of a kind. */
-    list(kind: string): Promise<outcomes.Outcome<Listing>>;
+    list(kind: string, options?: ReadOptions): Promise<outcomes.Outcome<Listing>>;
     /**
      * Waits for changes. Fails with `store-history-lost` if the store does not have the revision. It takes only a revision:
      * in another era than the one that the revision is from, the changes may be incomplete.
--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -130,6 +130,18 @@
         this.publishConfiguration();
     }
 
+    /** Open connections of the processes to the store go silent, while new ones work. */
+    silenceStoreConnections(): void {
+        this.store.silenceConnections();
+    }
+
+    /** Announces that a worker without a model is leaving. */
+    drainWorker(): standIns.Worker {
+        const worker = this.workers[MODEL_WORKER_COUNT]!;
+        worker.drain();
+        return worker;
+    }
+
     /** Sends a call on an added route to each entry. */
     callAddedRoute(routePath: string): Promise<readonly Call[]> {
         return Promise.all(Array.from({ length: ENTRY_COUNT }, (_, index) => {
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -1,5 +1,6 @@
 /** In-process stand-ins for the store and the workers of the platform; workers log the requests and orders for checks. */
 import * as http from "node:http";
+import type * as net from "node:net";
 
 const HTTP_CONFLICT = 409;
 const HTTP_GONE = 410;
@@ -41,9 +42,18 @@
 abstract class StandIn implements AsyncDisposable {
     protected isDisposed = false;
     private server: http.Server | undefined;
+    private readonly connections = new Set<net.Socket>();
 
     constructor(readonly address: string) {}
 
+    /** Open connections carry nothing any more, in either direction, and are not closed. New ones work. */
+    silenceConnections(): void {
+        for (const connection of this.connections) {
+            connection.pause();
+            connection.write = () => true;
+        }
+    }
+
     async listen(): Promise<void> {
         const [host, port] = this.address.split(":");
         const server = http.createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
@@ -51,6 +61,10 @@
             request.on("data", (chunk: Buffer) => chunks.push(chunk));
             request.on("end", () => void this.handle(request, response, Buffer.concat(chunks).toString("utf8")));
         });
+        server.on("connection", connection => {
+            this.connections.add(connection);
+            connection.on("close", () => void this.connections.delete(connection));
+        });
         this.server = server;
         await new Promise<void>(resolve => server.listen(Number(port), host, resolve));
     }
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -48,3 +48,27 @@
         assert.deepEqual([listing.value.era, listing.value.revision, listing.value.records.length], [expected, 50, 2]);
     }
 });
+
+testing.test("guards against a silent connection that stays in use", async () => {
+    const sockets: net.Socket[] = [];
+    const server = http.createServer((_request, response) => {
+        response.end(JSON.stringify({ events: [], storeRevision: 5 }));
+    });
+    server.on("connection", socket => void sockets.push(socket));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const store = new stores.ObjectStore(`127.0.0.1:${(server.address() as net.AddressInfo).port}`, 200);
+    const watch = (options: object) => store.watch("kind", 5, { waitMs: 1, mayBeStale: false, ...options });
+    assert.ok((await watch({})).ok);
+    sockets[0]!.pause().cork();
+    const silent = await watch({});
+    assert.equal(silent.ok || silent.failure.kind, "store-no-response");
+    assert.ok((await watch({ onNewConnection: true })).ok);
+    assert.equal(sockets.length, 2);
+    const abortion = new AbortController();
+    sockets[1]!.pause().cork();
+    const aborted = watch({ signal: abortion.signal });
+    abortion.abort();
+    assert.equal((await aborted).ok, false);
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+});
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -193,3 +193,71 @@
     }
     assert.equal(listings, 2);
 });
+
+testing.test("guards against a connection that fails alone and is taken for an outage of the store", async () => {
+    let silences = 0;
+    const logged: string[] = [];
+    const calls: string[] = [];
+    const script: readonly ScriptedResult[] = [
+        outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] }),
+        outcomes.fail("store-no-response", "timeout"),
+        outcomes.succeed({ era: 0, revision: 6, changes: [{ record: record("main", 6), isDeleted: false }] }),
+    ];
+    const store = scriptedStore(script, calls);
+    const newConnections: boolean[] = [];
+    const clock = simulatedClock();
+    const watch = new watches.KindWatch(
+        {
+            kind: "config",
+            waitMs: () => 1000,
+            batchDelayMs: () => 0,
+            ownersReregister: true,
+            restoration: restoration.asStored,
+            mayBeStale: () => false,
+        },
+        {
+            store: {
+                ...store,
+                watch: async (kind, after, options) => {
+                    newConnections.push(options.onNewConnection === true);
+                    await clock.sleep(options.waitMs);
+                    return store.watch(kind, after, options);
+                },
+            },
+            clock,
+            journal: { emit: name => void logged.push(name) },
+            onChange: () => undefined,
+            onEraChange: () => undefined,
+            onSilentConnection: () => void silences++,
+        },
+    );
+    watch.start();
+    while (calls.length <= script.length) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.deepEqual(calls, ["list", "watch 5", "watch 5 short", "watch 6"]);
+    assert.deepEqual(newConnections, [false, true, false]);
+    assert.equal(silences, 1);
+    assert.equal(logged.includes("store-kind-lost"), false);
+    assert.ok(logged.includes("store-connection-replaced"));
+});
+
+testing.test("guards against a store that is down and whose connections are taken for silent ones", async () => {
+    const { calls, watch } = await runWatch([
+        outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] }),
+        outcomes.fail("store-no-response", "timeout"),
+        outcomes.fail("store-no-response", "timeout"),
+    ]);
+    assert.deepEqual(calls, ["list", "watch 5", "watch 5 short", "watch 5 short"]);
+    assert.equal(watch.isConnected, false);
+});
+
+testing.test("a renewed connection ends the wait, and asks again from the same revision", async () => {
+    const { calls, watch } = await runWatch([
+        outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] }),
+    ]);
+    watch.renewConnection();
+    await new Promise(resolve => setImmediate(resolve));
+    await new Promise(resolve => setImmediate(resolve));
+    assert.deepEqual(calls, ["list", "watch 5", "watch 5"]);
+});
