--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -2,6 +2,7 @@
 import * as jsonParsing from "../http/json-parsing.js";
 import * as stages from "../rollout/service-stage.js";
 import type * as storeAccess from "../store-access/types.js";
+import * as addresses from "./address.js";
 import * as entryStates from "./entry-state.js";
 import * as suspectCodec from "./suspect-codec.js";
 import type * as types from "./types.js";
@@ -13,11 +14,10 @@
 const LAYOUT_VERSION = 3;
 
 const NO_LIMIT = -1;
+const NO_SILENCE = -1;
 /** Position of the heartbeats that are passed on. */
 const PASSED_ON = 18;
 
-const ADDRESS = /^\d+\.\d+\.\d+\.\d+:\d+$/;
-
 type HeartbeatTuple = readonly [
     layoutVersion: number,
     name: string,
@@ -51,6 +51,8 @@
     rollouts?: types.Heartbeat["rollouts"],
     /** Eras of `changeRevisions`. */
     changeEras?: Readonly<Record<string, number>>,
+    /** Negative if no connection to the store was found to be silent lately. */
+    connectionSilenceAgeMs?: number,
 ];
 
 type ReportTuple = readonly [
@@ -101,6 +103,7 @@
         }),
         heartbeat.rollouts,
         mapValues(heartbeat.lastChanges, ({ era }) => era),
+        heartbeat.connectionSilenceAgeMs === undefined ? NO_SILENCE : Math.round(heartbeat.connectionSilenceAgeMs),
     ];
 }
 
@@ -144,9 +147,11 @@
         serverLimits = [],
         rollouts = [],
         changeEras = {},
+        silenceAgeMs = NO_SILENCE,
     ] = tuple;
-    const isUsable = typeof name === "string" && (role === "entry" || role === "agent") && isAddress(beatAddress)
-        && (documentAddress === "" || isAddress(documentAddress)) && typeof incarnation === "string"
+    const isUsable = typeof name === "string" && (role === "entry" || role === "agent") &&
+        addresses.isAddress(beatAddress)
+        && (documentAddress === "" || addresses.isAddress(documentAddress)) && typeof incarnation === "string"
         && typeof sequence === "number" && typeof dataCentre === "string";
     if (!isUsable) {
         throw new TypeError("a heartbeat without a usable sender");
@@ -185,6 +190,7 @@
         suspects: suspects === 0 ? entryStates.noEntryState.suspects : suspectCodec.fromTuple(suspects),
         serverLimits: serverLimits.map(decodeServerLimit),
         rollouts: rollouts.filter(isRollout),
+        ...Number.isFinite(silenceAgeMs) && silenceAgeMs >= 0 ? { connectionSilenceAgeMs: silenceAgeMs } : {},
     };
 }
 
@@ -222,11 +228,6 @@
     return { server, requestsPerSecond: rate < 0 ? undefined : rate, ageMs, requests };
 }
 
-/** IP:PORT. A host name would be looked up with each heartbeat that is sent there. */
-function isAddress(value: unknown): boolean {
-    return typeof value === "string" && ADDRESS.test(value);
-}
-
 function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
     const hashes = values.filter((_, index) => index % 2 === 0);
     return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -73,6 +73,7 @@
 
     private async fetch(watch: watches.KindWatch, peer: types.Member): Promise<void> {
         this.fetching.add(watch.kind);
+        using _fetching = { [Symbol.dispose]: () => void this.fetching.delete(watch.kind) };
         const result = await jsonClient.send({
             method: "GET",
             address: peer.documentAddress,
@@ -80,7 +81,6 @@
             timeoutMs: FETCH_TIMEOUT_MS,
             partsDepth: RECORD_DEPTH,
         });
-        this.fetching.delete(watch.kind);
         const listing = result.kind === "response" && result.status === 200 ? decodeListing(result.body) : undefined;
         if (listing !== undefined) {
             this.adoptSafely(watch, listing, peer);
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -75,3 +75,27 @@
     assert.equal(await namesOf([page(item("a"), true), '{"items":[{]}']), undefined);
     assert.equal(await namesOf([page("7", true), page(item("c"), false)]), undefined);
 });
+
+testing.test("guards against a silent connection that stays in use", async () => {
+    const sockets: net.Socket[] = [];
+    const server = http.createServer((_request, response) => {
+        response.end(JSON.stringify({ events: [], storeRevision: 5 }));
+    });
+    server.on("connection", socket => void sockets.push(socket));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const store = new stores.ObjectStore(`127.0.0.1:${(server.address() as net.AddressInfo).port}`, 200);
+    const watch = (options: object) => store.watch("kind", 5, { waitMs: 1, mayBeStale: false, ...options });
+    assert.ok((await watch({})).ok);
+    sockets[0]!.pause().cork();
+    const silent = await watch({});
+    assert.equal(silent.ok || silent.failure.kind, "store-no-response");
+    assert.ok((await watch({ onNewConnection: true })).ok);
+    assert.equal(sockets.length, 2);
+    const abortion = new AbortController();
+    sockets[1]!.pause().cork();
+    const aborted = watch({ signal: abortion.signal });
+    abortion.abort();
+    assert.equal((await aborted).ok, false);
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+});
