Cut texts of other processes in log lines

A record name or address of another writer may have a megabyte, and each change of the list logs the invalid records again: a few of them fill the buffer of the log, and other lines are dropped. Texts of a line over 8 KB are now cut to 1 KB each. test/logging: the line had over 1 MB before.

--- a/src/logging/rate-limited-journal.ts
+++ b/src/logging/rate-limited-journal.ts
@@ -7,6 +7,9 @@
 /** Lines of one event per window; a standard entry serves about 60 calls a second, so only bursts are limited. */
 const MAXIMUM_LINES_PER_WINDOW = 150;
 const WINDOW_MS = 1000;
+/** Length of a line from which its texts are cut; they may come from other processes. */
+const MAXIMUM_LINE_LENGTH = 8192;
+const MAXIMUM_TEXT_LENGTH = 1024;
 
 interface RateWindow {
     readonly startedAt: number;
@@ -40,7 +43,13 @@
             const linesDropped = writer.takeDroppedCount() || undefined;
             const time = new Date(clock.wallTime()).toISOString();
             const head = { time, level: definition.level, event: definition.number, name };
-            writer.write(`${JSON.stringify({ ...head, ...context, ...fields, leftOut, linesDropped })}\n`);
+            const line = { ...head, ...context, ...fields, leftOut, linesDropped };
+            const text = JSON.stringify(line);
+            writer.write(`${text.length <= MAXIMUM_LINE_LENGTH ? text : JSON.stringify(line, cutText)}\n`);
         },
     };
 }
+
+function cutText(_name: string, value: unknown): unknown {
+    return typeof value === "string" ? value.slice(0, MAXIMUM_TEXT_LENGTH) : value;
+}
--- a/test/logging/rate-limited-journal.test.ts
+++ b/test/logging/rate-limited-journal.test.ts
@@ -37,6 +37,15 @@
     assert.equal(JSON.parse(collector.lines.at(-1)!).name, "call-waits");
 });
 
+testing.test("guards against a text of another process that fills the log: it is cut, and the line stays whole", () => {
+    const collector = new Collector();
+    const journal = journals.createRateLimitedJournal(new virtualClock.VirtualClock(SEED), {}, collector);
+    journal.emit("record-invalid", { kind: "servers", record: "n".repeat(1024 * 1024), reason: "no address" });
+    assert.ok(collector.lines[0]!.length < 2048);
+    const { kind, reason } = JSON.parse(collector.lines[0]!) as Readonly<Record<string, string>>;
+    assert.deepEqual([kind, reason], ["servers", "no address"]);
+});
+
 testing.test("guards against unlimited buffering when the reader is slow or gone", async () => {
     const file = path.join(os.tmpdir(), `ibisstep-lines-${process.pid}`);
     const descriptor = fs.openSync(file, "w");
