--- a/src/runtime/events.ts
+++ b/src/runtime/events.ts
@@ -42,7 +42,7 @@
         number: 3507,
         level: "error",
         message: fields => `the settings cannot be used: ${fields.reason}`,
-        hint: "The process exits. Correct the settings file and start it again.",
+        hint: "The process waits until they can be used. Correct the settings file.",
     },
     "internal-error": {
         number: 3508,
@@ -50,4 +50,16 @@
         message: fields => `an unexpected error did not end the process: ${fields.reason}`,
         hint: "Report this as a bug. The operation in which it occurred has failed; others go on.",
     },
+    "process-failed": {
+        number: 3509,
+        level: "error",
+        message: fields => `the process ends on an unexpected error: ${fields.reason}`,
+        hint: "Report this as a bug.",
+    },
+    "process-ended": {
+        number: 3510,
+        level: "info",
+        message: fields => `ended with status ${fields.status} after ${fields.uptimeMs} ms`,
+        hint: "A process without this line was killed, ran out of memory, or got a signal before it could take it.",
+    },
 } as const satisfies event.EventCatalogue;
