Try again to listen on an address that is in use

A port of a process may be held at its start, by the process before it or by any outgoing connection of the machine. Then the entry ended with status 1 and no line in its log (calls, readiness, metrics: error before errors were isolated), or went on without heartbeats for good (UDP). Codes such as EADDRNOTAVAIL ended it also when an outgoing connection had them.

Class: an input that ends a process at its start. Now each listener tries again every 200 ms and logs listening-failed; an address that is in use holds up only what is served there, and an entry is not ready before it listens for calls.

--- a/src/forwarding/entry-server.ts
+++ b/src/forwarding/entry-server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server for callers, with graceful shutdown. */
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as listening from "../http/listening.js";
 import * as calls from "./call.js";
 import type * as types from "./types.js";
 
@@ -53,10 +54,7 @@
     }
 
     listen(address: string): Promise<void> {
-        const [host, port] = address.split(":");
-        return new Promise(resolve =>
-            this.server.listen({ port: Number(port), host, backlog: ACCEPT_BACKLOG }, resolve)
-        );
+        return listening.listen(this.server, address, this.ports, { backlog: ACCEPT_BACKLOG });
     }
 
     /** Sets the keep-alive timeout of idle connections. */
--- a/src/http/text-server.ts
+++ b/src/http/text-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for plain-text endpoints at fixed paths, such as readiness and metrics. */
 import * as http from "node:http";
+import * as listening from "./listening.js";
 
 export interface TextResponse {
     readonly status: number;
@@ -22,9 +23,8 @@
     }
 
     /** Resolves when the server listens on `address`, IP:PORT. */
-    listen(address: string): Promise<void> {
-        const [host, port] = address.split(":");
-        return new Promise(resolve => this.server.listen(Number(port), host, resolve));
+    listen(address: string, ports: listening.ListeningPorts): Promise<void> {
+        return listening.listen(this.server, address, ports);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -3,6 +3,7 @@
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import * as jsonClient from "../http/json-client.js";
+import * as listening from "../http/listening.js";
 import type * as watches from "../store-access/kind-watch.js";
 import * as positions from "../store-access/position.js";
 import type * as storeAccess from "../store-access/types.js";
@@ -37,8 +38,7 @@
 
     /** Listens on IP:PORT. */
     start(address: string): void {
-        const [host, port] = address.split(":");
-        this.server.listen(Number(port), host);
+        void listening.listen(this.server, address, this.ports);
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
--- a/src/peering/heartbeat-exchange.ts
+++ b/src/peering/heartbeat-exchange.ts
@@ -15,6 +15,8 @@
  * so that the sending rate of a process stays constant.
  */
 const MAXIMUM_RECIPIENTS_AT_BASE_PERIOD = 16;
+/** Time in milliseconds between attempts to bind the address. */
+const BIND_RETRY_MS = 200;
 /** Time in milliseconds without a heartbeat after which an entry no longer counts on another to pass heartbeats on. */
 const RELAY_SILENCE_MS = 1500;
 /** Time in milliseconds without a heartbeat after which a peer is logged as silent, at the base period. */
@@ -50,12 +52,26 @@
 
     /** Binds IP:PORT and starts sending. */
     start(address: string): void {
-        const [host, port] = address.split(":");
+        let isBound = false;
         this.socket.on("message", datagram => this.receiveSafely(datagram));
+        this.socket.on("listening", () => {
+            isBound = true;
+            this.tick();
+        });
         this.socket.on("error", error => {
-            this.ports.journal.emit("peer-send-failed", { peer: "(socket)", reason: error.message });
+            if (isBound) {
+                this.ports.journal.emit("peer-send-failed", { peer: "(socket)", reason: error.message });
+                return;
+            }
+            this.ports.journal.emit("listening-failed", { address, reason: error.message });
+            this.timer = setTimeout(() => this.bind(address), BIND_RETRY_MS);
         });
-        this.socket.bind(Number(port), host, () => this.tick());
+        this.bind(address);
+    }
+
+    private bind(address: string): void {
+        const [host, port] = address.split(":");
+        this.socket.bind(Number(port), host);
     }
 
     /** Sends a heartbeat at once, for changes that should not wait for the next period. */
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -113,6 +113,7 @@
     private readonly startedAt: number;
     private readonly incarnation: string;
     private drainingSince: number | undefined;
+    private isListening = false;
     private wasReady = false;
 
     constructor(
@@ -238,25 +239,33 @@
         return this.drainingSince !== undefined;
     }
 
-    /** The entry knows the configuration and the servers, and is not draining. */
+    /** The entry listens for calls, knows the configuration and the servers, and is not draining. */
     get isReady(): boolean {
-        return this.view.isComplete && !this.isDraining;
+        return this.isListening && this.view.isComplete && !this.isDraining;
     }
 
     /** Returns when all addresses accept connections. */
     async start(): Promise<void> {
-        const { settings } = this;
+        const { settings, clock, journal } = this;
         this.members.add(settings.seeds.filter(seed => seed !== settings.beatAddress).map(seedMember));
-        await Promise.all([
-            this.server.listen(settings.callAddress!),
-            this.readinessServer.listen(settings.readinessAddress!),
-            this.metricsServer.listen(settings.metricsAddress),
+        // An address that is in use for a while holds up only what is served there.
+        const listening = Promise.all([
+            this.listen(),
+            this.readinessServer.listen(settings.readinessAddress!, { clock, journal }),
+            this.metricsServer.listen(settings.metricsAddress, { clock, journal }),
         ]);
         this.documents.start(settings.documentAddress);
         this.heartbeats.start(settings.beatAddress);
         Object.values(this.watches).forEach(watch => watch.start());
         this.rolloutStatuses.start();
         void this.directory.register();
+        await listening;
+    }
+
+    private async listen(): Promise<void> {
+        await this.server.listen(this.settings.callAddress!);
+        this.isListening = true;
+        this.updateState();
     }
 
     /**
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -1,7 +1,9 @@
 /** Guards against processes that do not start, or that end by themselves while they start; real processes. */
 import * as assert from "node:assert/strict";
 import * as childProcess from "node:child_process";
+import * as dgram from "node:dgram";
 import * as fs from "node:fs/promises";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as testing from "node:test";
@@ -127,3 +129,26 @@
     await fs.writeFile(start.file, start.settings);
     await start.becomesReady();
 });
+
+testing.test("guards against an address in use that ends the process at its start, or that it never serves", async () => {
+    await using start = await EntryStart.prepare();
+    await fs.writeFile(start.file, start.settings);
+    const [peers, , front] = start.ports;
+    // Outgoing connections of the machine may use any port for a while.
+    const holders = [front, peers].map(port => net.createServer().listen(port, IP).unref());
+    const datagrams = dgram.createSocket("udp4").bind(peers, IP).unref();
+    const peer = dgram.createSocket("udp4").bind(peers, PEER_IP).unref();
+    const heartbeat = new Promise(resolve => peer.once("message", resolve));
+    start.launch();
+    await processes.waitUntil("a line about the address", START_TIMEOUT_MS, async () => {
+        return Promise.resolve(start.process!.output().some(line => line.includes("listening-failed")));
+    });
+    await standIns.pause(HELD_MS);
+    assert.equal(await start.isReady(), false);
+    await Promise.all(holders.map(holder => new Promise(resolve => holder.close(resolve))));
+    await new Promise<void>(resolve => void datagrams.close(resolve));
+    await start.becomesReady();
+    await heartbeat;
+    peer.close();
+    assert.equal((await fetch(`http://${IP}:${peers}/copies/config`)).status, 200);
+});
