--- /dev/null
+++ b/stand-ins/platform/http-stand-in.ts
@@ -0,0 +1,57 @@
+/** Base of the stand-ins of the platform: an HTTP server that can be closed and started again. */
+import * as http from "node:http";
+
+const KEEP_ALIVE_TIMEOUT_MS = 60_000;
+
+export interface StandInRequest {
+    readonly request: http.IncomingMessage;
+    readonly response: http.ServerResponse;
+    readonly body: string;
+}
+
+export abstract class HttpStandIn implements AsyncDisposable {
+    protected isDisposed = false;
+    private server: http.Server | undefined;
+
+    /** `address` is IP:PORT. */
+    constructor(readonly address: string) {}
+
+    async listen(): Promise<void> {
+        const [host, port] = this.address.split(":");
+        const server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (request, response) => {
+            const chunks: Buffer[] = [];
+            request.on("data", (chunk: Buffer) => chunks.push(chunk));
+            request.on("end", () => {
+                void this.handle({ request, response, body: Buffer.concat(chunks).toString("utf8") });
+            });
+        });
+        this.server = server;
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(Number(port), host, resolve);
+        });
+    }
+
+    /** Closes all connections; new ones are refused until `listen`. */
+    async close(): Promise<void> {
+        const { server } = this;
+        this.server = undefined;
+        server?.closeAllConnections();
+        await new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()));
+    }
+
+    [Symbol.asyncDispose](): Promise<void> {
+        this.isDisposed = true;
+        return this.close();
+    }
+
+    protected get isListening(): boolean {
+        return this.server !== undefined;
+    }
+
+    protected abstract handle(exchange: StandInRequest): Promise<void> | void;
+}
+
+export function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
