--- /dev/null
+++ b/tools/rig/deployment.ts
@@ -0,0 +1,334 @@
+/** The processes of the deployment, each with its own path to the store; a process that ended is started again. */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as process from "node:process";
+import * as standIns from "../../stand-ins/platform/http-stand-in.js";
+import type * as ports from "../support/ports.js";
+import * as bounds from "./bounds.js";
+import * as storePaths from "./store-paths.js";
+
+const REPOSITORY = path.resolve(import.meta.dirname, "../..");
+const DEPLOY_FILE = "deploy/system.toml";
+const PROGRAM = "target/ibisstep.js";
+const ZONES = ["buda-a", "buda-b", "pest-a", "pest-b", "obuda-a"] as const;
+const REGION = "hu-central";
+/** Host numbers in the networks of the machines and of their proxies. */
+const FIRST_ENTRY_HOST = 10;
+const FIRST_WORKER_HOST = 60;
+const FIRST_SIMPLE_WORKER_HOST = 160;
+const STORE_HOST = 250;
+const RESTART_DELAY_MS = 300;
+/** Time in milliseconds after which a process that does not become ready counts as not started. */
+export const START_TIMEOUT_MS = 30_000;
+const READINESS_INTERVAL_MS = 1000;
+const READINESS_TIMEOUT_MS = 900;
+/** Number of missed readiness checks that take an entry out of rotation. */
+const MISSED_CHECKS = 2;
+
+export type Role = "entry" | "agent";
+
+/** Why a process was told to end; undefined for one that ended by itself. */
+export type EndReason = "SIGKILL" | "SIGTERM" | undefined;
+
+export interface ProcessEnd {
+    readonly machine: string;
+    readonly at: number;
+    readonly status: number | string;
+    readonly reason: EndReason;
+    readonly life: number;
+}
+
+export interface Readiness {
+    readonly machine: string;
+    readonly at: number;
+    readonly isInRotation: boolean;
+}
+
+export interface Addresses {
+    readonly network: string;
+    readonly proxyNetwork: string;
+    readonly store: number;
+    readonly worker: number;
+    readonly front: number;
+    readonly ready: number;
+    readonly control: number;
+    readonly internal: number;
+}
+
+export function addressesIn(block: ports.PortBlock): Addresses {
+    const [store, worker, front, ready, control, internal] = block.allocate(7) as [
+        number,
+        number,
+        number,
+        number,
+        number,
+        number,
+    ];
+    const second = 2 + Math.floor(Math.random() * 240);
+    const third = 2 + Math.floor(Math.random() * 120) * 2;
+    const network = `127.${second}.${third}`;
+    const proxyNetwork = `127.${second}.${third + 1}`;
+    return { network, proxyNetwork, store, worker, front, ready, control, internal };
+}
+
+export function storeAddress({ network, store }: Addresses): string {
+    return `${network}.${STORE_HOST}:${store}`;
+}
+
+export function workerPlace({ network, worker }: Addresses, index: number): { address: string; zone: string; } {
+    return { address: `${network}.${FIRST_WORKER_HOST + index}:${worker}`, zone: ZONES[index % ZONES.length]! };
+}
+
+export function simpleWorkerPlace({ network, worker }: Addresses, index: number): { address: string; zone: string; } {
+    return { address: `${network}.${FIRST_SIMPLE_WORKER_HOST + index}:${worker}`, zone: ZONES[index % ZONES.length]! };
+}
+
+/** A machine with its one process. */
+export class Machine {
+    /** Number of starts. */
+    life = 0;
+    startedAt = 0;
+    /** Time of the first successful readiness check of this life. */
+    readyAt: number | undefined;
+    isInRotation = false;
+    isFrozen = false;
+    /** A removed machine is not started again. */
+    isRemoved = false;
+    endReason: EndReason;
+    /** A machine without power is not started before that time. */
+    downUntil = 0;
+    child: childProcess.ChildProcess | undefined;
+    missedChecks = 0;
+
+    constructor(
+        readonly name: string,
+        readonly role: Role,
+        readonly ip: string,
+        readonly zone: string,
+        readonly settingsFile: string,
+        readonly proxyHost: string,
+    ) {}
+
+    get isRunning(): boolean {
+        return this.child !== undefined;
+    }
+}
+
+export class Deployment implements AsyncDisposable {
+    readonly machines: Machine[] = [];
+    readonly ends: ProcessEnd[] = [];
+    readonly readiness: Readiness[] = [];
+    private paths: storePaths.StorePaths | undefined;
+    private isStopping = false;
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly exits = new Set<Promise<void>>();
+
+    constructor(readonly addresses: Addresses, private readonly folder: string) {}
+
+    get entries(): readonly Machine[] {
+        return this.machines.filter(({ role }) => role === "entry");
+    }
+
+    get agents(): readonly Machine[] {
+        return this.machines.filter(({ role }) => role === "agent");
+    }
+
+    front(entry: Machine): { readonly host: string; readonly port: number; } {
+        return { host: entry.ip, port: this.addresses.front };
+    }
+
+    /** Starts the machines, all within 0.3 s, and resolves when the entries are ready or did not become so in time. */
+    async start(entryCount: number, agentCount: number): Promise<void> {
+        const { network, proxyNetwork, store } = this.addresses;
+        const hosts = [
+            ...Array.from(
+                { length: entryCount },
+                (_, index) => ({ role: "entry" as const, index, host: FIRST_ENTRY_HOST + index }),
+            ),
+            ...Array.from(
+                { length: agentCount },
+                (_, index) => ({ role: "agent" as const, index, host: FIRST_WORKER_HOST + index }),
+            ),
+        ];
+        for (const { role, index, host } of hosts) {
+            const zone = ZONES[index % ZONES.length]!;
+            const proxyHost = `${proxyNetwork}.${host}`;
+            const name = `${role === "entry" ? "edge" : "side"}-${zone}-${Math.floor(index / ZONES.length) + 1}`;
+            const settingsFile = path.join(this.folder, `${name}.toml`);
+            this.machines.push(new Machine(name, role, `${network}.${host}`, zone, settingsFile, proxyHost));
+        }
+        this.paths = await storePaths.StorePaths.start(this.machines.map(({ proxyHost }) => ({
+            host: proxyHost,
+            port: store,
+            targetHost: `${network}.${STORE_HOST}`,
+            targetPort: store,
+            sourceHost: proxyHost,
+        })));
+        for (const machine of this.machines) {
+            await fs.promises.writeFile(machine.settingsFile, this.settings(machine, entryCount));
+        }
+        this.machines.forEach(machine => this.launch(machine));
+        const poll = setInterval(() => void this.checkReadiness(), READINESS_INTERVAL_MS);
+        this.timers.add(poll);
+        const endsAt = performance.now() + START_TIMEOUT_MS;
+        while (performance.now() < endsAt && !this.entries.every(entry => entry.isInRotation)) {
+            await standIns.pause(50);
+        }
+    }
+
+    /** Disturbs the paths of machines to the store. Returns the number of connections concerned. */
+    async disturbPaths(
+        command: storePaths.PathCommand,
+        machines: readonly Machine[],
+        pattern?: string,
+    ): Promise<number> {
+        return await this.paths?.command(command, machines.map(({ proxyHost }) => proxyHost), pattern) ?? 0;
+    }
+
+    kill(machine: Machine): void {
+        machine.endReason = "SIGKILL";
+        machine.child?.kill("SIGKILL");
+    }
+
+    /** Stops a process as the platform does: a signal, and a kill after the grace. */
+    terminate(machine: Machine): void {
+        const { life } = machine;
+        machine.endReason ??= "SIGTERM";
+        machine.child?.kill("SIGTERM");
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            if (machine.life === life && machine.isRunning) {
+                machine.child?.kill("SIGKILL");
+            }
+        }, bounds.BOUNDS.graceS * 1000);
+        this.timers.add(timer);
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.isStopping = true;
+        this.timers.forEach(timer => clearTimeout(timer));
+        this.machines.forEach(({ child }) => child?.kill("SIGKILL"));
+        await Promise.all(this.exits);
+        await this.paths?.[Symbol.asyncDispose]();
+    }
+
+    private launch(machine: Machine): void {
+        machine.life++;
+        machine.startedAt = performance.now();
+        machine.readyAt = undefined;
+        machine.endReason = undefined;
+        machine.missedChecks = 0;
+        const log = fs.openSync(path.join(this.folder, `${machine.name}.log`), "a");
+        const [program, ...parameters] = commandOf(machine.role);
+        const child = childProcess.spawn(program!, parameters, {
+            cwd: REPOSITORY,
+            env: { PATH: process.env["PATH"], HOME: process.env["HOME"], IBISSTEP_BOOT: machine.settingsFile },
+            stdio: ["ignore", log, log],
+        });
+        fs.closeSync(log);
+        machine.child = child;
+        const exit = new Promise<void>(resolve => {
+            child.once("exit", (status, signal) => {
+                this.ended(machine, status ?? signal ?? "unknown");
+                this.exits.delete(exit);
+                resolve();
+            });
+        });
+        this.exits.add(exit);
+    }
+
+    private ended(machine: Machine, status: number | string): void {
+        machine.child = undefined;
+        machine.isInRotation = false;
+        machine.isFrozen = false;
+        if (this.isStopping) {
+            return;
+        }
+        const { name, endReason: reason, life } = machine;
+        this.ends.push({ machine: name, at: performance.now(), status, reason, life });
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            if (!this.isStopping && !machine.isRemoved) {
+                this.launch(machine);
+            }
+        }, Math.max(RESTART_DELAY_MS, machine.downUntil - performance.now()));
+        this.timers.add(timer);
+    }
+
+    private async checkReadiness(): Promise<void> {
+        await Promise.all(this.entries.map(async entry => {
+            const response = await fetch(`http://${entry.ip}:${this.addresses.ready}/-/ready`, {
+                signal: AbortSignal.timeout(READINESS_TIMEOUT_MS),
+            }).catch(() => undefined);
+            await response?.arrayBuffer().catch(() => undefined);
+            const isReady = response?.status === 200;
+            entry.missedChecks = isReady ? 0 : entry.missedChecks + 1;
+            if (isReady && entry.isRunning) {
+                entry.readyAt ??= performance.now();
+            }
+            entry.isInRotation = isReady || entry.isInRotation && entry.missedChecks < MISSED_CHECKS;
+            const { name: machine, isInRotation } = entry;
+            this.readiness.push({ machine, at: performance.now(), isInRotation });
+        }));
+    }
+
+    private settings(machine: Machine, entryCount: number): string {
+        const { network, store, worker, front, ready, control, internal } = this.addresses;
+        const { name, role, ip, zone, proxyHost } = machine;
+        const isEntry = role === "entry";
+        const seeds = [0, 1, 2].filter(index => index < entryCount)
+            .map(index => `"${network}.${FIRST_ENTRY_HOST + index}:${control}"`);
+        return [
+            `nodeName = "${name}"`,
+            `role = "${role}"`,
+            `machineClass = "${isEntry ? "edge" : "side"}"`,
+            `serves = [${isEntry ? '"edge","control_plane"' : '"side"'}]`,
+            `ip = "${ip}"`,
+            `zone = "${zone}"`,
+            `region = "${REGION}"`,
+            `internalPorts = [${internal},${internal + 1}]`,
+            `seeds = [${seeds.join(",")}]`,
+            "bootstrap = true",
+            "faultCounted = false",
+            'discovery = "platform"',
+            'entry = "vip"',
+            `heartbeatMs = ${bounds.HEARTBEAT_MS}`,
+            ...isEntry ? [] : [`app = "${ip}:${worker}"`],
+            "[zones]",
+            ...ZONES.map(zoneName => `${zoneName} = "${REGION}"`),
+            "[listen]",
+            ...isEntry
+                ? [`front = "${ip}:${front}"`, `ready = "${ip}:${ready}"`, `control = "${ip}:${control}"`]
+                : [],
+            "[limits]",
+            "cpuShare = 0.513",
+            "cores = 1",
+            "memoryMb = 350",
+            "maxFds = 4100",
+            "linkMbps = 1000.0",
+            "diskMb = 0",
+            "[bounds]",
+            ...Object.entries(bounds.BOUNDS).map(([key, value]) => `${key} = ${String(value)}`),
+            "[platform]",
+            `address = "${proxyHost}:${store}"`,
+            'form = "objects"',
+            "writesPerS = 400",
+            "readsPerS = 2000",
+            "historyS = 20",
+            "valueBytes = 1048576",
+            "ttlMinMs = 1000",
+            "",
+        ].join("\n");
+    }
+}
+
+/** The command of a role in the deploy file, split at spaces as the platform does. */
+function commandOf(role: Role): readonly string[] {
+    const text = fs.readFileSync(path.join(REPOSITORY, DEPLOY_FILE), "utf8");
+    const command = new RegExp(`\\[roles\\.${role}\\][^[]*?run = "([^"]+)"`).exec(text)?.[1];
+    if (command === undefined || !fs.existsSync(path.join(REPOSITORY, PROGRAM))) {
+        throw new Error(`${PROGRAM} is missing: run the build command of ${DEPLOY_FILE} first`);
+    }
+    return command.split(" ");
+}
