--- /dev/null
+++ b/test/platform/rig.test.ts
@@ -0,0 +1,47 @@
+/**
+ * Plays faults on a small deployment of real processes, and judges what callers and workers see. RIG_SEED sets the seed,
+ * RIG_SECONDS the duration; `tools/rig` plays larger deployments.
+ */
+import * as assert from "node:assert/strict";
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs/promises";
+import * as path from "node:path";
+import * as process from "node:process";
+import * as testing from "node:test";
+import * as runs from "../../tools/rig/run.js";
+
+const REPOSITORY = path.resolve(import.meta.dirname, "../..");
+const SEED = Number(process.env["RIG_SEED"] ?? 5);
+const SECONDS = Number(process.env["RIG_SECONDS"] ?? 25);
+const ENTRIES = 4;
+const AGENTS = 6;
+
+testing.before(() => {
+    childProcess.execFileSync(process.execPath, ["--import", "tsx", "tools/bundle-platform.ts"], { cwd: REPOSITORY });
+});
+
+async function violationsWith(faults: readonly string[]): Promise<readonly string[]> {
+    const options = { seed: SEED, seconds: SECONDS, entries: ENTRIES, agents: AGENTS, faults, folder: undefined };
+    const { violations, callCount, servedCount, folder } = await runs.run(options);
+    console.log(`seed ${SEED}: ${servedCount} of ${callCount} calls served`);
+    if (violations.length === 0) {
+        await fs.rm(folder, { recursive: true, force: true });
+    }
+    else {
+        console.log(`records in ${folder}`);
+    }
+    return violations.map(({ rule, machine, text, rigLagMs }) =>
+        `${rule} ${machine}: ${text} [rig ${rigLagMs} ms late]`
+    );
+}
+
+testing.test("rig: no bound is exceeded after kills, freezes and outages of the store, and in planned work", async () => {
+    const unplanned = ["entries-killed", "agents-killed", "entries-frozen", "workers-crash", "store-unavailable"];
+    const planned = ["configuration-storm", "keys-replaced", "routes-moved", "workers-leave"];
+    assert.deepEqual(await violationsWith([...unplanned, ...planned]), []);
+});
+
+testing.test("rig: guards against changes that come late once open connections to the store have gone silent", async () => {
+    const planned = ["configuration-storm", "keys-replaced", "workers-leave"];
+    assert.deepEqual(await violationsWith(["store-channels-silent", ...planned]), []);
+});
