Bring changes into force in time at entries that read stale copies

Callers saw, in a deployment of 28 entries: changes that the store had confirmed were in force after the limit of 2 s at most entries, among them servers that were leaving, and configurations with hardly any margin.

Cause: 8 entries read a kind from the store at once. The others waited for their stale copy of it for 250 ms and another 800 ms after a peer's heartbeat, and with server changes for 900 ms of batching more, before they fetched the copy of that peer: 1950 ms after up to 900 ms of batching at the reader and two heartbeats. A stale copy may be seconds old. A peer that did not answer cost another 600 ms.

Both new tests of the exchange of copies fail before and pass with the change.

All entries now read the configuration at once: it changes rarely, and waits are the longer the more entries there are. For other kinds the age of stale copies is no reason to wait, batching is bounded by a fifth of the limit, and a second peer is asked when the first has not answered within 200 ms.

--- a/src/peering/documents.ts
+++ b/src/peering/documents.ts
@@ -8,12 +8,21 @@
 import type * as storeAccess from "../store-access/types.js";
 import type * as types from "./types.js";
 
-const FETCH_TIMEOUT_MS = 600;
+const FETCH_TIMEOUT_MS = 1000;
+/** Time in milliseconds after which a copy that is being fetched is asked of a second peer as well. */
+const SECOND_FETCH_AFTER_MS = 200;
 /** Time in milliseconds that the process's own watch has to catch up before a peer's copy is fetched. */
 const CATCH_UP_MS = 250;
 /** Path of a copy, followed by its kind. */
 const PATH_PREFIX = "/copies/";
 
+/** A copy that is being fetched. */
+interface Fetch {
+    readonly kind: string;
+    readonly peer: string;
+    readonly startedAt: number;
+}
+
 export interface DocumentPorts {
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
@@ -27,7 +36,7 @@
         string,
         { readonly change: storeAccess.Position; readonly since: number; }
     >();
-    private readonly fetching = new Set<string>();
+    private readonly fetches = new Set<Fetch>();
 
     constructor(private readonly ports: DocumentPorts) {
         this.server = http.createServer((request, response) => this.serve(request, response));
@@ -63,15 +72,25 @@
             this.behind.set(watch.kind, { change, since });
             // A watch that batches changes catches up by itself; fetching a copy transfers all records of the kind.
             const catchUpMs = CATCH_UP_MS + watch.lagMs;
-            if ((now - since >= catchUpMs || !watch.copy.isLoaded) && !this.fetching.has(watch.kind)) {
-                void this.fetch(watch, heartbeat.member);
+            if (
+                (now - since >= catchUpMs || !watch.copy.isLoaded) && this.mayFetch(watch.kind, heartbeat.member, now)
+            ) {
+                void this.fetch(watch, heartbeat.member, now);
             }
         }
     }
 
-    private async fetch(watch: watches.KindWatch, peer: types.Member): Promise<void> {
-        this.fetching.add(watch.kind);
-        using _fetching = { [Symbol.dispose]: () => void this.fetching.delete(watch.kind) };
+    /** A peer may be slow or out of reach although its heartbeats arrive, so that a second one is asked. */
+    private mayFetch(kind: string, peer: types.Member, now: number): boolean {
+        const fetches = [...this.fetches].filter(fetch => fetch.kind === kind);
+        return fetches.length === 0 || fetches.length === 1 && fetches[0]!.peer !== peer.name
+                && now - fetches[0]!.startedAt >= SECOND_FETCH_AFTER_MS;
+    }
+
+    private async fetch(watch: watches.KindWatch, peer: types.Member, startedAt: number): Promise<void> {
+        const fetch = { kind: watch.kind, peer: peer.name, startedAt };
+        this.fetches.add(fetch);
+        using _fetch = { [Symbol.dispose]: () => void this.fetches.delete(fetch) };
         const result = await jsonClient.send({
             method: "GET",
             address: peer.documentAddress,
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -1,7 +1,6 @@
 /** Entry process: accepts calls, forwards them to backend servers, and shares state with its peers and the store. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
-import * as rendezvous from "../core/rendezvous.js";
 import type * as fleet from "../fleet/types.js";
 import * as connectionPools from "../forwarding/connection-pool.js";
 import * as crashDetectors from "../forwarding/crash-detector.js";
@@ -30,6 +29,7 @@
 import * as rolloutStatuses from "../rollout/rollout-statuses.js";
 import * as serviceRollouts from "../rollout/service-rollouts.js";
 import * as silences from "../store-access/connection-silence.js";
+import * as directReaders from "../store-access/direct-readers.js";
 import type * as copies from "../store-access/kind-copy.js";
 import * as watches from "../store-access/kind-watch.js";
 import * as restoration from "../store-access/restoration.js";
@@ -51,17 +51,18 @@
 const MAXIMUM_STAGGERED_WAIT_MS = 20_000;
 /** Time in milliseconds without heartbeats after which an entry no longer counts as a reader of the store. */
 const READER_SILENCE_MS = 3000;
-/** Time in milliseconds over which server changes are batched; a leaving server is still known long before its limit. */
+/**
+ * Time in milliseconds over which server changes are batched, and the part of the limit for changes that batching may take
+ * with many entries; the rest is for heartbeats that tell of the change and for reading it from a peer.
+ */
 const SERVERS_BATCH_DELAY_MS = 300;
+const MAXIMUM_BATCH_SHARE = 0.2;
 /**
  * Number of entries up to which these times apply, and the maximum factor by which they grow with more entries. Each
  * entry calls the store for each change, and with more entries it learns of a change sooner from a peer.
  */
 const MAXIMUM_ENTRIES_AT_BASE_WAIT = 8;
 const MAXIMUM_WAIT_FACTOR = 3;
-/** Number of entries that read changes of a kind from the store at once, and their share of many entries. */
-const MINIMUM_DIRECT_READERS = 8;
-const DIRECT_READER_SHARE = 0.15;
 /** Heartbeat periods in milliseconds by receiver: entries share spent tokens and load, agents need only new weights. */
 const ENTRY_HEARTBEAT_MS = 150;
 const AGENT_HEARTBEAT_MS = 500;
@@ -334,7 +335,7 @@
             });
             return (isFirst: boolean) => {
                 const readers = this.directReaders(kind);
-                return readers.rank < 0 ? waitMs() : wait.next(readers, isFirst);
+                return readers === undefined ? waitMs() : wait.next(readers, isFirst);
             };
         };
         return {
@@ -345,7 +346,7 @@
                     batchDelayMs: () => 0,
                     ownersReregister: false,
                     restoration: restoration.byVersion(configurationVersion),
-                    mayBeStale: () => this.readsStale(kinds.configuration),
+                    mayBeStale: () => false,
                 },
                 copy => this.adoptConfiguration(copy),
             ),
@@ -353,7 +354,10 @@
                 kinds.servers,
                 {
                     waitMs: staggeredWaitMs(kinds.servers),
-                    batchDelayMs: () => SERVERS_BATCH_DELAY_MS * this.watchWaitFactor,
+                    batchDelayMs: () => {
+                        const longestMs = this.settings.changeLimitMs * MAXIMUM_BATCH_SHARE;
+                        return Math.min(SERVERS_BATCH_DELAY_MS * this.watchWaitFactor, longestMs);
+                    },
                     ownersReregister: true,
                     restoration: restoration.byVersion(serverVersion),
                     mayBeStale: () => this.readsStale(kinds.servers),
@@ -401,21 +405,20 @@
      * rendezvous hashing for each kind, read them at once; the others learn of newer revisions from their heartbeats.
      */
     private readsStale(kind: string): boolean {
-        return this.directReaders(kind).rank < 0;
+        return this.directReaders(kind) === undefined;
     }
 
-    /** Entries that read changes of a kind from the store at once; the rank of this one is negative if it does not. */
-    private directReaders(kind: string): staggeredWaits.Readers {
+    /** Entries that read changes of a kind from the store at once; undefined if this one does not. */
+    private directReaders(kind: string): staggeredWaits.Readers | undefined {
         const peers = this.members.recentHeartbeats(this.clock.now(), READER_SILENCE_MS)
             .map(({ heartbeat }) => heartbeat.member)
             .filter(member => member.role === "entry");
-        const count = Math.min(
-            peers.length + 1,
-            Math.max(MINIMUM_DIRECT_READERS, Math.ceil(peers.length * DIRECT_READER_SHARE)),
-        );
-        const own = rendezvous.score(kind, { id: this.settings.name, weight: 1 });
-        const rank = peers.filter(({ name }) => rendezvous.score(kind, { id: name, weight: 1 }) > own).length;
-        return { count, rank: rank < count ? rank : -1 };
+        return directReaders.directReaders({
+            kind,
+            self: this.settings.name,
+            peers: peers.map(({ name }) => name),
+            isReadByAll: kind === this.platform.kinds.configuration,
+        });
     }
 
     /** Factor by which the watches' waits grow with the number of entries. */
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -16,8 +16,6 @@
 const PROBE_WAIT_MS = 1;
 /** Pause in milliseconds after an answer without changes that arrived before its wait was over. */
 const EMPTY_ANSWER_PAUSE_MS = 400;
-/** Time in milliseconds that a change may take longer to arrive through stale reads, before it is read from a peer. */
-const STALE_LAG_MS = 800;
 
 export interface WatchOptions extends copies.KindCopyOptions {
     readonly kind: string;
@@ -26,7 +24,7 @@
      * wait after a change begins at about the same time in all processes.
      */
     readonly waitMs: (isFirst: boolean) => number;
-    /** Whether changes may arrive seconds late, since peers tell of newer revisions. */
+    /** Whether changes may arrive seconds late, since peers tell of newer revisions and have them. */
     readonly mayBeStale: () => boolean;
     /** Pause in milliseconds after a change, so that a single call fetches several successive changes. */
     readonly batchDelayMs: () => number;
@@ -82,10 +80,12 @@
         return this.isListed && this.disconnectedAt === undefined;
     }
 
-    /** Time in milliseconds by which batching and stale reads delay the copy; 0 while disconnected. */
+    /**
+     * Time in milliseconds by which batching delays the copy; 0 while disconnected. Stale reads delay it by a time that
+     * nobody knows, so that they are no reason to wait for them.
+     */
     get lagMs(): number {
-        const staleMs = this.options.mayBeStale() ? STALE_LAG_MS : 0;
-        return this.isConnected ? this.options.batchDelayMs() + staleMs : 0;
+        return this.isConnected && !this.options.mayBeStale() ? this.options.batchDelayMs() : 0;
     }
 
     /** Time in milliseconds since the store last confirmed the copy; undefined before its first answer. */
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -154,3 +154,64 @@
     }
     assert.equal(behind.copy.revision, 5);
 });
+
+/** Time in milliseconds from the first heartbeat that tells of a change until the copy has to be fetched. */
+const LATEST_FETCH_MS = 400;
+
+testing.test("guards against a copy from stale reads that waits for them although peers have the change", async () => {
+    const address = await freeAddress();
+    await using ahead = exchangeOf(watchAt(9));
+    ahead.start(address);
+    const listing = { era: 0, revision: 5, records: [] };
+    await using own = new watches.KindWatch(
+        {
+            kind: KIND,
+            waitMs: () => 1000,
+            batchDelayMs: () => 900,
+            ownersReregister: false,
+            restoration: restoration.asStored,
+            mayBeStale: () => true,
+        },
+        {
+            store: { ...UNRESPONSIVE_STORE, list: () => Promise.resolve({ ok: true, value: listing }) },
+            clock: clocks.systemClock,
+            journal: journals.silentJournal,
+            onChange: () => undefined,
+            onEraChange: () => undefined,
+        },
+    );
+    own.start();
+    await using behind = exchangeOf(own);
+    for (let round = 0; round < 200 && !own.isConnected; round++) {
+        await clocks.systemClock.sleep(1);
+    }
+    for (let now = 0; now <= LATEST_FETCH_MS; now += 100) {
+        behind.compare(heartbeat("ahead", address, 9), now);
+    }
+    for (let round = 0; round < 200 && own.copy.revision < 9; round++) {
+        await clocks.systemClock.sleep(10);
+    }
+    assert.equal(own.copy.revision, 9);
+});
+
+testing.test("guards against a copy that is late since the first peer asked for it does not answer", async () => {
+    const silent = net.createServer();
+    await new Promise<void>(resolve => silent.listen(0, "127.0.0.1", resolve));
+    const silentAddress = `127.0.0.1:${(silent.address() as net.AddressInfo).port}`;
+    const address = await freeAddress();
+    await using ahead = exchangeOf(watchAt(9));
+    ahead.start(address);
+    const own = watchAt(5);
+    await using behind = exchangeOf(own);
+    for (let now = 0; now <= 300; now += 100) {
+        behind.compare(heartbeat("silent", silentAddress, 9), now);
+    }
+    const startedAt = performance.now();
+    for (let now = 350; own.copy.revision < 9 && now <= 3000; now += 50) {
+        behind.compare(heartbeat("ahead", address, 9), now);
+        await clocks.systemClock.sleep(50);
+    }
+    assert.equal(own.copy.revision, 9);
+    assert.ok(performance.now() - startedAt < 500, "before the first fetch times out");
+    silent.close();
+});
