Do not take a slow store for silent connections or an outage

Cause: the timeout of a watch has become short, so that silent connections are noticed in time. The probe on a new connection had the same timeout, and its success meant a silent connection however long it took.

--- a/src/store-access/connection-silence.ts
+++ b/src/store-access/connection-silence.ts
@@ -1,7 +1,7 @@
 /** Last time at which open connections to the store were found to be silent, by this process or by a peer. */
 
 /** Processes that find the same silence do so within this time in milliseconds of each other. */
-const SAME_SILENCE_MS = 2000;
+const SAME_SILENCE_MS = 4000;
 /** Time in milliseconds for which peers are told. */
 const TOLD_FOR_MS = 3000;
 
--- a/src/store-access/events.ts
+++ b/src/store-access/events.ts
@@ -52,7 +52,9 @@
         number: 3108,
         level: "warn",
         message: fields =>
-            `a connection for kind ${fields.kind} ${fields.isSilent ? "was silent" : "broke"}, and a new one works`,
+            `a connection for kind ${fields.kind} ${
+                fields.isSilent ? "was silent" : "broke or was slow"
+            }, and a new one works`,
         hint: "The store was up all the time. Check the network between this process and the store if this persists.",
     },
     "store-connections-renewed": {
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -14,6 +14,8 @@
 const MAXIMUM_BACKOFF_MS = 800;
 /** Long-poll wait in milliseconds while the store does not respond. */
 const PROBE_WAIT_MS = 1;
+/** Time in milliseconds above which the answer on a new connection shows that the store is slow, and no connection silent. */
+const SLOW_PROBE_MS = 400;
 /** Pause in milliseconds after an answer without changes that arrived before its wait was over. */
 const EMPTY_ANSWER_PAUSE_MS = 400;
 
@@ -301,10 +303,11 @@
         return this.recordFailure(failure.detail);
     }
 
-    private clearSuspicion({ since, isSilent }: Suspicion, now: number): void {
+    private clearSuspicion(suspicion: Suspicion, now: number): void {
         this.suspicion = undefined;
         const { kind } = this.options;
-        const probeMs = Math.round(now - since);
+        const probeMs = Math.round(now - suspicion.since);
+        const isSilent = suspicion.isSilent && probeMs <= SLOW_PROBE_MS;
         this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs });
         if (isSilent) {
             this.ports.onSilentConnection?.();
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -72,3 +72,15 @@
     server.closeAllConnections();
     await new Promise(resolve => server.close(resolve));
 });
+
+testing.test("guards against a store that is slow and counts as unavailable", async () => {
+    const server = http.createServer((_request, response) => {
+        setTimeout(() => response.end(JSON.stringify({ events: [], storeRevision: 5 })), 500);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const store = new stores.ObjectStore(`127.0.0.1:${(server.address() as net.AddressInfo).port}`, 200);
+    assert.equal((await store.watch("kind", 5, { waitMs: 1, mayBeStale: false })).ok, false);
+    assert.ok((await store.watch("kind", 5, { waitMs: 1, mayBeStale: false, onNewConnection: true })).ok);
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+});
