--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -14,10 +14,10 @@
 const MAXIMUM_BACKOFF_MS = 800;
 /** Long-poll wait in milliseconds while the store does not respond. */
 const PROBE_WAIT_MS = 1;
+/** Time in milliseconds above which the answer on a new connection shows that the store is slow, and no connection silent. */
+const SLOW_PROBE_MS = 400;
 /** Pause in milliseconds after an answer without changes that arrived before its wait was over. */
 const EMPTY_ANSWER_PAUSE_MS = 400;
-/** Time in milliseconds that a change may take longer to arrive through stale reads, before it is read from a peer. */
-const STALE_LAG_MS = 800;
 /** Maximum number of names in a field of a log line. */
 const MAXIMUM_LOGGED_NAMES = 8;
 
@@ -28,7 +28,7 @@
      * wait after a change begins at about the same time in all processes.
      */
     readonly waitMs: (isFirst: boolean) => number;
-    /** Whether changes may arrive seconds late, since peers tell of newer revisions. */
+    /** Whether changes may arrive seconds late, since peers tell of newer revisions and have them. */
     readonly mayBeStale: () => boolean;
     /** Pause in milliseconds after a change, so that a single call fetches several successive changes. */
     readonly batchDelayMs: () => number;
@@ -95,11 +95,13 @@
         return this.isListed && this.disconnectedAt === undefined;
     }
 
-    /** Time in milliseconds by which batching and stale reads still delay the next change; 0 while disconnected. */
+    /**
+     * Time in milliseconds by which batching still delays the next change; 0 while disconnected. Stale reads delay it by a
+     * time that nobody knows, so that they are no reason to wait for them.
+     */
     get lagMs(): number {
         const pauseMs = Math.max(0, this.pausedUntil - this.ports.clock.now());
-        const staleMs = this.options.mayBeStale() ? STALE_LAG_MS : 0;
-        return this.isConnected ? pauseMs + staleMs : 0;
+        return this.isConnected && !this.options.mayBeStale() ? pauseMs : 0;
     }
 
     /** Time in milliseconds since the store last confirmed the copy; undefined before its first answer. */
@@ -364,10 +366,11 @@
         return this.recordFailure(failure.detail, dueAt);
     }
 
-    private clearSuspicion({ since, isSilent }: Suspicion, now: number): void {
+    private clearSuspicion(suspicion: Suspicion, now: number): void {
         this.suspicion = undefined;
         const { kind } = this.options;
-        const probeMs = Math.round(now - since);
+        const probeMs = Math.round(now - suspicion.since);
+        const isSilent = suspicion.isSilent && probeMs <= SLOW_PROBE_MS;
         this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs });
         if (isSilent) {
             this.ports.onSilentConnection?.();
