Answer each call that is passed on during a planned stop

Operators reported it: in a planned stop, requests that came late in the grace period were passed on, and at its end cut with no answer, among them requests that may not be repeated. Shown with a real entry (test/platform/planned-stop, grace period 4 s), four causes: - A response with Connection: close ended the connection although calls behind it on the same connection were in progress: callers that send two requests at once lost the second booking, which had run. 76 bookings in one stop, 42 of them sent before the signal. - What was in progress at the end was cut: no answer for a booking that outlasts the grace period. - http.Server.close destroys connections whose response is complete but not yet sent: 4 of 7 MB arrived at a caller that read slowly. The process also ended without waiting for such bytes. - Calls were taken up to 2.6 s after the signal, whatever their deadline.

Now the response to the latest request of a connection is the one that closes it, and a request that arrives behind it is not run. Calls other than streams whose deadline is after the end of the grace period are refused at once with 503 and Retry-After. In its last sixth no waiting call is passed on any more (503, or 502 if an earlier attempt may have run); at its end calls that a server still runs get 502. The entry waits for bytes that callers have not read.

All four tests failed before (76 and 76 cut bookings; no answer; no complete answer) and pass now; test/forwarding/planned-stop passes before and after. Streams keep being taken for 2.6 s, since most end long before their deadline; one that lasts longer is broken off at the end.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -83,6 +83,9 @@
     readonly prefill: prefills.PrefillHandle;
 }
 
+/** Ports of a call, and of the connection on which it arrived. */
+export type CallContext = types.CallPorts & callerResponses.CallerResponsePorts;
+
 export class Call {
     private readonly arrivedAt: number;
     private readonly callerResponse: callerResponses.CallerResponse;
@@ -98,7 +101,7 @@
     private unexecutedAttempts = 0;
     private attempts = 0;
     constructor(
-        private readonly ports: types.CallPorts,
+        private readonly ports: CallContext,
         private readonly request: http.IncomingMessage,
         response: http.ServerResponse,
     ) {
@@ -134,6 +137,37 @@
         this.finish();
     }
 
+    /** Ends the call unless a server runs it now. */
+    endWaiting(): void {
+        if (this.isFinished || this.isAttempting || this.callerResponse.isEnded) {
+            return;
+        }
+        if (this.executedAttempts > 0) {
+            this.endUnknown();
+            return;
+        }
+        if (this.admission !== undefined) {
+            this.refund(this.admission);
+        }
+        this.refuse("entry-closing", "", RETRY_AFTER_CLOSING_MS);
+        this.isFinished = true;
+        this.interrupt?.();
+    }
+
+    /** Ends the call. The caller of one that a server runs now learns that its outcome is unknown. */
+    end(): void {
+        this.endWaiting();
+        if (!this.isFinished && !this.callerResponse.isEnded) {
+            this.endUnknown();
+        }
+    }
+
+    private endUnknown(): void {
+        this.refuse("call-outcome-unknown", "the entry stops");
+        this.isFinished = true;
+        this.interrupt?.();
+    }
+
     private get elapsedMs(): number {
         return this.ports.clock.now() - this.arrivedAt;
     }
@@ -186,6 +220,12 @@
         if (service === undefined) {
             return this.refuse("no-server-available", `route ${route.name} has no service`, RETRY_AFTER_STARTUP_MS);
         }
+        const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+        const deadlineAt = this.arrivedAt + limitMs;
+        // Streams mostly end long before their deadline.
+        if (route.kind !== "stream" && deadlineAt > this.ports.endsAt()) {
+            return this.refuse("entry-closing", "", RETRY_AFTER_CLOSING_MS);
+        }
         const fingerprints = new callFingerprints.CallFingerprints({
             head,
             customer,
@@ -206,8 +246,6 @@
         if (quotaWaitMs > 0) {
             return this.refuse("over-quota", `${customer!.name} for ${chargedTokens} tokens`, quotaWaitMs);
         }
-        const limitMs = Math.min(head.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
-        const deadlineAt = this.arrivedAt + limitMs;
         return { head, route, service, customer, body, chargedTokens, deadlineAt, cache, fingerprints, placement };
     }
 
--- a/src/forwarding/caller-response.ts
+++ b/src/forwarding/caller-response.ts
@@ -14,7 +14,8 @@
 export interface CallerResponsePorts {
     readonly clock: clocks.Clock;
     readonly dialect: dialects.Dialect;
-    readonly isDraining: () => boolean;
+    /** False if the connection is to be closed after this response. */
+    readonly keepsConnection: (response: http.ServerResponse) => boolean;
 }
 
 export class CallerResponse {
@@ -92,7 +93,7 @@
     }
 
     private writeHead(status: number, headers: readonly string[]): void {
-        if (this.ports.isDraining()) {
+        if (!this.ports.keepsConnection(this.response)) {
             this.response.shouldKeepAlive = false;
         }
         this.response.writeHead(status, [...headers]);
--- a/src/forwarding/entry-server.ts
+++ b/src/forwarding/entry-server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers, with graceful shutdown. */
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as listening from "../http/listening.js";
 import * as calls from "./call.js";
 import type * as types from "./types.js";
@@ -19,18 +19,22 @@
     readonly openedAt: number;
     /** Calls that have not ended. */
     calls: number;
+    /** Response to the latest request; those before it are sent first. */
+    latest: http.ServerResponse | undefined;
     /** A call on it has ended. */
     hasServed: boolean;
-    /** This side has ended it; requests that arrive later cannot be answered. */
+    /** This side has ended it, or ends it with the latest response; requests that arrive later cannot be answered. */
     isClosing: boolean;
 }
 
 export class EntryServer implements AsyncDisposable {
     private readonly server: http.Server;
     private readonly connections = new Map<net.Socket, Connection>();
-    private inFlight = 0;
+    private readonly callPorts: calls.CallContext;
+    private readonly inFlight = new Set<calls.Call>();
 
     constructor(private readonly ports: types.CallPorts) {
+        this.callPorts = { ...ports, keepsConnection: response => this.keepsConnection(response) };
         this.server = http.createServer({
             maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
             requestTimeout: 0,
@@ -38,7 +42,13 @@
         });
         this.server.on("request", (request, response) => void this.handle(request, response));
         this.server.on("connection", (socket: net.Socket) => {
-            this.connections.set(socket, { openedAt: ports.clock.now(), calls: 0, hasServed: false, isClosing: false });
+            this.connections.set(socket, {
+                openedAt: ports.clock.now(),
+                calls: 0,
+                latest: undefined,
+                hasServed: false,
+                isClosing: false,
+            });
             socket.on("close", () => void this.connections.delete(socket));
         });
         this.server.on("clientError", (_error: Error, socket: net.Socket) => {
@@ -50,7 +60,7 @@
 
     /** Number of calls that have not ended. */
     get callsInFlight(): number {
-        return this.inFlight;
+        return this.inFlight.size;
     }
 
     listen(address: string): Promise<void> {
@@ -69,7 +79,8 @@
 
     /** Stops accepting connections and closes idle ones. The others are closed after their response. */
     close(now: number): void {
-        this.server.close();
+        // The method of the HTTP server also destroys connections whose response is complete but not yet sent.
+        net.Server.prototype.close.call(this.server);
         for (const [socket, connection] of this.connections) {
             if (connection.calls === 0 && !isFresh(connection, now)) {
                 connection.isClosing = true;
@@ -78,6 +89,21 @@
         }
     }
 
+    /** Bytes of responses wait for a caller that reads slowly. */
+    get isSending(): boolean {
+        return [...this.connections.keys()].some(socket => socket.writableLength > 0);
+    }
+
+    /** Answers calls that no server runs now: they are not run, or not again. */
+    endWaitingCalls(): void {
+        this.inFlight.forEach(call => void call.endWaiting());
+    }
+
+    /** Answers all calls; the outcome of those that a server runs now is unknown. */
+    endCalls(): void {
+        this.inFlight.forEach(call => void call.end());
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         this.server.close();
         this.server.closeAllConnections();
@@ -88,22 +114,37 @@
         const connection = this.connections.get(request.socket);
         if (connection === undefined || connection.isClosing) {
             // The request crossed the end of the connection. It could not be answered, so it must not run.
-            request.socket.destroy();
+            if (connection === undefined || connection.calls === 0) {
+                request.socket.destroy();
+            }
+            request.resume();
             return;
         }
-        this.inFlight++;
+        const call = new calls.Call(this.callPorts, request, response);
+        this.inFlight.add(call);
         connection.calls++;
+        connection.latest = response;
         try {
-            await new calls.Call(this.ports, request, response).run();
+            await call.run();
         }
         catch (error) {
             this.ports.journal.emit("call-faulted", { reason: (error as Error).stack ?? String(error) });
             response.destroy();
         }
-        this.inFlight--;
+        this.inFlight.delete(call);
         connection.calls--;
         connection.hasServed = true;
     }
+
+    /** During the shutdown the response to the latest request is the last one: a response before it does not end its call. */
+    private keepsConnection(response: http.ServerResponse): boolean {
+        const connection = this.connections.get(response.req.socket);
+        if (connection === undefined || connection.latest !== response) {
+            return true;
+        }
+        connection.isClosing ||= this.ports.isDraining() || !response.shouldKeepAlive;
+        return !connection.isClosing;
+    }
 }
 
 function isFresh(connection: Connection, now: number): boolean {
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -63,8 +63,10 @@
     readonly suspects: suspectTrackers.SuspectTracker;
     readonly crashes: crashDetectors.CrashDetector;
     readonly settings: CallSettings;
-    /** The process is shutting down; connections are closed after their current response. */
+    /** The process is shutting down; connections are closed after their last response. */
     readonly isDraining: () => boolean;
     /** The process will exit too soon to accept new calls. */
     readonly isClosing: () => boolean;
+    /** Time in milliseconds at which calls that have not ended are cut off; `Infinity` before the shutdown. */
+    readonly endsAt: () => number;
 }
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -79,6 +79,10 @@
 const REFUSE_CALLS_AFTER_MS = 2600;
 /** Time in milliseconds reserved at the end of the grace period for writing the log and closing connections. */
 const SHUTDOWN_MARGIN_MS = 400;
+/** Part of the grace period, at its end, in which no call is passed on to a server any more. */
+const LAST_ATTEMPT_SHARE = 1 / 6;
+/** Time in milliseconds for the last bytes of the answers to calls that were ended with the grace period. */
+const LAST_ANSWERS_MS = 200;
 /** Interval in milliseconds at which the drain checks for calls in flight. */
 const DRAIN_POLL_MS = 50;
 
@@ -214,6 +218,7 @@
             },
             isDraining: () => this.isDraining,
             isClosing: () => clock.now() - (this.drainingSince ?? Infinity) >= REFUSE_CALLS_AFTER_MS,
+            endsAt: () => this.endsAt,
         };
         this.server = new entryServers.EntryServer(ports);
         this.readinessServer = new textServers.TextServer({
@@ -239,6 +244,11 @@
         return this.drainingSince !== undefined;
     }
 
+    /** Time in milliseconds at which calls in flight are cut off; `Infinity` before the drain. */
+    private get endsAt(): number {
+        return (this.drainingSince ?? Infinity) + this.settings.shutdownGraceMs - SHUTDOWN_MARGIN_MS;
+    }
+
     /** The entry listens for calls, knows the configuration and the servers, and is not draining. */
     get isReady(): boolean {
         return this.isListening && this.view.isComplete && !this.isDraining;
@@ -277,16 +287,29 @@
         this.drainingSince = startedAt;
         this.heartbeats.send();
         this.journal.emit("process-stopping", { signal, calls: this.server.callsInFlight });
-        const endsAt = startedAt + this.settings.shutdownGraceMs - SHUTDOWN_MARGIN_MS;
+        const { endsAt } = this;
         await this.clock.sleep(Math.min(KEEP_ACCEPTING_MS, this.settings.shutdownGraceMs / 2));
         this.server.close(this.clock.now());
-        const isBusy = () => this.server.callsInFlight > 0 || this.server.awaitsFirstRequest(this.clock.now());
-        while (isBusy() && this.clock.now() < endsAt) {
+        const lastAttemptAt = endsAt - this.settings.shutdownGraceMs * LAST_ATTEMPT_SHARE;
+        while (this.isBusy && this.clock.now() < endsAt) {
             await this.clock.sleep(DRAIN_POLL_MS);
             this.server.close(this.clock.now());
+            if (this.clock.now() >= lastAttemptAt) {
+                this.server.endWaitingCalls();
+            }
+        }
+        const calls = this.server.callsInFlight;
+        this.server.endCalls();
+        while (this.server.isSending && this.clock.now() < endsAt + LAST_ANSWERS_MS) {
+            await this.clock.sleep(DRAIN_POLL_MS);
         }
         const elapsedMs = Math.round(this.clock.now() - startedAt);
-        this.journal.emit("process-stopped", { elapsedMs, calls: this.server.callsInFlight });
+        this.journal.emit("process-stopped", { elapsedMs, calls });
+    }
+
+    private get isBusy(): boolean {
+        const { server } = this;
+        return server.callsInFlight > 0 || server.isSending || server.awaitsFirstRequest(this.clock.now());
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
--- a/src/runtime/events.ts
+++ b/src/runtime/events.ts
@@ -24,7 +24,7 @@
         number: 3504,
         level: "info",
         message: fields => `stopped after ${fields.elapsedMs} ms with ${fields.calls} calls in flight`,
-        hint: "Calls still in flight were aborted at the end of the shutdown grace period.",
+        hint: "Calls still in flight were answered as of unknown outcome at the end of the shutdown grace period.",
     },
     "settings-reloaded": {
         number: 3505,
--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -68,6 +68,7 @@
     readonly prepare?: (store: standIns.Store) => void;
     /** Heap limit in megabytes of the processes of each role. */
     readonly heapMb?: Readonly<Record<Node["role"], number>>;
+    readonly httpWorkers?: Pick<standIns.WorkerOptions, "slowness" | "bodyBytes">;
 }
 
 interface Ports {
@@ -211,6 +212,25 @@
         this.randomNode(random, "entry").process.signal("SIGTERM");
     }
 
+    /** Address for calls of the first entry, and its process. */
+    get firstEntry(): { readonly address: string; readonly process: processes.LaunchedProcess; } {
+        const [{ ip, process }] = this.entries as [Node];
+        return { address: `${ip}:${this.ports.front}`, process };
+    }
+
+    /** Head of a booking without a body. */
+    bookingHead(id: string, deadlineMs = 4000): string {
+        const key = `Authorization: Bearer ${TENANT.key}`;
+        const lines = [
+            `POST /book/${id} HTTP/1.1`,
+            `Host: ${HOST}`,
+            `Request-Id: ${id}`,
+            key,
+            `Deadline-Ms: ${deadlineMs}`,
+        ];
+        return [...lines, "Content-Length: 0", "", ""].join("\r\n");
+    }
+
     /** Injects one random fault, waits until it is over, and returns its name. */
     async injectFault(random: () => number): Promise<string> {
         const faults = Object.keys(FAULTS) as (keyof typeof FAULTS)[];
@@ -315,7 +335,9 @@
         this.publishWeights();
         const workerOptions = [
             ...Array.from({ length: MODEL_WORKER_COUNT }, () => ({ service: MODEL_SERVICE, model: MODEL })),
-            ...Array.from({ length: HTTP_WORKER_COUNT }, () => ({ service: "desk", model: undefined })),
+            ...Array.from({ length: HTTP_WORKER_COUNT }, () => {
+                return { service: "desk", model: undefined, ...this.options.httpWorkers };
+            }),
         ];
         for (const [index, options] of workerOptions.entries()) {
             const zone = ZONES[index % ZONES.length]!;
--- a/test/platform/stand-ins.ts
+++ b/test/platform/stand-ins.ts
@@ -316,6 +316,8 @@
     /** Version of its software, and factor by which it is slower than others. */
     readonly software?: string;
     readonly slowness?: number;
+    /** Least size of its bodies, for a service without models. */
+    readonly bodyBytes?: number;
 }
 
 export class Worker extends StandIn {
@@ -422,8 +424,8 @@
         const common = { "Request-Id": requestId, "Response-Seal": "seal" };
         const output = Number(String(request.headers["token-count"] ?? "").split(",")[1] ?? 0);
         if (this.options.model === undefined) {
-            await pause(EVENT_INTERVAL_MS * 4);
-            response.writeHead(200, common).end(requestId);
+            await pause(EVENT_INTERVAL_MS * 4 * (this.options.slowness ?? 1));
+            response.writeHead(200, common).end(requestId.padEnd(this.options.bodyBytes ?? 0));
             return;
         }
         response.writeHead(200, {
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -248,6 +248,7 @@
             },
             isDraining: () => this.isDraining,
             isClosing: () => false,
+            endsAt: () => Infinity,
         };
     }
 }
