--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -167,3 +167,19 @@
     connection.socket.resume();
     assert.deepEqual((await answers).map(answer => answer?.bodyBytes), [bodyBytes]);
 });
+
+testing.test("planned stop: guards against a signal that comes again and ends the entry with calls in progress", async () => {
+    await using fleet = await fleets.SoakFleet.start({ httpWorkers: { slowness: SHORT_CALL * 4 } });
+    const { address, process } = fleet.firstEntry;
+    const connections = [0, 1, 2].map(() => new KeptConnection(address));
+    const answers = Promise.all(
+        connections.map((connection, index) => connection.send(fleet.bookingHead(`again-${index}`))),
+    );
+    await standIns.pause(300);
+    for (const signal of ["SIGTERM", "SIGTERM", "SIGINT", "SIGTERM"] as const) {
+        process.signal(signal);
+        await standIns.pause(100);
+    }
+    assert.deepEqual((await answers).flat().map(answer => answer?.status), [200, 200, 200]);
+    assert.equal(await process.exited, 0);
+});
