--- a/stand-ins/platform/worker.ts
+++ b/stand-ins/platform/worker.ts
@@ -100,7 +100,9 @@
     readonly software?: string;
     readonly slowness?: number;
     readonly slots?: number;
-    /** Time in milliseconds that a request without a model takes. */
+    /** Least size of its bodies, for a service without models. */
+    readonly bodyBytes?: number;
+    /** Time in milliseconds that a request without a model takes, before `slowness` applies. */
     readonly workMs?: (request: http.IncomingMessage) => number;
     /** Time in milliseconds that loading weights takes. */
     readonly loadMs?: number;
@@ -289,9 +291,11 @@
         const common = { "Request-Id": requestId, "Response-Seal": SEAL };
         const output = Number(String(request.headers["token-count"] ?? "").split(",")[1] ?? 0);
         if (this.versions.size === 0) {
-            await standIns.pause(this.options.workMs?.(request) ?? DEFAULT_WORK_MS);
-            response.writeHead(200, { ...common, "Content-Length": Buffer.byteLength(requestId) });
-            response.end(requestId, () => run.endedAt = performance.now());
+            const { workMs, slowness = 1, bodyBytes = 0 } = this.options;
+            await standIns.pause((workMs?.(request) ?? DEFAULT_WORK_MS) * slowness);
+            const body = requestId.padEnd(bodyBytes);
+            response.writeHead(200, { ...common, "Content-Length": Buffer.byteLength(body) });
+            response.end(body, () => run.endedAt = performance.now());
             return;
         }
         response.writeHead(200, {
