Keep the waits of the readers apart after they were interrupted

Found in review of the staggered waits. After a silence of connections to the store was found, all readers renewed theirs at the same moment, and each then waited for its whole period: 8 s with 8 readers. A second silence within that time was noticed by none of them, and their waits ended together from then on. The same came of a store that was away, and of a copy adopted from a peer. When the number of readers changed, each began a new phase at another time, so that two of 8 ended their waits together for good.

Cause: a wait was counted from the end of the one before, so that an interruption moved all later ones.

The ends are now counted from the last first wait, which begins at about the same time at all readers, also at one that adopts the change from a peer. An interruption or another number of readers leaves these times as they are.

The test of the watch fails before as well.

A reader that has started lately still counts from its own first listing until the next change of the kind. Not run with real processes.

--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -334,7 +334,8 @@
             });
             return (isFirst: boolean) => {
                 const readers = this.directReaders(kind);
-                return readers.rank < 0 ? waitMs() : wait.next(readers, isFirst);
+                const readerWaitMs = wait.next(readers, isFirst, this.clock.now());
+                return readers.rank < 0 ? waitMs() : readerWaitMs;
             };
         };
         return {
--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -132,6 +132,7 @@
             this.reportChange("copy of a peer", peer);
             // The own connection has not told of the change in time.
             if (!this.options.mayBeStale()) {
+                this.isFirstWait = true;
                 this.renewConnection();
             }
         }
--- a/src/store-access/staggered-wait.ts
+++ b/src/store-access/staggered-wait.ts
@@ -15,18 +15,27 @@
     readonly maximumMs: number;
 }
 
+/** Shortest wait in milliseconds; a wait that ends a moment early is not followed by one for the rest. */
+const MINIMUM_WAIT_MS = 100;
+
 export class StaggeredWait {
-    private phase = "";
+    /** Start of the last first wait in milliseconds; the ends of all waits are counted from it. */
+    private firstStartedAt: number | undefined;
 
     constructor(private readonly options: StaggerOptions) {}
 
-    /** Next wait in milliseconds. `isFirst` waits begin at the same time at all readers. */
-    next({ count, rank }: Readers, isFirst: boolean): number {
+    /**
+     * Next wait in milliseconds. `isFirst` waits begin at about the same time at all readers. A later wait keeps to the
+     * times that follow from it, whenever the one before was interrupted.
+     */
+    next({ count, rank }: Readers, isFirst: boolean, now: number): number {
         const { intervalMs, maximumMs } = this.options;
         const periodMs = Math.min(maximumMs, intervalMs * count);
-        const phase = `${rank}/${count}`;
-        const startsPhase = isFirst || phase !== this.phase;
-        this.phase = phase;
-        return Math.round(startsPhase ? periodMs * (rank + 1) / count : periodMs);
+        if (isFirst || this.firstStartedAt === undefined) {
+            this.firstStartedAt = now;
+        }
+        const elapsedMs = (now - this.firstStartedAt) % periodMs;
+        const waitMs = (periodMs * (rank + 1) / count - elapsedMs + periodMs) % periodMs;
+        return Math.round(waitMs < MINIMUM_WAIT_MS ? waitMs + periodMs : waitMs);
     }
 }
--- a/test/store-access/kind-watch.test.ts
+++ b/test/store-access/kind-watch.test.ts
@@ -391,3 +391,34 @@
     await new Promise(resolve => setImmediate(resolve));
     assert.deepEqual(calls, ["list", "watch 5", "watch 5"]);
 });
+
+testing.test("guards against a wait after a peer's copy that does not begin with those of the others", async () => {
+    const firstWaits: boolean[] = [];
+    const never = new Promise<never>(() => undefined);
+    const listing = outcomes.succeed({ era: 0, revision: 5, records: [record("main", 5)] });
+    const watch = new watches.KindWatch(
+        {
+            kind: "config",
+            waitMs: isFirst => {
+                firstWaits.push(isFirst);
+                return 1000;
+            },
+            batchDelayMs: () => 0,
+            ownersReregister: false,
+            restoration: restoration.asStored,
+            mayBeStale: () => false,
+        },
+        {
+            store: { ...scriptedStore([], []), list: () => Promise.resolve(listing), watch: () => never },
+            clock: simulatedClock(),
+            journal: journals.silentJournal,
+            onChange: () => undefined,
+            onEraChange: () => undefined,
+        },
+    );
+    watch.start();
+    await new Promise(resolve => setImmediate(resolve));
+    watch.adopt({ era: 0, revision: 7, records: [record("main", 7)] }, "peer");
+    await new Promise(resolve => setImmediate(resolve));
+    assert.deepEqual(firstWaits, [true, true]);
+});
