Take no server from an earlier state of a record that is odd now

Found in review. When another writer had left an odd record under the name of a server, the copy went on to show the server's earlier state, without end. That held also for a server that had stopped and whose record was removed: it was ready again, at its old address, until the odd record changed. An odd record with a later start kept a sound server out of use after that server had written its own record again.

Cause: a record without a readable start counted as the oldest state of all, and one whose start alone could be read as a state like any other. The order of states decides which one is shown, for removed records too since these are known by their content.

Only a record that names a server, with the time of its start, has an order now. Without one the state of the store is shown, as for any change; after a restore it is unclear, as for a record that is missing.

--- a/src/store-access/restoration.ts
+++ b/src/store-access/restoration.ts
@@ -22,8 +22,8 @@
     readonly compareRemoved: (removed: types.StoredRecord, restored: types.StoredRecord) => Verdict;
 }
 
-/** Numbers that grow with the states of a record, the most significant one first. */
-export type LogicalVersion = (record: types.StoredRecord) => readonly number[];
+/** Numbers that grow with the states of a record, the most significant one first; undefined if its content has none. */
+export type LogicalVersion = (record: types.StoredRecord) => readonly number[] | undefined;
 
 /** For records whose content tells their order. */
 export function byVersion(versionOf: LogicalVersion): RestorationPolicy {
@@ -32,10 +32,11 @@
             if (restored === undefined) {
                 return "unclear";
             }
-            return compareVersions(versionOf(restored), versionOf(known)) < 0 ? "outdated" : "current";
+            const difference = compareVersions(versionOf(restored), versionOf(known));
+            return difference === undefined ? "unclear" : difference < 0 ? "outdated" : "current";
         },
         compareRemoved: (removed, restored) => {
-            return compareVersions(versionOf(restored), versionOf(removed)) > 0 ? "current" : "unclear";
+            return (compareVersions(versionOf(restored), versionOf(removed)) ?? 0) > 0 ? "current" : "unclear";
         },
     };
 }
@@ -54,7 +55,14 @@
     compareRemoved: () => "current",
 };
 
-function compareVersions(left: readonly number[], right: readonly number[]): number {
+/** Undefined if one of the records has no version, so that their order is unknown. */
+function compareVersions(
+    left: readonly number[] | undefined,
+    right: readonly number[] | undefined,
+): number | undefined {
+    if (left === undefined || right === undefined) {
+        return undefined;
+    }
     const differing = left.findIndex((value, index) => value !== right[index]);
     return differing < 0 ? 0 : left[differing]! - (right[differing] ?? 0);
 }
