--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -367,7 +367,7 @@
             });
             return (isFirst: boolean) => {
                 const readers = this.directReaders(kind);
-                return readers === undefined ? waitMs() : wait.next(readers, isFirst);
+                return wait.next(readers, isFirst, this.clock.now()) ?? waitMs();
             };
         };
         return {
