Go on with rollouts after an error in one step

The loop that advances rollouts and writes their statuses ended for good with the first error in it: BackgroundTasks logs an error and ends the task. Class: a loop that one input ends. Now an error ends its step only, with controller-step-failed in the log.

Evidence: test/rollout/service-rollouts, "an error in one step": timed out before, passes now.

--- a/src/rollout/rollout-statuses.ts
+++ b/src/rollout/rollout-statuses.ts
@@ -44,13 +44,24 @@
     }
 
     private async run(): Promise<void> {
-        const { clock, rollouts, isCoordinator } = this.ports;
         while (!this.stop.signal.aborted) {
+            this.stepSafely();
+            await this.ports.clock.sleep(STEP_INTERVAL_MS, this.stop.signal);
+        }
+    }
+
+    /** An error ends this step, and not those that follow. */
+    private stepSafely(): void {
+        const { clock, journal, rollouts, isCoordinator } = this.ports;
+        try {
             rollouts.evaluate(clock.now(), isCoordinator());
             if (isCoordinator()) {
                 this.writeAll(clock.now());
             }
-            await clock.sleep(STEP_INTERVAL_MS, this.stop.signal);
+        }
+        catch (error) {
+            const reason = (error as Error).stack ?? String(error);
+            journal.emit("controller-step-failed", { controller: "rollouts", reason });
         }
     }
 
--- a/test/rollout/service-rollouts.test.ts
+++ b/test/rollout/service-rollouts.test.ts
@@ -220,6 +220,34 @@
     assert.deepEqual(rollouts.outdatedStatuses(), []);
 });
 
+testing.test("guards against an error in one step that ends the rollouts of this entry for good", async () => {
+    const clock = new manualClock.ManualClock();
+    const failed = () => Promise.resolve(outcomes.fail("store-unavailable", "not used"));
+    const logged: string[] = [];
+    let steps = 0;
+    await using statuses = new rolloutStatuses.RolloutStatuses({
+        clock,
+        journal: { emit: name => void logged.push(name) },
+        store: { list: failed, watch: failed, put: failed, putStatus: failed },
+        kind: "rollouts",
+        rollouts: createRollouts(),
+        isCoordinator: () => {
+            steps++;
+            if (steps === 1) {
+                throw new TypeError("an order of an unexpected type");
+            }
+            return true;
+        },
+        encode: (_order, state) => state,
+    });
+    statuses.start();
+    await manualClock.waitUntil(() => {
+        clock.endSleeps();
+        return steps > 2;
+    });
+    assert.deepEqual(logged, ["controller-step-failed"]);
+});
+
 testing.test("restored store: guards against a rollout that begins again once its status is lost; it is written again", () => {
     const moment = { now: 60_000, wallTime: 1_000_000 };
     const rollouts = new serviceRollouts.ServiceRollouts({
