--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -5,6 +5,7 @@
 import * as dialects from "../../platform/dialect.js";
 import * as records from "../../platform/records.js";
 import * as settings from "../../platform/settings.js";
+import * as ledgers from "../../src/quota/ledger.js";
 import type * as storeAccess from "../../src/store-access/types.js";
 
 const SEED = 31;
@@ -192,6 +193,21 @@
     assert.deepEqual([hintedHead?.maximumOutputTokens, hintedHead?.expectedOutputTokens], [80, 12]);
 });
 
+testing.test("guards against a token count without end that removes the limit of its customer", () => {
+    const account = { name: "gallery", tokensPerSecond: 1000, burstTokens: 1000 };
+    const ledger = new ledgers.QuotaLedger({ overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 });
+    ledger.track([account], 0);
+    const head = dialect.decodeCall({ "request-id": "r", "token-count": `${"9".repeat(310)},10` });
+    const tokens = head!.promptTokens + head!.maximumOutputTokens;
+    assert.equal(ledger.admit(account, tokens, 5000), 0);
+    ledger.refund(account, tokens, 5000);
+    assert.equal(ledger.admit(account, 1000, 5000), 0);
+    assert.equal(ledger.admit(account, 1000, 5000), 1000);
+    assert.ok(Object.values(ledger.spending()).every(Number.isSafeInteger));
+    const parts = dialect.decodeCall({ "request-id": "r", "prompt-prefix": "a:1e300,b:-5,c:10" })!.parts;
+    assert.deepEqual(parts, [{ id: "c", tokens: 10 }]);
+});
+
 testing.test("a refusal states the retry delay in seconds", () => {
     assert.deepEqual(dialect.refusalHeaders("r1", 250), ["Request-Id", "r1", "Retry-After", "0.250"]);
 });
