Update one model of a server after the other

Callers saw: after new weights of two models at once, which the same servers serve, all calls of both models were refused from some seconds on, and no server ever loaded either version.

Cause: the updater kept one update, but the step of each model took the other's update for none and replaced it, so that in each tick both began anew and neither became due.

The steps of the other models now wait for the update in progress. They begin in the tick in which it ends, with the server still free of calls. An update of a model that the server no longer has is abandoned, since it would keep the others waiting for good.

--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -47,6 +47,7 @@
  * - `wait`: the update in progress continues without a new action.
  * - `order`: orders the server to load a version.
  * - `finish`: ends the update, since its version is in force or the update is abandoned.
+ * - `abandon`: ends the update of a model that the server no longer has.
  */
 export type UpdateStep =
     | { readonly kind: "idle"; }
@@ -54,7 +55,8 @@
     | { readonly kind: "announce"; readonly update: UpdateState; }
     | { readonly kind: "wait"; }
     | { readonly kind: "order"; readonly order: types.VersionOrder; }
-    | { readonly kind: "finish"; readonly version: number; };
+    | { readonly kind: "finish"; readonly version: number; }
+    | { readonly kind: "abandon"; };
 
 /**
  * Every step starts from the server's current state, since the server may have stopped responding, be busy with an
@@ -62,10 +64,13 @@
  */
 export function nextStep(input: UpdateInput, now: number): UpdateStep {
     const { engine, desired, update } = input;
-    const version = engine?.weights.get(desired.model);
-    if (engine === undefined || version === undefined || engine.isBusy) {
+    if (engine === undefined || engine.isBusy) {
         return { kind: update === undefined ? "idle" : "wait" };
     }
+    const version = engine.weights.get(desired.model);
+    if (version === undefined) {
+        return { kind: update === undefined ? "idle" : "abandon" };
+    }
     const isSuperseded = update !== undefined && update.version < desired.version && input.timing !== "now";
     if (update !== undefined && (version >= update.version || isSuperseded || isPostponed(update, input.timing))) {
         return { kind: "finish", version };
--- a/src/weights/updater.ts
+++ b/src/weights/updater.ts
@@ -29,6 +29,7 @@
 export class WeightsUpdater implements AsyncDisposable {
     private engine: types.EngineState | undefined;
     private failedReads = 0;
+    /** Update in progress; the updates of other models follow it, since the server carries out one order at a time. */
     private update: updateSteps.UpdateState | undefined;
     private readonly histories = new Map<string, desiredVersions.DesiredVersionHistory>();
     private timer: NodeJS.Timeout | undefined;
@@ -119,19 +120,19 @@
 
     private async step(history: desiredVersions.DesiredVersionHistory): Promise<void> {
         const desired = history.newest;
-        if (desired === undefined) {
+        const isOtherModelUpdated = this.update !== undefined && this.update.model !== desired?.model;
+        if (desired === undefined || isOtherModelUpdated) {
             return;
         }
         const now = this.ports.clock.now();
         const engine = this.failedReads === 0 ? this.engine : undefined;
-        const update = this.update?.model === desired.model ? this.update : undefined;
         const step = updateSteps.nextStep(
             {
                 engine,
                 desired,
                 fencingToken: this.fencingToken(),
                 timing: this.updateTiming(history, desired, now),
-                update,
+                update: this.update,
             },
             now,
         );
@@ -185,6 +186,11 @@
             elapsedMs: Math.round(now - announcedAt),
             windingDownMs: Math.round(announcedAt - pendingSince),
         });
+        this.abandon();
+    }
+
+    /** @internal Called by `STEP_HANDLERS`. */
+    abandon(): void {
         this.update = undefined;
         this.ports.announce();
     }
@@ -205,4 +211,5 @@
     announce: (updater, step) => updater.begin(step.update),
     order: (updater, step, now) => updater.send(step.order, now),
     finish: (updater, step, now) => updater.finish(step.version, now),
+    abandon: updater => updater.abandon(),
 };
