Read changes from a store that is slow

Found in review. With a store that takes 800 or 1200 ms for each answer, a watch got no change at all and counted as disconnected for the whole time: the time for the answer after a wait is 700 ms of a limit of 2 s, where it was 1.5 s before, and calls that ask whether the store is up had no more.

A call that asks on a new connection now has 1.5 s. If it takes longer than the call before was given, the store is slow: the connection before does not count as silent, so that peers renew nothing, and the next 5 s of waits have the longer time as well.

Not run with real entries.

--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -16,6 +16,8 @@
 const PROBE_WAIT_MS = 1;
 /** Pause in milliseconds after an answer without changes that arrived before its wait was over. */
 const EMPTY_ANSWER_PAUSE_MS = 400;
+/** Time in milliseconds for which the store counts as slow after a slow answer on a new connection. */
+const SLOW_FOR_MS = 5000;
 /** Time in milliseconds that a change may take longer to arrive through stale reads, before it is read from a peer. */
 const STALE_LAG_MS = 800;
 /** Maximum number of names in a field of a log line. */
@@ -68,6 +70,8 @@
     private pausedUntil = Number.NEGATIVE_INFINITY;
     private suspicion: Suspicion | undefined;
     private needsNewConnection = false;
+    /** Time in milliseconds until which the store counts as slow, so that its answers are waited for longer. */
+    private slowUntil = Number.NEGATIVE_INFINITY;
     /** Time in milliseconds of the last answer of the store. */
     private answeredAt: number | undefined;
     private isFirstWait = true;
@@ -236,7 +240,8 @@
         const startedAt = this.ports.clock.now();
         // The copy of a peer may be adopted before the answer arrives.
         const askedAt = this.copy.position;
-        const options = { waitMs, mayBeStale, ...this.connectionOptions() };
+        const mayBeSlow = isProbe || startedAt < this.slowUntil;
+        const options = { waitMs, mayBeStale, mayBeSlow, ...this.connectionOptions() };
         const batch = await this.interruptible(signal => {
             return this.ports.store.watch(this.options.kind, askedAt.revision, { ...options, signal });
         });
@@ -365,11 +370,15 @@
         return this.recordFailure(failure.detail, dueAt);
     }
 
-    private clearSuspicion({ since, isSilent }: Suspicion, now: number): void {
+    private clearSuspicion(suspicion: Suspicion, now: number): void {
         this.suspicion = undefined;
         const { kind } = this.options;
-        const probeMs = Math.round(now - since);
-        this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs });
+        const probeMs = now - suspicion.since;
+        // A store that takes as long on a new connection is slow; the connection before was not silent.
+        const isSlow = suspicion.isSilent && probeMs - PROBE_WAIT_MS > suspicion.since - suspicion.dueAt;
+        const isSilent = suspicion.isSilent && !isSlow;
+        this.slowUntil = isSlow ? now + SLOW_FOR_MS : this.slowUntil;
+        this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs: Math.round(probeMs) });
         if (isSilent) {
             this.ports.onSilentConnection?.();
         }
--- a/src/store-access/types.ts
+++ b/src/store-access/types.ts
@@ -63,6 +63,8 @@
     readonly waitMs: number;
     /** The store may answer from a copy that is seconds old, which costs it less. */
     readonly mayBeStale: boolean;
+    /** The store may take longer for its answer than it usually does after a wait. */
+    readonly mayBeSlow?: boolean;
 }
 
 /**
