--- a/src/store-access/kind-watch.ts
+++ b/src/store-access/kind-watch.ts
@@ -18,6 +18,8 @@
 const SLOW_PROBE_MS = 400;
 /** Pause in milliseconds after an answer without changes that arrived before its wait was over. */
 const EMPTY_ANSWER_PAUSE_MS = 400;
+/** Time in milliseconds for which the store counts as slow after a slow answer on a new connection. */
+const SLOW_FOR_MS = 5000;
 /** Maximum number of names in a field of a log line. */
 const MAXIMUM_LOGGED_NAMES = 8;
 
@@ -68,6 +70,8 @@
     private pausedUntil = Number.NEGATIVE_INFINITY;
     private suspicion: Suspicion | undefined;
     private needsNewConnection = false;
+    /** Time in milliseconds until which the store counts as slow, so that its answers are waited for longer. */
+    private slowUntil = Number.NEGATIVE_INFINITY;
     /** Time in milliseconds of the last answer of the store. */
     private answeredAt: number | undefined;
     private isFirstWait = true;
@@ -238,7 +242,8 @@
         const startedAt = this.ports.clock.now();
         // The copy of a peer may be adopted before the answer arrives.
         const askedAt = this.copy.position;
-        const options = { waitMs, mayBeStale, ...this.connectionOptions() };
+        const mayBeSlow = isProbe || startedAt < this.slowUntil;
+        const options = { waitMs, mayBeStale, mayBeSlow, ...this.connectionOptions() };
         const batch = await this.interruptible(signal => {
             return this.ports.store.watch(this.options.kind, askedAt.revision, { ...options, signal });
         });
@@ -370,9 +375,10 @@
     private clearSuspicion(suspicion: Suspicion, now: number): void {
         this.suspicion = undefined;
         const { kind } = this.options;
-        const probeMs = Math.round(now - suspicion.since);
+        const probeMs = now - suspicion.since;
         const isSilent = suspicion.isSilent && probeMs <= SLOW_PROBE_MS;
-        this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs });
+        this.slowUntil = suspicion.isSilent && !isSilent ? now + SLOW_FOR_MS : this.slowUntil;
+        this.ports.journal.emit("store-connection-replaced", { kind, isSilent, probeMs: Math.round(probeMs) });
         if (isSilent) {
             this.ports.onSilentConnection?.();
         }
