Decode which parts of the product a deployment asks for

Cold servers, evacuations and homes, and calls that compete for servers that state their load, concern only deployments whose settings list the contract. The settings become two capabilities, which calls get with their settings; nothing uses them yet. Test: test/platform/settings.test.ts.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -4,6 +4,14 @@
 /** Retry semantics of a call. A stream is not retried unless its route is resumable. */
 export type CallKind = "idempotent" | "at-most-once" | "stream";
 
+/** Parts of the product that only some deployments ask for in their settings. */
+export interface Capabilities {
+    /** Servers may be cold, data centres evacuated, and calls bound to home regions. */
+    readonly placementConstraints: boolean;
+    /** Calls of several kinds compete for servers, which share their machines with others and state their load and pace. */
+    readonly contendedServers: boolean;
+}
+
 export interface RouteTarget {
     readonly service: string;
     /** Relative share of the route's calls; 0 disables the target. */
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -1,6 +1,7 @@
 /** Dependencies and settings of call handling. */
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
+import type * as fleet from "../fleet/types.js";
 import type * as budgets from "../memory/budget.js";
 import type * as cacheIndexes from "../placement/cache-index.js";
 import type * as demands from "../placement/demand.js";
@@ -24,6 +25,7 @@
 export interface CallSettings {
     readonly dataCentre: string;
     readonly selection: selection.SelectionSettings;
+    readonly capabilities: fleet.Capabilities;
 }
 
 /** Records the metrics of calls. */
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -202,6 +202,7 @@
                     outdatedExcludedFromMs: settings.outdatedWeightsLimitMs - OUTDATED_MARGIN_MS,
                     crossDataCentreMs: CROSS_DATA_CENTRE_COST_MS,
                 },
+                capabilities: settings.capabilities,
             },
             isDraining: () => this.isDraining,
             isClosing: () => clock.now() - (this.drainingSince ?? Infinity) >= REFUSE_CALLS_AFTER_MS,
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -90,4 +90,5 @@
     readonly retrySlack: number;
     /** Tokens per window allowed beyond rate and burst, over all entries. */
     readonly quotaSlackTokens: number;
+    readonly capabilities: fleet.Capabilities;
 }
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -149,3 +149,13 @@
         assert.equal(isUsed, false, text);
     }
 });
+
+testing.test("parts of the product are on only where the settings list their contract", () => {
+    const capabilities = (contracts: string) => read(`contracts = ${contracts}\n${FILE}`, "entry").process.capabilities;
+    const none = { placementConstraints: false, contendedServers: false };
+    assert.deepEqual(read(FILE, "entry").process.capabilities, none);
+    assert.deepEqual(capabilities('["base","engine"]'), none);
+    assert.deepEqual(capabilities('["base","places"]'), { ...none, placementConstraints: true });
+    assert.deepEqual(capabilities('["pressure","base"]'), { ...none, contendedServers: true });
+    assert.deepEqual(capabilities("7"), none);
+});
--- a/test/runtime/agent-silence.test.ts
+++ b/test/runtime/agent-silence.test.ts
@@ -40,6 +40,7 @@
         retryBudgetRatio: 0,
         retrySlack: 0,
         quotaSlackTokens: 0,
+        capabilities: { placementConstraints: false, contendedServers: false },
     };
 }
 
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -55,6 +55,7 @@
 /** Timeout of all routes in milliseconds. */
 const ROUTE_TIMEOUT_MS = 1500;
 const SERVICE = "service";
+const NO_CAPABILITIES: fleet.Capabilities = { placementConstraints: false, contendedServers: false };
 
 export interface HarnessOptions {
     /** Memory in bytes that may be reserved. */
@@ -65,6 +66,8 @@
     readonly customers?: readonly fleet.Customer[];
     readonly limits?: Partial<fleet.CallLimits>;
     readonly routeTimeoutMs?: number;
+    /** None by default. */
+    readonly capabilities?: fleet.Capabilities;
 }
 
 /** A raw connection of a caller. */
@@ -113,9 +116,11 @@
     readonly quotas = new ledgers.QuotaLedger({ overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 });
     readonly memory: budgets.MemoryBudget;
 
-    private constructor({ capacityBytes = Infinity, maximumConnections }: HarnessOptions) {
+    private constructor(
+        { capacityBytes = Infinity, maximumConnections, capabilities = NO_CAPABILITIES }: HarnessOptions,
+    ) {
         this.memory = new budgets.MemoryBudget(capacityBytes);
-        this.entry = new entryServers.EntryServer({ ...this.ports(), maximumConnections });
+        this.entry = new entryServers.EntryServer({ ...this.ports(capabilities), maximumConnections });
     }
 
     /** Starts one server for each script, and the entry. */
@@ -274,7 +279,7 @@
         return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
     }
 
-    private ports(): forwarding.CallPorts {
+    private ports(capabilities: fleet.Capabilities): forwarding.CallPorts {
         const clock = clocks.systemClock;
         return {
             clock,
@@ -309,6 +314,7 @@
             settings: {
                 dataCentre: "one",
                 selection: { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 },
+                capabilities,
             },
             isDraining: () => this.isDraining,
             isClosing: () => false,
