Send the planned stop of a test only once its calls run

The test now waits until the worker runs both calls, so that the case it guards against is always the one that it plays.

--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -147,8 +147,12 @@
     await using fleet = await fleets.SoakFleet.start({ httpWorkers: { slowness: ENDLESS_CALL } });
     const { address, process } = fleet.firstEntry;
     const connection = new KeptConnection(address);
-    const answers = connection.send(fleet.bookingHead("endless-0"), fleet.bookingHead("endless-1"));
-    await standIns.pause(100);
+    const ids = ["endless-0", "endless-1"];
+    const answers = connection.send(...ids.map(id => fleet.bookingHead(id)));
+    // Calls that arrive after the signal are refused, since they might not end within the grace period.
+    while (!ids.every(id => fleet.log.runs.some(run => run.requestId === id))) {
+        await standIns.pause(20);
+    }
     process.signal("SIGTERM");
     assert.deepEqual((await answers).map(answer => answer?.status), [502, 502]);
     assert.equal(await process.exited, 0);
