Give waiting, refusing and placing modules of their own

call.ts held them all, and the wait for shared parts that another call prefills was a sleep that no other decision saw. It is now in the queue of the service, as a call that is not ready; outcomes stay as they were.

--- /dev/null
+++ b/src/forwarding/call-wait.ts
@@ -0,0 +1,206 @@
+/**
+ * Waits until a call can be placed: for shared parts of its prompt that another call prefills, and for a server with
+ * capacity. Both waits are in the queue of the service, where other decisions see them.
+ */
+import type * as event from "../core/event.js";
+import * as admissions from "./call-admission.js";
+import type * as callPlacements from "./call-placement.js";
+import type * as callQueues from "./call-queue.js";
+import * as callRefusals from "./call-refusal.js";
+import type * as types from "./types.js";
+import * as waitLimits from "./wait-limit.js";
+
+/** Longest wait in milliseconds for shared parts that another call prefills. Prefilling them takes about as long. */
+const MAXIMUM_PREFILL_WAIT_MS = 350;
+/** Interval in milliseconds at which a call that waits for shared parts is tried. */
+const PREFILL_POLL_MS = 40;
+
+export interface WaitingSubject {
+    readonly admission: admissions.Admission;
+    readonly arrivedAt: number;
+    /** Number of earlier attempts. */
+    readonly attempts: number;
+    /** Number of earlier attempts that may have run. */
+    readonly executedAttempts: number;
+    /** Time of the last event that the caller received; the arrival before the first one. */
+    readonly lastProgressAt: number;
+    readonly log: (name: event.EventName, fields: event.Fields) => void;
+}
+
+/** How a wait ends. `place` is called within the pass of the queue, so that the next calls see the load of this one. */
+export interface WaitOutcome<Placed> {
+    readonly place: (choice: callPlacements.ServerChoice) => Placed;
+    readonly refuse: (refusal: callRefusals.CallRefusal) => void;
+}
+
+/** The wait of one call for one attempt. */
+export class CallWait<Placed> implements callQueues.QueuedCall {
+    readonly priority: number;
+    readonly arrivedAt: number;
+    private readonly startedAt: number;
+    private readonly queue: callQueues.CallQueue;
+    private readonly result: Promise<Placed | undefined>;
+    private resolve: (placed: Placed | undefined) => void = () => undefined;
+    private reject: (error: unknown) => void = () => undefined;
+    /** Next attempt to place a call that waits for shared parts; undefined once it waits for a server. */
+    private nextPollAt: number | undefined;
+    private serverTimeoutAt = Infinity;
+    private reason: callRefusals.UnplacedReason = "all-full";
+    private isCancelled = false;
+
+    constructor(
+        private readonly ports: types.CallPorts,
+        private readonly subject: WaitingSubject,
+        private readonly outcome: WaitOutcome<Placed>,
+    ) {
+        this.priority = admissions.priorityOf(subject.admission);
+        this.arrivedAt = subject.arrivedAt;
+        this.startedAt = ports.clock.now();
+        this.queue = ports.queues.of(subject.admission.service);
+        this.result = new Promise((resolve, reject) => {
+            this.resolve = resolve;
+            this.reject = reject;
+        });
+    }
+
+    /** Resolves when the call has been placed; undefined if it was refused or cancelled. */
+    run(): Promise<Placed | undefined> {
+        const choice = this.choose();
+        if (this.isAwaitingParts(choice)) {
+            this.nextPollAt = this.startedAt + PREFILL_POLL_MS;
+            this.ports.queues.enqueue(this.subject.admission.service, this);
+        }
+        else if (choice.kind === "server" && this.queue.waitingForServer === 0) {
+            this.resolve(this.outcome.place(choice));
+        }
+        else if (this.beginServerWait(choice)) {
+            this.ports.queues.enqueue(this.subject.admission.service, this);
+        }
+        return this.result;
+    }
+
+    /** Ends the wait without a result. */
+    cancel(): void {
+        this.isCancelled = true;
+        this.queue.remove(this);
+        this.resolve(undefined);
+    }
+
+    get waitsForServer(): boolean {
+        return this.nextPollAt === undefined;
+    }
+
+    /** The time at which a call that waits for shared parts is refused depends on its wait for a server, if any. */
+    get timeoutAt(): number {
+        return this.serverTimeoutAt;
+    }
+
+    get requirements(): string | undefined {
+        const { admission } = this.subject;
+        return this.waitsForServer && admission.placement.triedServers.size === 0 && this.ports.suspects.isEmpty
+            ? admission.head.model ?? ""
+            : undefined;
+    }
+
+    isReady(now: number): boolean {
+        return this.nextPollAt === undefined || now >= this.nextPollAt;
+    }
+
+    tryPlace(): boolean {
+        if (this.isCancelled) {
+            return true;
+        }
+        const choice = this.choose();
+        if (!this.waitsForServer) {
+            const now = this.ports.clock.now();
+            if (this.isAwaitingParts(choice)) {
+                this.nextPollAt = now + PREFILL_POLL_MS;
+                return false;
+            }
+            this.nextPollAt = undefined;
+            const waitedMs = Math.round(now - this.startedAt);
+            this.subject.log("call-waits", {
+                reason: "part-being-read",
+                service: this.subject.admission.service,
+                waitedMs,
+            });
+            if (choice.kind !== "server") {
+                return !this.beginServerWait(choice);
+            }
+        }
+        if (choice.kind === "quarantined") {
+            this.refuse(callRefusals.quarantined(choice, this.subject.executedAttempts));
+            return true;
+        }
+        if (choice.kind === "none") {
+            this.reason = choice.reason;
+            return false;
+        }
+        this.resolve(this.outcome.place(choice));
+        return true;
+    }
+
+    onTimeout(): void {
+        this.refuse(callRefusals.unplaced(this.reason, this.subject.executedAttempts));
+    }
+
+    onError(error: unknown): void {
+        this.reject(error);
+    }
+
+    /** Begins the wait for a server. False if the call was refused instead. */
+    private beginServerWait(choice: callPlacements.Placement): boolean {
+        const { admission, executedAttempts } = this.subject;
+        if (choice.kind === "quarantined") {
+            this.refuse(callRefusals.quarantined(choice, executedAttempts));
+            return false;
+        }
+        const now = this.ports.clock.now();
+        this.serverTimeoutAt = this.waitEndsAt(now);
+        if (choice.kind === "none") {
+            this.reason = choice.reason;
+            if (executedAttempts === 0 && now + (choice.pauseMs ?? 0) > this.serverTimeoutAt) {
+                this.refuse(callRefusals.unplaced(choice.reason, executedAttempts, choice.pauseMs));
+                return false;
+            }
+        }
+        this.subject.log("call-waits", {
+            reason: this.reason,
+            waiting: this.queue.waitingForServer,
+            service: admission.service,
+            limitMs: Math.round(this.serverTimeoutAt - now),
+        });
+        return true;
+    }
+
+    private choose(): callPlacements.Placement {
+        return this.subject.admission.placement.choose();
+    }
+
+    /** Whether the call waits a short time longer for shared parts that are being prefilled for another call. */
+    private isAwaitingParts(choice: callPlacements.Placement): boolean {
+        const now = this.ports.clock.now();
+        return choice.kind === "server" && this.subject.attempts === 0
+            && now - this.startedAt < MAXIMUM_PREFILL_WAIT_MS
+            && this.subject.admission.cache.isBeingPrefilled(choice.candidate, now);
+    }
+
+    /** Time until which the call waits for a server. */
+    private waitEndsAt(now: number): number {
+        const { admission: { route, deadlineAt }, arrivedAt, executedAttempts, lastProgressAt } = this.subject;
+        return waitLimits.waitEndsAt({
+            kind: route.kind,
+            arrivedAt,
+            deadlineAt,
+            executedAttempts,
+            lastProgressAt,
+            targetLatencyMs: route.targetLatencyMs,
+            targetGapMs: route.targetGapMs,
+        }, now);
+    }
+
+    private refuse(refusal: callRefusals.CallRefusal): void {
+        this.outcome.refuse(refusal);
+        this.resolve(undefined);
+    }
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -3,56 +3,24 @@
 import * as catalogue from "../catalogue/failures.js";
 import type * as event from "../core/event.js";
 import type * as failure from "../core/failure.js";
-import type * as fleet from "../fleet/types.js";
-import type * as prefills from "../placement/prefills.js";
-import type * as serverLoads from "../placement/server-load.js";
-import type * as placement from "../placement/types.js";
 import * as attemptKinds from "./attempt-kinds.js";
+import * as attemptRecords from "./attempt-record.js";
 import * as discards from "./body-discard.js";
 import * as admissions from "./call-admission.js";
 import * as callAttempts from "./call-attempt.js";
 import type * as callPlacements from "./call-placement.js";
+import * as callRefusals from "./call-refusal.js";
+import * as callWaits from "./call-wait.js";
 import * as callerResponses from "./caller-response.js";
 import * as memoryOwners from "./memory-owner.js";
-import type * as promptCacheAccess from "./prompt-cache-access.js";
+import * as placedCalls from "./placed-call.js";
 import * as retries from "./retry-decision.js";
 import type * as types from "./types.js";
 import * as uploads from "./upload.js";
-import * as waitLimits from "./wait-limit.js";
 
-/** Retry delay in milliseconds for the caller, by the reason why no server is available. */
-const RETRY_AFTER_MS: Readonly<Record<placement.UnplacedReason, number>> = {
-    "no-server": 500,
-    "all-suspected": 400,
-    "all-outdated": 500,
-    "all-moving": 300,
-    "all-limited": 500,
-    "all-paused": 300,
-    "all-full": 400,
-};
-const RETRY_AFTER_REJECTION_MS = 300;
-const RETRY_AFTER_TRIAL_MS = 400;
-/**
- * Time in milliseconds for which a server is excluded after a mismatch. A server that was replaced leaves the registry
- * within seconds.
- */
-const MISMATCH_EXCLUSION_MS = { weights: 200, server: 5000 } as const;
-
-/** Longest wait in milliseconds for shared parts that another call prefills. Prefilling them takes about as long. */
-const MAXIMUM_PREFILL_WAIT_MS = 350;
-const PREFILL_POLL_MS = 40;
 /** Interval in milliseconds at which an answer that is delivered after the deadline is checked. */
 const LATE_ANSWER_POLL_MS = 100;
 
-/** A call that is counted at the server that was chosen for it, from the moment of the choice on. */
-interface PlacedCall extends Disposable {
-    readonly choice: callPlacements.ServerChoice;
-    readonly cacheLookup: promptCacheAccess.CacheLookup;
-    readonly uncachedTokens: number;
-    readonly load: serverLoads.PlacedCall;
-    readonly prefill: prefills.PrefillHandle;
-}
-
 /** Ports of a call, and of the connection on which it arrived. */
 export type CallContext = types.CallPorts & callerResponses.CallerResponsePorts;
 
@@ -124,7 +92,7 @@
     /** Runs one attempt, and gives back what was reserved for it however it ends. */
     private async runPlaced(
         admission: admissions.Admission,
-        placed: PlacedCall,
+        placed: placedCalls.PlacedCall,
     ): Promise<callAttempts.AttemptResult | undefined> {
         try {
             using _placed = placed;
@@ -234,187 +202,34 @@
     }
 
     /** Waits until a server is available for the call. Undefined if the call was refused or cancelled. */
-    private async waitForServer(admission: admissions.Admission): Promise<PlacedCall | undefined> {
-        const queue = this.ports.queues.of(admission.service);
-        const firstChoice = await this.chooseAfterPrefill(admission);
-        if (firstChoice.kind === "server" && queue.size === 0 || this.isFinished) {
-            return firstChoice.kind === "server" && !this.isFinished
-                ? this.place(admission, firstChoice)
-                : undefined;
-        }
-        if (firstChoice.kind === "quarantined") {
-            this.refuseQuarantined(admission, firstChoice.fingerprint, firstChoice.retryAfterMs);
-            return undefined;
-        }
-        const now = this.ports.clock.now();
-        const timeoutAt = this.waitEndsAt(admission, now);
-        if (
-            firstChoice.kind === "none" && this.executedAttempts === 0 && now + (firstChoice.pauseMs ?? 0) > timeoutAt
-        ) {
-            this.refuseUnplaced(admission, firstChoice.reason, firstChoice.pauseMs);
-            return undefined;
-        }
-        let reason = firstChoice.kind === "none" ? firstChoice.reason : "all-full";
-        this.log("call-waits", {
-            reason,
-            waiting: queue.size,
-            service: admission.service,
-            limitMs: Math.round(timeoutAt - now),
-        });
-        return new Promise((resolve, reject) => {
-            const queuedCall = {
-                priority: admissions.priorityOf(admission),
-                arrivedAt: this.arrivedAt,
-                timeoutAt,
-                requirements: admission.placement.triedServers.size === 0 && this.ports.suspects.isEmpty
-                    ? admission.head.model ?? ""
-                    : undefined,
-                tryPlace: () => {
-                    if (this.isFinished) {
-                        resolve(undefined);
-                        return true;
-                    }
-                    const choice = admission.placement.choose();
-                    if (choice.kind === "quarantined") {
-                        this.refuseQuarantined(admission, choice.fingerprint, choice.retryAfterMs);
-                        resolve(undefined);
-                        return true;
-                    }
-                    if (choice.kind === "none") {
-                        reason = choice.reason;
-                        return false;
-                    }
-                    resolve(this.place(admission, choice));
-                    return true;
-                },
-                onTimeout: () => {
-                    this.refuseUnplaced(admission, reason);
-                    resolve(undefined);
-                },
-                onError: reject,
-            };
-            this.interrupt = () => {
-                queue.remove(queuedCall);
-                resolve(undefined);
-            };
-            this.ports.queues.enqueue(admission.service, queuedCall);
-        });
-    }
-
-    /** Time until which the call waits for a server. */
-    private waitEndsAt(admission: admissions.Admission, now: number): number {
-        return waitLimits.waitEndsAt(
-            {
-                kind: admission.route.kind,
-                arrivedAt: this.arrivedAt,
-                deadlineAt: admission.deadlineAt,
-                executedAttempts: this.executedAttempts,
-                lastProgressAt: this.callerResponse.lastEventAt ?? this.arrivedAt,
-                targetLatencyMs: admission.route.targetLatencyMs,
-                targetGapMs: admission.route.targetGapMs,
+    private async waitForServer(admission: admissions.Admission): Promise<placedCalls.PlacedCall | undefined> {
+        const wait = new callWaits.CallWait<placedCalls.PlacedCall>(this.ports, {
+            admission,
+            arrivedAt: this.arrivedAt,
+            attempts: this.attempts,
+            executedAttempts: this.executedAttempts,
+            lastProgressAt: this.callerResponse.lastEventAt ?? this.arrivedAt,
+            log: this.log,
+        }, {
+            place: choice => {
+                return placedCalls.place(this.ports, { admission, choice, attempt: ++this.attempts, log: this.log });
             },
-            now,
-        );
-    }
-
-    /** Chooses a server, after a short wait for shared parts that are being prefilled for another call. */
-    private async chooseAfterPrefill(admission: admissions.Admission): Promise<callPlacements.Placement> {
-        let choice = admission.placement.choose();
-        const startedAt = this.ports.clock.now();
-        let waitedMs = 0;
-        while (
-            choice.kind === "server" && this.attempts === 0 && !this.isFinished && waitedMs < MAXIMUM_PREFILL_WAIT_MS
-        ) {
-            if (!admission.cache.isBeingPrefilled(choice.candidate, this.ports.clock.now())) {
-                break;
-            }
-            await this.ports.clock.sleep(PREFILL_POLL_MS);
-            waitedMs = Math.round(this.ports.clock.now() - startedAt);
-            choice = admission.placement.choose();
-        }
-        if (waitedMs > 0) {
-            this.log("call-waits", { reason: "part-being-read", service: admission.service, waitedMs });
-        }
-        return choice;
-    }
-
-    /** `pauseMs` is the time in milliseconds for which no server takes calls, if known. */
-    private refuseUnplaced(
-        admission: admissions.Admission,
-        reason: placement.UnplacedReason | "on-trial",
-        pauseMs = 0,
-    ): void {
-        if (this.executedAttempts === 0) {
-            this.refund(admission);
-            const retryAfterMs = pauseMs + (reason === "on-trial" ? RETRY_AFTER_TRIAL_MS : RETRY_AFTER_MS[reason]);
-            this.refuse("no-server-available", reason, retryAfterMs);
-            return;
-        }
-        this.refuse("call-outcome-unknown", `no server for another attempt: ${reason}`);
+            refuse: refusal => this.refuseUnplaced(admission, refusal),
+        });
+        this.interrupt = () => wait.cancel();
+        return await wait.run();
     }
 
-    private refuseQuarantined(admission: admissions.Admission, fingerprint: string, retryAfterMs: number): void {
-        if (this.executedAttempts === 0) {
+    private refuseUnplaced(admission: admissions.Admission, refusal: callRefusals.CallRefusal): void {
+        if (refusal.refunds) {
             this.refund(admission);
-            this.refuse("call-quarantined", fingerprint, retryAfterMs);
-            return;
         }
-        this.refuse("call-outcome-unknown", `calls like it crash servers: ${fingerprint}`);
-    }
-
-    /**
-     * Counts the call at its server at once: the calls of one pass of the queue are placed one after the other, and each
-     * has to see those before it.
-     */
-    private place(admission: admissions.Admission, choice: callPlacements.ServerChoice): PlacedCall {
-        const now = this.ports.clock.now();
-        const { head, service } = admission;
-        const { candidate } = choice;
-        this.attempts++;
-        admission.placement.triedServers.add(candidate.server.id);
-        const budget = this.ports.retryBudgets.of(service, now);
-        if (this.attempts === 1) {
-            budget.recordRequest(now);
-        }
-        const cacheLookup = admission.cache.lookUp(candidate, choice.isPreferred, now);
-        const uncachedTokens = Math.max(0, head.promptTokens - cacheLookup.cachedTokens);
-        this.log("call-placed", {
-            backendServer: candidate.server.id,
-            attempt: this.attempts,
-            costMs: Math.round(choice.costMs),
-            isHome: choice.isPreferred,
-            calls: candidate.calls,
-            unreadTokens: Math.round(candidate.pendingPromptTokens),
-            cachedTokens: cacheLookup.cachedTokens,
-            part: admission.cache.lastSharedPartId,
-            fetchFrom: cacheLookup.plan?.fetchFrom,
-            saves: cacheLookup.plan?.saveTo !== undefined,
-            weights: candidate.weightsVersion,
-            serverLimit: this.ports.serverLimits.limitOf(candidate.server.id),
-            configuration: this.ports.view.routingTable?.configuration.version,
-            serversRevision: this.ports.view.serversRevision,
-        });
-        this.ports.serverLimits.recordRequest(candidate.server.id, now);
-        this.ports.demand.record(service, uncachedTokens, head.promptTokens, now);
-        const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
-        // Nothing after this may throw, since the call would then count at its server without an owner.
-        const load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
-        return {
-            choice,
-            cacheLookup,
-            uncachedTokens,
-            load,
-            prefill,
-            [Symbol.dispose]: () => {
-                prefill[Symbol.dispose]();
-                load[Symbol.dispose]();
-            },
-        };
+        this.refuse(refusal.failure, refusal.detail, refusal.retryAfterMs);
     }
 
     private async runAttempt(
         admission: admissions.Admission,
-        { choice, cacheLookup, uncachedTokens, load, prefill }: PlacedCall,
+        { choice, cacheLookup, uncachedTokens, load, prefill }: placedCalls.PlacedCall,
     ): Promise<callAttempts.AttemptResult | undefined> {
         const { candidate } = choice;
         const attempt = new callAttempts.CallAttempt(this.ports, {
@@ -431,7 +246,7 @@
             prefillQueueTokens: candidate.pendingPromptTokens + uncachedTokens,
             cacheScope: cacheLookup.scope,
             cachePlan: cacheLookup.plan,
-            onBegun: () => this.onBegun(admission),
+            onBegun: () => attemptRecords.recordBegun(this.ports, admission),
             isRepeated: this.attempts > 1,
             hasAttemptLeft: this.executedAttempts + 1 < admission.route.maximumAttempts,
         });
@@ -444,8 +259,8 @@
         this.isAttempting = true;
         try {
             const result = await attempt.run();
-            this.recordOutcome(admission, candidate.server, attempt, result);
-            await this.reportLoss(admission, choice, result);
+            attemptRecords.recordOutcome(this.ports, admission, candidate.server, attempt, result);
+            await attemptRecords.reportLoss(this.ports, admission, candidate.server, result);
             return result;
         }
         catch (error) {
@@ -458,49 +273,6 @@
         }
     }
 
-    /** Counts the attempt for the rollout of its service, if there is one. */
-    private recordOutcome(
-        admission: admissions.Admission,
-        server: fleet.BackendServer,
-        attempt: callAttempts.CallAttempt,
-        result: callAttempts.AttemptResult | undefined,
-    ): void {
-        const end = result === undefined ? "abandoned" : attemptKinds.OUTCOME_ENDS[result.kind];
-        if (end !== undefined) {
-            const now = this.ports.clock.now();
-            this.ports.rollouts.record({
-                service: admission.service,
-                softwareVersion: server.softwareVersion,
-                route: admission.route.name,
-                server: server.id,
-                end,
-                times: attempt.times(now),
-            }, now);
-        }
-    }
-
-    /** A server that has begun to answer did not crash of the call. */
-    private onBegun(admission: admissions.Admission): void {
-        const { suspects, clock } = this.ports;
-        if (!suspects.isEmpty) {
-            suspects.recordAnswer(admission.fingerprints.all, { now: clock.now(), wallTime: clock.wallTime() });
-        }
-        admission.placement.endTrial();
-    }
-
-    /** Accuses the call if its server crashed before it began to answer. */
-    private async reportLoss(
-        admission: admissions.Admission,
-        choice: callPlacements.ServerChoice,
-        result: callAttempts.AttemptResult | undefined,
-    ): Promise<void> {
-        if (result?.kind === "broken" && !result.hasBegun) {
-            const trials = admission.placement.trialSuspects;
-            const lostCall = { fingerprints: admission.fingerprints.all, trials };
-            await this.ports.crashes.report(choice.candidate.server, lostCall);
-        }
-    }
-
     /** Handles an attempt without a usable response. Returns true if the call is to be retried. */
     private handleFailedAttempt(
         admission: admissions.Admission,
@@ -514,7 +286,7 @@
         const wasUnexecuted = attemptKinds.UNEXECUTED_KINDS.has(result.kind);
         this.executedAttempts += wasUnexecuted ? 0 : 1;
         this.unexecutedAttempts += wasUnexecuted ? 1 : 0;
-        this.updateServerHealth(choice.candidate.server, result, now);
+        attemptRecords.updateServerHealth(this.ports, choice.candidate.server, result, this.log);
         const budget = this.ports.retryBudgets.of(admission.service, now);
         const decision = retries.decide(result.kind, {
             kind: admission.route.kind,
@@ -549,27 +321,6 @@
         return false;
     }
 
-    private updateServerHealth(server: fleet.BackendServer, result: callAttempts.AttemptResult, now: number): void {
-        if (result.kind === "not-executed") {
-            if (result.mismatch !== undefined) {
-                this.ports.view.recordMismatch(server.id, now + MISMATCH_EXCLUSION_MS[result.mismatch]);
-            }
-            if (result.mismatch === "server") {
-                this.ports.view.recordAbsence(server);
-            }
-            return;
-        }
-        if (attemptKinds.BLAMELESS_KINDS.has(result.kind)) {
-            return;
-        }
-        if (result.kind === "server-failure") {
-            this.ports.serverHealth.recordResponse(server.id, true, now);
-            return;
-        }
-        const pauseMs = Math.round(this.ports.serverHealth.recordUnreachable(server.id, now));
-        this.log("server-suspected", { backendServer: server.id, pauseMs, reason: result.reason });
-    }
-
     private failCall(
         admission: admissions.Admission,
         decision: retries.RetryDecision,
@@ -581,7 +332,7 @@
         }
         if (decision === "fail-not-run" && !this.callerResponse.hasStarted) {
             this.refund(admission);
-            this.refuse("call-turned-away", result.reason, RETRY_AFTER_REJECTION_MS);
+            this.refuse("call-turned-away", result.reason, callRefusals.RETRY_AFTER_REJECTION_MS);
             return;
         }
         this.refuse("call-outcome-unknown", result.reason);
@@ -615,7 +366,7 @@
             this.refuse(
                 "no-server-available",
                 "no server before the deadline of the call",
-                RETRY_AFTER_REJECTION_MS,
+                callRefusals.RETRY_AFTER_REJECTION_MS,
             );
         }
         else {
@@ -705,7 +456,7 @@
         this.memory = undefined;
     }
 
-    private log(name: event.EventName, fields: event.Fields): void {
+    private readonly log = (name: event.EventName, fields: event.Fields): void => {
         this.ports.journal.emit(name, { call: this.callerResponse.callId, ...fields });
-    }
+    };
 }
--- a/test/forwarding/call-queue.test.ts
+++ b/test/forwarding/call-queue.test.ts
@@ -111,3 +111,59 @@
     queue.dispatch(100);
     assert.deepEqual(timedOut, ["one", "two"]);
 });
+
+testing.test("weights update: a call that waits for shared parts is seen, blocks no other, and is not tried before", () => {
+    const queue = new callQueues.CallQueue();
+    const tried: string[] = [];
+    const enqueue = (name: string, waitsForServer: boolean, readyAt: number) => {
+        queue.enqueue({
+            priority: 0,
+            arrivedAt: tried.length,
+            timeoutAt: waitsForServer ? 1000 : Infinity,
+            requirements: waitsForServer ? "menu" : undefined,
+            waitsForServer,
+            isReady: now => now >= readyAt,
+            tryPlace: () => {
+                tried.push(name);
+                return false;
+            },
+            onTimeout: () => undefined,
+            onError: () => undefined,
+        });
+    };
+    enqueue("waits for parts", false, 40);
+    enqueue("waits for a server", true, 0);
+    assert.deepEqual([queue.size, queue.waitingForServer], [2, 1]);
+    queue.dispatch(20);
+    assert.deepEqual(tried, ["waits for a server"]);
+    queue.dispatch(40);
+    assert.deepEqual(tried, ["waits for a server", "waits for parts", "waits for a server"]);
+});
+
+testing.test("guards against a pass that keeps calls which were removed, or loses those that were added, during it", () => {
+    const queue = new callQueues.CallQueue();
+    const placed: string[] = [];
+    const call = (name: string, onTry: () => boolean): callQueues.QueuedCall => ({
+        priority: 0,
+        arrivedAt: 0,
+        timeoutAt: 1000,
+        requirements: undefined,
+        tryPlace: () => {
+            placed.push(name);
+            return onTry();
+        },
+        onTimeout: () => undefined,
+        onError: () => undefined,
+    });
+    const cancelled = call("cancelled", () => false);
+    queue.enqueue(call("first", () => {
+        queue.remove(cancelled);
+        queue.enqueue(call("added", () => true));
+        return true;
+    }));
+    queue.enqueue(cancelled);
+    queue.dispatch(10);
+    assert.deepEqual([placed, queue.size], [["first"], 1]);
+    queue.dispatch(20);
+    assert.deepEqual([placed, queue.size], [["first", "added"], 0]);
+});
