Divide the links of cache stores by the traffic of the entries

Each entry had an equal share of a store's link, whatever its traffic. Callers are spread by a hash over entries of different sizes, so that busy entries ran out of their share and had servers read parts again that a store holds. The share now follows the totals that heartbeats carry for the quotas, where the deployment has contended servers.

Test: test/quota/traffic-share.test.ts, a replay of 31 uneven entries.

--- a/src/placement/transfer-budget.ts
+++ b/src/placement/transfer-budget.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: after new weights no store has any part, so that every call with a prompt saves its parts. The servers
  * of a large deployment then ask for more than the links of its stores carry; transfers queue for seconds, and with them
- * the calls whose parts are fetched. Each entry spends only its share of a link, which needs no communication. Fetches
+ * the calls whose parts are fetched. Each entry spends only its share of a link, without asking the others. Fetches
  * take precedence: they replace prefill that is certain, whereas a save pays off only if the part is used again.
  */
 import type * as fleet from "../fleet/types.js";
@@ -24,8 +24,15 @@
 export class TransferBudget {
     private readonly budgets = new Map<string, Budget>();
 
-    /** `entryCount` is the number of entries that share the links, this one included. */
-    constructor(private readonly entryCount: (now: number) => number) {}
+    private readonly share: (now: number) => number;
+
+    /**
+     * `entryCount` is the number of entries that share the links, this one included; `share` is the part of a link that
+     * this entry may use, an equal one by default.
+     */
+    constructor(entryCount: (now: number) => number, share?: (now: number) => number) {
+        this.share = share ?? (now => 1 / Math.max(1, entryCount(now)));
+    }
 
     /** Whether parts may be fetched from the store now; if so, their tokens are spent. */
     admitFetch(store: fleet.CacheStore, tokens: number, now: number): boolean {
@@ -39,7 +46,7 @@
 
     /** Spends the tokens if the level is at least `requiredMs` of this entry's share of the link. */
     private spend(store: fleet.CacheStore, tokens: number, requiredMs: number, now: number): boolean {
-        const tokensPerMs = store.linkTokensPerMs * USABLE_SHARE / Math.max(1, this.entryCount(now));
+        const tokensPerMs = store.linkTokensPerMs * USABLE_SHARE * this.share(now);
         const budget = this.budgets.get(store.address) ?? { level: BURST_MS * tokensPerMs, updatedAt: now };
         this.budgets.set(store.address, budget);
         const gained = (now - budget.updatedAt) * tokensPerMs;
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -27,6 +27,7 @@
 import * as refusalRecords from "../quarantine/refusal-record.js";
 import * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import * as ledgers from "../quota/ledger.js";
+import * as trafficShares from "../quota/traffic-share.js";
 import * as rolloutStatuses from "../rollout/rollout-statuses.js";
 import * as serviceRollouts from "../rollout/service-rollouts.js";
 import type * as copies from "../store-access/kind-copy.js";
@@ -85,6 +86,7 @@
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
     private readonly view: views.FleetView;
     private readonly quotas: ledgers.QuotaLedger;
+    private readonly trafficShare: trafficShares.TrafficShare;
     private readonly queues: serviceQueues.ServiceQueues;
     private readonly connectionPool = new connectionPools.ConnectionPool();
     private readonly rollouts: serviceRollouts.ServiceRollouts;
@@ -137,6 +139,7 @@
             ...silence,
             overdraftTokens: settings.quotaSlackTokens * OVERDRAFT_SHARE,
         });
+        this.trafficShare = new trafficShares.TrafficShare(settings.name, now => this.quotas.entryCount(now));
         this.queues = new serviceQueues.ServiceQueues(clock);
         this.suspects = new suspectTrackers.SuspectTracker({
             journal,
@@ -180,7 +183,10 @@
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
             demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
-            transferBudget: new transferBudgets.TransferBudget(now => this.quotas.entryCount(now)),
+            transferBudget: new transferBudgets.TransferBudget(
+                now => this.quotas.entryCount(now),
+                settings.capabilities.contendedServers ? now => this.trafficShare.share(now) : undefined,
+            ),
             serverHealth: health,
             latencyEstimates: new latencyEstimates.LatencyEstimates(),
             quotas: this.quotas,
@@ -359,7 +365,7 @@
     private renderMetrics(): string {
         const waitingAnswers = `ibisstep_answers_waiting_for_callers ${this.server.waitingAnswers}\n`;
         return this.meter.render() + this.renderCopyAges() + this.memory.renderMetrics() + waitingAnswers
-            + this.server.renderMetrics();
+            + this.server.renderMetrics() + `ibisstep_traffic_share ${this.trafficShare.share(this.clock.now())}\n`;
     }
 
     /** Times since the store last confirmed the copies, in the Prometheus text format. */
@@ -483,13 +489,15 @@
 
     private composeHeartbeat(sequence: number, now: number): peering.Heartbeat {
         const changes = Object.values(this.watches).map(watch => [watch.kind, watch.copy.lastChange] as const);
+        const spentTokens = this.quotas.spending();
+        this.trafficShare.apply(this.settings.name, this.incarnation, spentTokens, now);
         return {
             member: this.member,
             incarnation: this.incarnation,
             sequence,
             isLeaving: this.isDraining,
             lastChanges: Object.fromEntries(changes),
-            spentTokens: this.quotas.spending(),
+            spentTokens,
             serverLoads: this.serverLoad.snapshot(),
             prefills: this.prefills.snapshot(now),
             savedParts: this.cacheIndex.announcedSaves(now),
@@ -508,6 +516,7 @@
         const { name, role } = heartbeat.member;
         if (role === "entry") {
             this.quotas.applyPeerSpending(name, heartbeat.incarnation, heartbeat.spentTokens, now);
+            this.trafficShare.apply(name, heartbeat.incarnation, heartbeat.spentTokens, now);
             this.serverLimits.applyPeer(name, heartbeat.incarnation, heartbeat.serverLimits, now);
             this.serverLoad.applyPeer(name, heartbeat.serverLoads, now);
             this.prefills.applyPeer(name, heartbeat.prefills, now);
