Read the answers of servers into one buffer, of 16 KB a read

What callers would have seen: an entry with 200 MB of which 150 callers read nothing of large answers reached 197 to 221 MB on x86-64 (test/platform/unread-answers), so that the platform would end it with all their calls.

Cause, traced with samples every 50 ms: reserved answers are not what fills the memory. Each read of a connection to a server allocates 64 KB, and the parser copies the body out of it into a buffer of its own; both stay until the runtime collects them, which it does when they have grown by half of its heap limit (48 MB): buffers of 83 to 98 MB at the peak against 25 to 50 MB after a collection. The C library keeps the freed blocks of many sizes besides (97 to 102 MB of its heap resident). An answer that is paused holds 64 KB at least.

Change: the connections of the pool are read into one shared buffer of 16 KB, from which the parser copies at once.

--- a/src/forwarding/connection-pool.ts
+++ b/src/forwarding/connection-pool.ts
@@ -4,18 +4,48 @@
 
 /** Maximum number of idle connections per server. Connections above it are opened under load and closed after use. */
 const MAXIMUM_IDLE_PER_SERVER = 24;
+/** Bytes that one read takes from a connection; an answer that nobody reads holds as many at least. */
+const READ_BYTES = 16 * 1024;
+/** Buffer of all reads; its content is valid until the read has been passed on. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BYTES);
 
-/** Agent whose connections may fail after the response, when no call listens for errors any more. */
+/**
+ * Agent whose connections may fail after the response, when no call listens for errors any more. They are read into one
+ * buffer, which the parser of the runtime copies from at once. By default each read allocates 64 KB, which stay in memory
+ * until they are collected.
+ */
 class PoolAgent extends http.Agent {
     override createConnection(
-        ...parameters: Parameters<http.Agent["createConnection"]>
+        options: http.ClientRequestArgs,
+        ...rest: Tail<Parameters<http.Agent["createConnection"]>>
     ): ReturnType<http.Agent["createConnection"]> {
-        const connection = super.createConnection(...parameters);
+        const onread: net.OnReadOpts = {
+            buffer: READ_BUFFER,
+            callback: bytes => {
+                deliver(connection as net.Socket, READ_BUFFER.subarray(0, bytes));
+                return true;
+            },
+        };
+        const withBuffer: http.ClientRequestArgs & { readonly onread: net.OnReadOpts; } = { ...options, onread };
+        const connection = super.createConnection(withBuffer, ...rest);
         connection?.on("error", () => undefined);
         return connection;
     }
 }
 
+type Tail<List extends readonly unknown[]> = List extends [unknown, ...infer Rest] ? Rest : never;
+
+/** Passes on bytes that are valid during this call only. */
+function deliver(socket: net.Socket, bytes: Buffer): void {
+    if (socket.listenerCount("data") > 0 && socket.readableFlowing === true && socket.readableLength === 0) {
+        socket.emit("data", bytes);
+    }
+    else {
+        // Nobody takes them now, such as between two calls.
+        socket.push(Buffer.from(bytes));
+    }
+}
+
 /** Keep-alive agent that closes an idle connection when it receives unsolicited data. */
 class KeepAliveAgent extends PoolAgent {
     private readonly idleDataListeners = new WeakMap<net.Socket, () => void>();
