Keep the requests to cold servers within their rate, over all entries together

A server is cold for some seconds after a start during traffic, or whenever it becomes so again, and breaks if all entries find it idle at once. Records, health answers, starts and ends of evacuations tell that it is cold (cold-servers.ts). Heartbeats come too late for a bound that holds in each second, so each entry has a fixed part of the rate, spread over the slots of its limits (cold-rate.ts); the lower one of a server's two limits decides. Only with the capability for placement constraints.

A record whose cold time is not a number names no server, as for the other fields.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -57,6 +57,14 @@
     readonly defaultCallTokens: number;
 }
 
+/** How the servers of a service have to be treated after a start. */
+export interface ColdStart {
+    /** Time in milliseconds after its start during which a server is cold. */
+    readonly durationMs: number;
+    /** Requests a second that a cold server takes from all entries together; undefined if any number. */
+    readonly requestsPerSecond: number | undefined;
+}
+
 /** Properties of the inference engines of a service. */
 export interface Engine {
     /** Calls that one engine runs at once. */
@@ -70,6 +78,8 @@
     readonly name: string;
     /** Maximum number of connections that one server accepts from all clients together. */
     readonly maximumConnections: number;
+    /** Undefined if its servers are never cold. */
+    readonly coldStart?: ColdStart | undefined;
     /** Undefined for an HTTP service without inference engines. */
     readonly engine: Engine | undefined;
 }
@@ -119,6 +129,10 @@
     readonly softwareVersion: string | undefined;
     /** Loaded weights version by model. */
     readonly weights: ReadonlyMap<string, number>;
+    /** Time in milliseconds for which the server stays cold, from when it wrote its record; undefined if it says nothing. */
+    readonly coldRemainingMs?: number | undefined;
+    /** Revision of the record, which tells an unchanged statement from a new one. */
+    readonly revision?: number | undefined;
 }
 
 /** The weights version of a model that the servers are to load. */
--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -179,6 +179,7 @@
         // A server also misdirects calls that expect other weights; without its identity it may be another server.
         if (status !== responseFaults.MISDIRECTED_REQUEST || responseHead.serverId === serverId) {
             this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
+            this.ports.coldServers?.recordResponse(serverId, responseHead.coldMs, now);
             this.recordNotices(status, responseHead, now);
         }
         if (responseHead.isNotExecuted || status === responseFaults.MISDIRECTED_REQUEST) {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -27,6 +27,7 @@
     "all-outdated": 500,
     "all-moving": 300,
     "all-limited": 500,
+    "all-cold": 300,
     "all-paused": 300,
     "all-full": 400,
 };
@@ -390,11 +391,13 @@
             fetchFrom: cacheLookup.plan?.fetchFrom,
             saves: cacheLookup.plan?.saveTo !== undefined,
             weights: candidate.weightsVersion,
+            isCold: candidate.isCold === true ? true : undefined,
             serverLimit: this.ports.serverLimits.limitOf(candidate.server.id),
             configuration: this.ports.view.routingTable?.configuration.version,
             serversRevision: this.ports.view.serversRevision,
         });
         this.ports.serverLimits.recordRequest(candidate.server.id, now);
+        this.ports.coldServers?.recordTraffic();
         this.ports.demand.record(service, uncachedTokens, head.promptTokens, now);
         const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
         // Nothing after this may throw, since the call would then count at its server without an owner.
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -39,6 +39,8 @@
     readonly retryAfterMs: number | undefined;
     /** Requests a second that the server takes from all entries together; undefined while it names no limit. */
     readonly requestsPerSecond: number | undefined;
+    /** Time in milliseconds for which the server stays cold; undefined if the response does not tell. */
+    readonly coldMs?: number | undefined;
 }
 
 export interface Dialect {
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -2,6 +2,7 @@
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
 import type * as peering from "../peering/types.js";
+import type * as coldServers from "../placement/cold-servers.js";
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
@@ -23,6 +24,8 @@
     readonly serverLoad: serverLoads.ServerLoadTracker;
     readonly serverLimits: Pick<serverLimits.ServerLimits, "stateOf" | "retain">;
     readonly serverHealth: serverHealth.ServerHealth;
+    /** Undefined where no server is ever cold. */
+    readonly coldServers?: Pick<coldServers.ColdServers, "isCold"> | undefined;
 }
 
 export class FleetView {
@@ -168,6 +171,7 @@
             isSuspected: isDead || this.ports.serverHealth.isSuspected(server.id, now),
             pauseMs: this.notices.remainingPauseMs(server, now),
             limit: this.ports.serverLimits.stateOf(server.id, now),
+            isCold: this.ports.coldServers?.isCold(server.id, now) === true,
             failureShare: this.ports.serverHealth.failureShare(server.id, now),
         };
     }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -4,6 +4,7 @@
 import type * as fleet from "../fleet/types.js";
 import type * as budgets from "../memory/budget.js";
 import type * as cacheIndexes from "../placement/cache-index.js";
+import type * as coldServers from "../placement/cold-servers.js";
 import type * as demands from "../placement/demand.js";
 import type * as latencyEstimates from "../placement/latency-estimates.js";
 import type * as prefills from "../placement/prefills.js";
@@ -56,6 +57,8 @@
     readonly view: views.FleetView;
     readonly serverLoad: serverLoads.ServerLoadTracker;
     readonly serverLimits: serverLimits.ServerLimits;
+    /** Undefined where no server is ever cold. */
+    readonly coldServers?: coldServers.ColdServers | undefined;
     readonly cacheIndex: cacheIndexes.CacheIndex;
     readonly prefills: prefills.PrefillTracker;
     readonly demand: demands.DemandEstimates;
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -27,4 +27,10 @@
             `${fields.backendServer} takes ${fields.requestsPerSecond ?? "any number of"} requests a second`,
         hint: "A server in need names a limit; its calls go to other servers, or wait.",
     },
+    "server-cold": {
+        number: 3605,
+        level: "info",
+        message: fields => `${fields.backendServer} is cold for ${fields.remainingMs} ms, by ${fields.source}`,
+        hint: "It has just started, or returns from an evacuation, and gets few calls meanwhile.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -42,6 +42,8 @@
  * time of a whole prompt.
  */
 const OUTDATED_PENALTY_MS = 150;
+/** Penalty in milliseconds for a cold server, which is slow and has no cached parts: about the prefill of a long prompt. */
+const COLD_PENALTY_MS = 150;
 /** Maximum queue of an HTTP server, relative to its slots; beyond it, a call would wait longer there than at the entry. */
 const HTTP_SERVICE_QUEUE_RATIO = 0.5;
 /** Maximum prefill time in milliseconds of the prompts queued at an engine; with more, the engine is full. */
@@ -64,6 +66,7 @@
         ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedExcludedFromMs],
         ["all-moving", candidate => !candidate.isUpdatingWeights],
         ["all-paused", candidate => candidate.pauseMs === 0],
+        ["all-cold", candidate => candidate.isCold !== true || candidate.limit !== "closed"],
         ["all-limited", candidate => candidate.limit !== "closed"],
         ["all-full", candidate => hasCapacity(candidate, request, latency)],
     ];
@@ -140,7 +143,8 @@
     const pendingUpdateMs = candidate.isUpdatePending
         ? request.expectedOutputTokens * PENDING_UPDATE_MS_PER_OUTPUT_TOKEN
         : 0;
-    const penaltiesMs = crossDataCentreMs + outdatedMs + failingMs + pendingUpdateMs;
+    const coldMs = candidate.isCold === true ? COLD_PENALTY_MS : 0;
+    const penaltiesMs = crossDataCentreMs + outdatedMs + failingMs + pendingUpdateMs + coldMs;
     return queueMs(candidate, request, latency) + prefillMs(candidate, request, latency, isPreferred) + penaltiesMs;
 }
 
--- a/src/placement/server-limits.ts
+++ b/src/placement/server-limits.ts
@@ -1,15 +1,17 @@
 /**
- * Keeps the rate of requests that a server in need names, over all entries together.
+ * Keeps the rate of requests that a server in need names, or that a cold server takes, over all entries together.
  *
  * Load pattern: many entries hold calls for the same servers, and each learns only with the next heartbeat what the others
  * sent. If each took a request that the limit allows as soon as it sees it, all would take the same one. Time is divided
  * into slots of about that delay; in each of them a server is open to a random part of the entries, so many that together
- * they send what the limit has left.
+ * they send what the limit has left. The bound of a cold server holds for each second, in which heartbeats come too late:
+ * each entry has a fixed part of it instead (cold-rate.ts). The lower one of the two limits of a server decides.
  */
 import type * as event from "../core/event.js";
 import * as hashing from "../core/hashing.js";
 import type * as peering from "../peering/types.js";
 import * as ledgers from "../quota/ledger.js";
+import * as coldRates from "./cold-rate.js";
 
 /** Time in milliseconds for which peers are told that a limit has ended. */
 const ENDED_RETENTION_MS = 5000;
@@ -23,6 +25,9 @@
 /** Requests that entries may send at the same time beyond those saved up. */
 const MAXIMUM_OVERSHOOT = 3;
 
+/** Whether a server has a limit, and whether that leaves a request for this entry now. */
+export type LimitState = "none" | "open" | "closed";
+
 interface NamedLimit {
     /** Undefined once the server names no limit any more. */
     readonly requestsPerSecond: number | undefined;
@@ -35,6 +40,16 @@
     readonly requests: number;
 }
 
+/** Limits of servers that are cold. */
+export interface ColdLimits {
+    /** Undefined for a server that is not cold, or takes any number of requests. */
+    readonly limitOf: (server: string, now: number) => coldRates.ColdLimit | undefined;
+    /** Registered entries, this one included, and whether they were read since its start. */
+    readonly registeredEntries: () => Pick<coldRates.KnownEntries, "registered" | "hasRead">;
+    /** Start of this entry in milliseconds. */
+    readonly startedAt: number;
+}
+
 export interface LimitPorts {
     readonly journal: event.Journal;
     /** Name of this entry. */
@@ -42,6 +57,8 @@
     /** Time in milliseconds in which the entries learn of each other's requests. */
     readonly slotMs: () => number;
     readonly ledger: ledgers.LedgerSettings;
+    /** Undefined where no server is ever cold. */
+    readonly cold?: ColdLimits | undefined;
 }
 
 export class ServerLimits {
@@ -68,21 +85,26 @@
         return this.limits.get(server)?.requestsPerSecond;
     }
 
-    /** Whether the server names a limit, and whether this entry may send it a request now. */
-    stateOf(server: string, now: number): "none" | "open" | "closed" {
+    /** Whether the server has a limit, and whether this entry may send it a request now. */
+    stateOf(server: string, now: number): LimitState {
         const account = this.accountOf(server);
-        if (account === undefined) {
+        const coldLimit = this.ports.cold?.limitOf(server, now);
+        if (account === undefined && coldLimit === undefined) {
             return "none";
         }
-        return this.isOpen(account, now) ? "open" : "closed";
+        const isOpen = (account === undefined || this.isOpen(account, now))
+            && (coldLimit === undefined || this.isOpenCold(server, coldLimit, now));
+        return isOpen ? "open" : "closed";
     }
 
     /** Counts a request that is sent to the server. */
     recordRequest(server: string, now: number): void {
         const account = this.accountOf(server);
-        if (account !== undefined) {
+        if (account !== undefined || this.ports.cold?.limitOf(server, now) !== undefined) {
             const { slot, requests } = this.countAt(server, now);
             this.sent.set(server, { slot, requests: requests + 1 });
+        }
+        if (account !== undefined) {
             this.ledger.charge(account, 1, now);
         }
     }
@@ -112,6 +134,11 @@
     /** Names the servers that are listed. The limits of others are dropped once they have named none for a time. */
     retain(servers: ReadonlySet<string>): void {
         this.listed = servers;
+        for (const server of this.sent.keys()) {
+            if (!servers.has(server) && !this.limits.has(server)) {
+                this.sent.delete(server);
+            }
+        }
     }
 
     private isOpen(account: ledgers.Account, now: number): boolean {
@@ -121,6 +148,23 @@
         return requests + hashing.unitHash(`${this.ports.self}\u0000${server}\u0000${slot}`) < requestsOfEntry;
     }
 
+    private isOpenCold(server: string, limit: coldRates.ColdLimit, now: number): boolean {
+        const entries = coldRates.sharingEntries({
+            ...this.ports.cold!.registeredEntries(),
+            heard: this.ledger.entryCount(now),
+            reachable: this.ledger.reachableCount(now),
+            runningMs: now - this.ports.cold!.startedAt,
+        });
+        if (entries === undefined) {
+            return false;
+        }
+        const { slot, requests } = this.countAt(server, now);
+        const slotMs = this.ports.slotMs();
+        const requestsPerSlot = coldRates.safeRate(limit, entries, slotMs) * slotMs / 1000 / entries;
+        const phase = hashing.unitHash(`${this.ports.self}\u0000${server}`);
+        return requests < coldRates.requestsInSlot(slot, requestsPerSlot, phase);
+    }
+
     /**
      * Requests that all entries together may expect to send in this slot. With a full bucket few entries have calls for the
      * server, so that it is open to more of them.
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -22,6 +22,8 @@
     readonly pauseMs: number;
     /** Whether the server names a limit of requests, and whether that leaves one for this entry now. */
     readonly limit: "none" | "open" | "closed";
+    /** The server has just started and is slow; its limit then also covers what it takes while it is cold. */
+    readonly isCold?: boolean;
     /** Share of recent calls that failed, from 0 to 1. */
     readonly failureShare: number;
 }
@@ -66,6 +68,7 @@
     | "all-moving"
     | "all-suspected"
     | "all-limited"
+    | "all-cold"
     | "all-paused"
     | "all-full"
     | "all-outdated";
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -16,6 +16,7 @@
 import * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
 import * as cacheIndexes from "../placement/cache-index.js";
+import * as coldServers from "../placement/cold-servers.js";
 import * as demands from "../placement/demand.js";
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
@@ -80,6 +81,8 @@
     private readonly storeConnections: storeConnections.StoreConnections;
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly serverLimits: serverLimits.ServerLimits;
+    /** Undefined where no server is ever cold. */
+    private readonly coldServers: coldServers.ColdServers | undefined;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
@@ -122,16 +125,31 @@
             silenceMs: () => PEER_SILENCE_MS * this.heartbeats.periodFactor,
             expiryMs: PEER_EXPIRY_MS,
         };
+        this.coldServers = !settings.capabilities.placementConstraints ? undefined : new coldServers.ColdServers({
+            journal,
+            bounds: settings.coldBounds,
+            coldStart: service => this.view.routingTable?.configuration.services.get(service)?.coldStart,
+            isFirstStart: settings.isFirstStart,
+        });
         this.serverLimits = new serverLimits.ServerLimits({
             journal,
             self: settings.name,
             slotMs: () => (ENTRY_HEARTBEAT_MS + HEARTBEAT_TRANSIT_MS) * this.heartbeats.periodFactor,
             ledger: { ...silence, overdraftTokens: 0 },
+            cold: this.coldServers && {
+                limitOf: (server, now) => this.coldServers?.limitOf(server, now),
+                registeredEntries: () => ({
+                    registered: members.peers().filter(({ role }) => role === "entry").length + 1,
+                    hasRead: this.directory.hasRead,
+                }),
+                startedAt: this.startedAt,
+            },
         });
         this.view = new views.FleetView({
             serverLoad: this.serverLoad,
             serverHealth: health,
             serverLimits: this.serverLimits,
+            coldServers: this.coldServers,
         });
         this.quotas = new ledgers.QuotaLedger({
             ...silence,
@@ -177,6 +195,7 @@
             view: this.view,
             serverLoad: this.serverLoad,
             serverLimits: this.serverLimits,
+            coldServers: this.coldServers,
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
             demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
@@ -394,6 +413,7 @@
         const now = this.clock.now();
         const decoded = this.platform.decodeServers(copy.records(now));
         this.reportInvalid(this.platform.kinds.servers, decoded.invalid);
+        this.coldServers?.recordServers(decoded.values, { now, wallTime: this.clock.wallTime() });
         this.view.updateServers(decoded.values, now, copy.revision);
         this.rollouts.recordServers(decoded.values);
         this.connectionPool.retain(new Set(decoded.values.map(server => server.address)));
--- a/src/runtime/member-directory.ts
+++ b/src/runtime/member-directory.ts
@@ -27,9 +27,15 @@
     private readonly stop = new AbortController();
     private isRegistering = false;
     private isOutdated = false;
+    private hasReadMembers = false;
 
     constructor(private readonly self: peering.Member, private readonly ports: DirectoryPorts) {}
 
+    /** Whether the registered members were read since the start. */
+    get hasRead(): boolean {
+        return this.hasReadMembers;
+    }
+
     /**
      * Registers this process, then adds the listed members to the table; retries until both succeed. Of two processes that
      * start at the same time, at least one finds the other's record, and the other learns of it from its heartbeats.
@@ -68,6 +74,7 @@
             }
             const listing = isRegistered ? await store.list(kinds.members) : undefined;
             if (listing?.ok === true) {
+                this.hasReadMembers = true;
                 members.add(listing.value.records.map(record => record.spec).filter(isMember));
                 return;
             }
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -2,6 +2,7 @@
 import type * as fleet from "../fleet/types.js";
 import type * as dialects from "../forwarding/dialect.js";
 import type * as peering from "../peering/types.js";
+import type * as coldRates from "../placement/cold-rate.js";
 import type * as followers from "../placement/store-follower.js";
 import type * as restoration from "../store-access/restoration.js";
 import type * as storeAccess from "../store-access/types.js";
@@ -91,4 +92,9 @@
     /** Tokens per window allowed beyond rate and burst, over all entries. */
     readonly quotaSlackTokens: number;
     readonly capabilities: fleet.Capabilities;
+    /** Region of each data centre. */
+    readonly regions: ReadonlyMap<string, string>;
+    /** The process is started for the first time, together with the deployment. */
+    readonly isFirstStart: boolean;
+    readonly coldBounds: coldRates.ColdBounds;
 }
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -58,6 +58,7 @@
         ...["x", -1, 0.5, 1e308, Infinity, 2 ** 53 - 1].map(born => ({ born })),
         ...["x", { m: 1 }, [undefined], [{ name: "m" }], [{ name: 1, version: 1 }], [{ name: "m", version: 1e308 }]]
             .map(models => ({ models })),
+        ...["soon", [3000], Infinity].map(coldRemainingMs => ({ coldRemainingMs })),
         { version: 3 },
         { zone: ["one"] },
         { service: {} },
@@ -68,6 +69,32 @@
     assert.equal(decoded.invalid.length, odd.length);
 });
 
+testing.test("cold starts and cold times are decoded, and a service without them has none", () => {
+    const services = [
+        { name: "menu", coldStartS: 3, coldPerS: 16 },
+        { name: "slow", coldStartS: 2.5, coldPerS: "x" },
+        { name: "desk", coldStartS: 0, coldPerS: 0 },
+        { name: "lookup" },
+    ];
+    const [decoded] = records.decodeConfigurations([storedRecord("main", { version: 1, services })]).values;
+    assert.deepEqual([...decoded!.services.values()].map(service => service.coldStart), [
+        { durationMs: 3000, requestsPerSecond: 16 },
+        { durationMs: 2500, requestsPerSecond: undefined },
+        undefined,
+        undefined,
+    ]);
+    const { values } = records.decodeServers([
+        storedRecord("i-1", SERVER),
+        storedRecord("i-2", { ...SERVER, coldRemainingMs: 1800.5 }),
+        storedRecord("i-3", { ...SERVER, coldRemainingMs: -1 }),
+        storedRecord("i-4", { ...SERVER, coldRemainingMs: 1e300 }),
+    ]);
+    assert.deepEqual(values.map(server => server.coldRemainingMs), [undefined, 1800.5, 0, 600_000]);
+    assert.deepEqual(values.map(server => server.revision), [7, 7, 7, 7]);
+    const coldMs = ["2100", "0.5", "x", ""].map(text => dialect.decodeResponse({ "cold-ms": text }).coldMs);
+    assert.deepEqual([...coldMs, dialect.decodeResponse({}).coldMs], [2100, 0.5, undefined, undefined, undefined]);
+});
+
 testing.test("guards against times that a timer cannot wait for, and against inherited names of kinds", () => {
     const route = { hostname: "a", pathPrefix: "/a/", routeType: "idempotent", service: "s" };
     const limits = { idleTimeoutMs: -5, headerTimeoutMs: 3e9 };
--- a/test/runtime/agent-silence.test.ts
+++ b/test/runtime/agent-silence.test.ts
@@ -41,6 +41,9 @@
         retrySlack: 0,
         quotaSlackTokens: 0,
         capabilities: { placementConstraints: false, contendedServers: false },
+        regions: new Map(),
+        isFirstStart: true,
+        coldBounds: { overshootFactor: 1, slackRequests: 0 },
     };
 }
 
