--- a/src/forwarding/call-refusal.ts
+++ b/src/forwarding/call-refusal.ts
@@ -10,6 +10,7 @@
     "all-outdated": 500,
     "all-moving": 300,
     "all-limited": 500,
+    "all-cold": 300,
     "all-paused": 300,
     "all-full": 400,
     "on-trial": 400,
--- a/src/forwarding/placed-call.ts
+++ b/src/forwarding/placed-call.ts
@@ -51,11 +51,13 @@
         fetchFrom: cacheLookup.plan?.fetchFrom,
         saves: cacheLookup.plan?.saveTo !== undefined,
         weights: candidate.weightsVersion,
+        isCold: candidate.isCold === true ? true : undefined,
         serverLimit: ports.serverLimits.limitOf(candidate.server.id),
         configuration: ports.view.routingTable?.configuration.version,
         serversRevision: ports.view.serversRevision,
     });
     ports.serverLimits.recordRequest(candidate.server.id, now);
+    ports.coldServers?.recordTraffic();
     ports.demand.record(service, uncachedTokens, head.promptTokens, now);
     const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
     // Nothing after this may throw, since the call would then count at its server without an owner.
