Use the load and pace that servers state when calls are placed

Entries knew only their own calls and those in peers' heartbeats, up to some hundred milliseconds old, and nothing of machines that other programs slow down. They sent calls to servers that were full. Servers' statements are now kept by server and run, combined with the counted calls by their age, and shared in heartbeats where they tell more than the counts. A server that rejects a call is left out for a moment. Few servers that many entries share are compared two at a time. Nothing changes where servers are not contended.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -121,6 +121,18 @@
     readonly weights: ReadonlyMap<string, number>;
 }
 
+/** What a server states of itself in a response. */
+export interface StatedLoad {
+    /** Calls that the server runs. */
+    readonly running: number;
+    /** Calls in the server's queue. */
+    readonly waiting: number;
+    /** Calls that the server runs at once. */
+    readonly slots: number;
+    /** Duration of work on the server's machine at that moment, relative to the usual one; 2 is half as fast as usual. */
+    readonly pace: number;
+}
+
 /** The weights version of a model that the servers are to load. */
 export interface DesiredWeights {
     readonly model: string;
--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -3,6 +3,7 @@
 import type * as fleet from "../fleet/types.js";
 import * as jsonClient from "../http/json-client.js";
 import type * as cachePlans from "../placement/cache-plan.js";
+import * as statedLoads from "../placement/stated-load.js";
 import type * as placement from "../placement/types.js";
 import type * as callOutcomes from "../rollout/call-outcome.js";
 import * as answerReceivers from "./answer-receiver.js";
@@ -132,6 +133,10 @@
             this.finish({ kind: UNSENDABLE_CODES.has(reason) ? "unsendable" : "not-sent", reason });
             return this.result;
         }
+        const { stated } = this.input.choice.candidate;
+        if (stated !== undefined) {
+            this.ports.meter.statementUsed(admission.service, stated.ageMs);
+        }
         this.restartTimer(this.initialTimeoutMs());
         return this.result;
     }
@@ -180,6 +185,7 @@
         if (status !== responseFaults.MISDIRECTED_REQUEST || responseHead.serverId === serverId) {
             this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
             this.recordNotices(status, responseHead, now);
+            this.recordStatedLoad(status, responseHead, now);
         }
         if (responseHead.isNotExecuted || status === responseFaults.MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
@@ -342,6 +348,30 @@
         }
     }
 
+    /** Records the load that the server states. A server that misdirects a call rejects this one only. */
+    private recordStatedLoad(status: number, { load, isNotExecuted }: dialects.ResponseHead, now: number): void {
+        const { view, journal, meter, serverLoad, settings } = this.ports;
+        if (!settings.capabilities.contendedServers || status === responseFaults.MISDIRECTED_REQUEST) {
+            return;
+        }
+        const { server } = this.input.choice.candidate;
+        const ownCalls = serverLoad.ownCalls(server.id);
+        const isRejection = isNotExecuted && status === SERVICE_UNAVAILABLE;
+        const change = isRejection
+            ? view.statedLoads.recordRejection(server, load, ownCalls, now)
+            : view.statedLoads.record(server, load, ownCalls, now);
+        if (isRejection) {
+            meter.serverRejected(this.input.admission.service, load && statedLoads.isOccupied(load));
+        }
+        const { isRejecting, isSlow } = change;
+        if (isRejecting !== undefined) {
+            journal.emit("server-rejecting", { backendServer: server.id, isRejecting, ...load });
+        }
+        if (isSlow !== undefined) {
+            journal.emit("server-pace-changed", { backendServer: server.id, isSlow, ...load });
+        }
+    }
+
     private abandon(kind: retries.AttemptFailure, reason: string): void {
         this.inFlight?.abort();
         this.finish({ kind, reason });
--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -127,6 +127,7 @@
             utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
             isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
+            isContended: this.ports.settings.capabilities.contendedServers,
         };
         return selection.chooseServer(
             candidates,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -53,6 +53,10 @@
     readonly prefill: prefills.PrefillHandle;
 }
 
+function statedFields(stated: placement.Candidate["stated"]): event.Fields {
+    return stated === undefined ? {} : { pace: Number(stated.pace.toFixed(2)), statedMsAgo: Math.round(stated.ageMs) };
+}
+
 /** Ports of a call, and of the connection on which it arrived. */
 export type CallContext = types.CallPorts & callerResponses.CallerResponsePorts;
 
@@ -383,7 +387,8 @@
             attempt: this.attempts,
             costMs: Math.round(choice.costMs),
             isHome: choice.isPreferred,
-            calls: candidate.calls,
+            calls: Math.round(candidate.calls),
+            ...statedFields(candidate.stated),
             unreadTokens: Math.round(candidate.pendingPromptTokens),
             cachedTokens: cacheLookup.cachedTokens,
             part: admission.cache.lastSharedPartId,
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -39,6 +39,8 @@
     readonly retryAfterMs: number | undefined;
     /** Requests a second that the server takes from all entries together; undefined while it names no limit. */
     readonly requestsPerSecond: number | undefined;
+    /** Load of the server at the time of the response, if it states it. */
+    readonly load: fleet.StatedLoad | undefined;
 }
 
 export interface Dialect {
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -6,6 +6,7 @@
 import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
 import * as serverNotices from "../placement/server-notices.js";
+import * as statedLoads from "../placement/stated-load.js";
 import type * as placement from "../placement/types.js";
 import * as desiredVersions from "../weights/desired-versions.js";
 
@@ -20,7 +21,7 @@
 }
 
 export interface ViewPorts {
-    readonly serverLoad: serverLoads.ServerLoadTracker;
+    readonly serverLoad: Pick<serverLoads.ServerLoadTracker, "totalLoad" | "ownCalls">;
     readonly serverLimits: Pick<serverLimits.ServerLimits, "stateOf" | "retain">;
     readonly serverHealth: serverHealth.ServerHealth;
 }
@@ -44,6 +45,8 @@
 
     /** What servers stated in their responses. */
     readonly notices = new serverNotices.ServerNotices();
+    /** Loads that servers stated in their responses; empty in deployments whose servers are not contended. */
+    readonly statedLoads = new statedLoads.StatedLoads();
 
     constructor(private readonly ports: ViewPorts) {}
 
@@ -80,6 +83,7 @@
         this.ports.serverHealth.retain(ids, now);
         this.ports.serverLimits.retain(ids);
         this.notices.retain(ids);
+        this.statedLoads.retain(ids);
         retain(this.observedVersions, ids);
         retain(this.mismatchedUntil, ids);
         retain(this.reports, addresses);
@@ -153,13 +157,15 @@
         const hasLaterIncarnation = reportAtAddress !== undefined &&
             isLaterStart(reportAtAddress.startedAt, server.startedAt);
         const load = this.ports.serverLoad.totalLoad(server.id, now);
+        const counted = { total: load.calls, own: this.ports.serverLoad.ownCalls(server.id) };
+        const stated = this.statedLoads.stateOf(server, counted, now);
         const isDead = report !== undefined && !report.isAlive || hasLaterIncarnation;
         const weightsVersion = model === undefined ? undefined : this.weightsVersionOf(server, report, model);
         const history = model === undefined ? undefined : this.histories.get(model);
         return {
             // The registry lists a leaving server as ready until the server has told it, or for good.
             server: this.notices.isLeaving(server) ? { ...server, state: "draining" } : server,
-            calls: load.calls,
+            calls: stated?.calls ?? load.calls,
             pendingPromptTokens: load.pendingPromptTokens,
             weightsVersion,
             outdatedForMs: history?.outdatedForMs(weightsVersion ?? 0, now),
@@ -169,6 +175,7 @@
             pauseMs: this.notices.remainingPauseMs(server, now),
             limit: this.ports.serverLimits.stateOf(server.id, now),
             failureShare: this.ports.serverHealth.failureShare(server.id, now),
+            stated,
         };
     }
 
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -40,6 +40,10 @@
     ): void;
     /** Counts an attempt without a usable response, by how it ended and whether the server had begun to answer. */
     attemptFailed(service: string, end: string, hasBegun: boolean): void;
+    /** Counts a call that a server rejected without running it, by whether the server stated that all its slots are used. */
+    serverRejected(service: string, isOccupied: boolean | undefined): void;
+    /** Records the age of the statement from which the load of the chosen server was estimated. */
+    statementUsed(service: string, ageMs: number): void;
     /** Counts an answer that was relayed instead of buffered. */
     answerRelayed(reason: string): void;
     /** Counts a call that failed with an error response of the router. */
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -55,6 +55,19 @@
     connectionSilenceAgeMs?: number,
     /** Number of the finding. */
     connectionSilenceNumber?: number,
+    loadStatements?: readonly LoadStatementTuple[],
+];
+
+type LoadStatementTuple = readonly [
+    server: string,
+    /** 0 if unknown. */
+    startedAt: number,
+    running: number,
+    waiting: number,
+    slots: number,
+    pacePercent: number,
+    ageMs: number,
+    isRejecting: 0 | 1,
 ];
 
 type ReportTuple = readonly [
@@ -107,6 +120,7 @@
         mapValues(heartbeat.lastChanges, ({ era }) => era),
         heartbeat.connectionSilence === undefined ? NO_SILENCE : Math.round(heartbeat.connectionSilence.ageMs),
         heartbeat.connectionSilence?.number ?? 0,
+        heartbeat.loadStatements.map(encodeLoadStatement),
     ];
 }
 
@@ -152,6 +166,7 @@
         changeEras = {},
         silenceAgeMs = NO_SILENCE,
         silenceNumber = 0,
+        loadStatements = [],
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") &&
         addresses.isAddress(beatAddress)
@@ -194,6 +209,7 @@
         suspects: suspects === 0 ? entryStates.noEntryState.suspects : suspectCodec.fromTuple(suspects),
         serverLimits: serverLimits.map(decodeServerLimit),
         rollouts: rollouts.filter(isRollout),
+        loadStatements: loadStatements.map(decodeLoadStatement),
         ...Number.isFinite(silenceAgeMs) && silenceAgeMs >= 0 && Number.isFinite(silenceNumber)
             ? { connectionSilence: { number: silenceNumber, ageMs: silenceAgeMs } }
             : {},
@@ -234,6 +250,27 @@
     return { server, requestsPerSecond: rate < 0 ? undefined : rate, ageMs, requests };
 }
 
+function encodeLoadStatement({ server, startedAt, load, ageMs, isRejecting }: types.LoadStatement): LoadStatementTuple {
+    const { running, waiting, slots, pace } = load;
+    const pacePercent = Math.round(pace * 100);
+    return [server, startedAt ?? 0, running, waiting, slots, pacePercent, Math.round(ageMs), isRejecting ? 1 : 0];
+}
+
+function decodeLoadStatement(tuple: LoadStatementTuple): types.LoadStatement {
+    const [server, startedAt, running, waiting, slots, pacePercent, ageMs, isRejecting] = tuple;
+    const figures = [startedAt, running, waiting, slots, pacePercent, ageMs];
+    if (typeof server !== "string" || !figures.every(figure => Number.isFinite(figure) && figure >= 0)) {
+        throw new TypeError("a statement of unexpected types");
+    }
+    return {
+        server,
+        startedAt: startedAt === 0 ? undefined : startedAt,
+        load: { running, waiting, slots, pace: pacePercent / 100 },
+        ageMs,
+        isRejecting: isRejecting === 1,
+    };
+}
+
 function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
     const hashes = values.filter((_, index) => index % 2 === 0);
     return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -9,6 +9,7 @@
     savedParts: [],
     cacheStores: [],
     serverLimits: [],
+    loadStatements: [],
     rollouts: [],
     suspects: { records: [], trials: [] },
 } as const satisfies Partial<types.Heartbeat>;
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -1,4 +1,5 @@
 /** Messages between the processes of a deployment. */
+import type * as fleet from "../fleet/types.js";
 import type * as quarantine from "../quarantine/types.js";
 import type * as stages from "../rollout/service-stage.js";
 import type * as rollout from "../rollout/types.js";
@@ -51,6 +52,19 @@
     readonly requests: number;
 }
 
+/** What a server stated in a response to the sender a moment ago. */
+export interface LoadStatement {
+    /** Id of the server. */
+    readonly server: string;
+    /** Start of the server's run that made the statement; undefined if unknown. */
+    readonly startedAt: number | undefined;
+    readonly load: fleet.StatedLoad;
+    /** Time in milliseconds since the response. */
+    readonly ageMs: number;
+    /** With the response, the server rejected a call without running it. */
+    readonly isRejecting: boolean;
+}
+
 /** What an entry knows of the rollout of a service. */
 export interface ServiceRollout {
     readonly service: string;
@@ -140,6 +154,8 @@
     readonly suspects: quarantine.SuspectState;
     /** Limits that servers name; entries only. */
     readonly serverLimits: readonly ServerLimit[];
+    /** What servers stated a moment ago, as far as it tells more than the loads; entries only. */
+    readonly loadStatements: readonly LoadStatement[];
     /** Rollouts of services; entries only. */
     readonly rollouts: readonly ServiceRollout[];
     /** Open connections to the store were found to be silent a moment ago while new ones work. */
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -27,4 +27,20 @@
             `${fields.backendServer} takes ${fields.requestsPerSecond ?? "any number of"} requests a second`,
         hint: "A server in need names a limit; its calls go to other servers, or wait.",
     },
+    "server-rejecting": {
+        number: 3605,
+        level: "info",
+        message: fields =>
+            `${fields.backendServer} ${
+                fields.isRejecting ? "rejects calls" : "takes calls again"
+            }, pace ${fields.pace}`,
+        hint: "It runs and queues as many calls as it can, or loads weights. It is left out for a moment.",
+    },
+    "server-pace-changed": {
+        number: 3606,
+        level: "info",
+        message: fields =>
+            `${fields.backendServer} is ${fields.isSlow ? "slow" : "as fast as usual"}, pace ${fields.pace}`,
+        hint: "Other programs use its machine. Its calls go to other servers while these are faster.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -80,7 +80,13 @@
     const preferred = findPreferred(ready, request);
     const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
     const compared = spread.candidatesToCompare(
-        { eligible, preferred, busyServers: candidates.length * request.utilization, isOutdated },
+        {
+            eligible,
+            preferred,
+            busyServers: candidates.length * request.utilization,
+            isOutdated,
+            isShared: request.isContended === true && request.isHttpService,
+        },
         random,
     );
     const costs = compared.map(candidate => {
@@ -141,7 +147,22 @@
         ? request.expectedOutputTokens * PENDING_UPDATE_MS_PER_OUTPUT_TOKEN
         : 0;
     const penaltiesMs = crossDataCentreMs + outdatedMs + failingMs + pendingUpdateMs;
-    return queueMs(candidate, request, latency) + prefillMs(candidate, request, latency, isPreferred) + penaltiesMs;
+    const workMs = queueMs(candidate, request, latency) + prefillMs(candidate, request, latency, isPreferred);
+    return workMs * paceOf(candidate) + slownessMs(candidate, request, latency) + penaltiesMs;
+}
+
+/** Duration of work at the server, relative to the usual one. */
+function paceOf(candidate: types.Candidate): number {
+    return candidate.stated?.pace ?? 1;
+}
+
+/** Time by which the call itself takes longer or less long than usual at an HTTP server; that of a prompt is its prefill. */
+function slownessMs(
+    candidate: types.Candidate,
+    request: types.PlacementRequest,
+    latency: types.LatencyEstimate,
+): number {
+    return request.isHttpService ? latency.callMs * (paceOf(candidate) - 1) : 0;
 }
 
 function queueMs(candidate: types.Candidate, request: types.PlacementRequest, latency: types.LatencyEstimate): number {
@@ -177,9 +198,12 @@
     request: types.PlacementRequest,
     latency: types.LatencyEstimate,
 ): boolean {
+    if (candidate.stated?.isFull === true) {
+        return false;
+    }
     if (request.isHttpService) {
         return candidate.calls < Math.ceil(candidate.server.slots * (1 + HTTP_SERVICE_QUEUE_RATIO));
     }
     return candidate.calls < candidate.server.slots
-        && candidate.pendingPromptTokens * latency.msPerPromptToken <= MAXIMUM_ENGINE_QUEUE_MS;
+        && candidate.pendingPromptTokens * latency.msPerPromptToken * paceOf(candidate) <= MAXIMUM_ENGINE_QUEUE_MS;
 }
--- a/src/placement/server-load.ts
+++ b/src/placement/server-load.ts
@@ -70,6 +70,11 @@
         this.addToTotals(byServer, 1);
     }
 
+    /** Calls of this entry in flight at a server. */
+    ownCalls(server: string): number {
+        return this.own.get(server)?.calls ?? 0;
+    }
+
     /** Load that this entry and its peers put on a server. */
     totalLoad(server: string, now: number): peering.ServerLoad {
         this.removeSilentPeers(now);
--- a/src/placement/spread.ts
+++ b/src/placement/spread.ts
@@ -13,6 +13,8 @@
 const MINIMUM_SAMPLED = 16;
 /** Number of random servers that a call compares, beside the preferred one. */
 const SAMPLE_SIZE = 3;
+/** Number of random servers that a call compares where many entries share few servers: the power of two choices. */
+const SHARED_SAMPLE_SIZE = 2;
 /** Share of their capacity up to which updated servers are preferred to outdated ones. */
 const MAXIMUM_UPDATED_UTILIZATION = 0.7;
 
@@ -23,13 +25,15 @@
     /** Number of servers that the calls of all entries keep busy. */
     readonly busyServers: number;
     readonly isOutdated: (candidate: types.Candidate) => boolean;
+    /** The servers are few for the entries that choose among them at the same moment. */
+    readonly isShared?: boolean;
 }
 
 /** Returns the candidates to compare. `random` returns numbers in [0, 1). */
 export function candidatesToCompare(input: SpreadInput, random: () => number): readonly types.Candidate[] {
     const { eligible, preferred } = input;
     if (eligible.length < MINIMUM_SAMPLED) {
-        return eligible;
+        return input.isShared === true ? draw(eligible, SHARED_SAMPLE_SIZE, random) : eligible;
     }
     const tier = chooseTier(input, random);
     const sample = draw(tier, SAMPLE_SIZE, random);
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -1,5 +1,6 @@
 /** Inputs and result of server selection. */
 import type * as fleet from "../fleet/types.js";
+import type * as statedLoads from "./stated-load.js";
 
 /** A server's state as this entry knows it when it places a call. */
 export interface Candidate {
@@ -24,6 +25,8 @@
     readonly limit: "none" | "open" | "closed";
     /** Share of recent calls that failed, from 0 to 1. */
     readonly failureShare: number;
+    /** What the server stated a moment ago, with the estimate of its calls that `calls` has; undefined for nothing. */
+    readonly stated?: statedLoads.StatedState | undefined;
 }
 
 /** What matters about a call when its server is chosen. */
@@ -48,6 +51,8 @@
     readonly isShort: boolean;
     /** The target is an HTTP service rather than an inference engine. */
     readonly isHttpService: boolean;
+    /** Servers state their load, since they share their machines with others. */
+    readonly isContended?: boolean;
 }
 
 export type ServerIds = ReadonlySet<string>;
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -495,6 +495,7 @@
             savedParts: this.cacheIndex.announcedSaves(now),
             cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
             serverLimits: this.serverLimits.snapshot(now),
+            loadStatements: this.view.statedLoads.snapshot(now),
             rollouts: this.rollouts.snapshot(now),
             suspects: this.suspects.snapshot(sequence, { now, wallTime: this.clock.wallTime() }),
             ...this.storeConnections.snapshot(now),
@@ -510,6 +511,7 @@
             this.quotas.applyPeerSpending(name, heartbeat.incarnation, heartbeat.spentTokens, now);
             this.serverLimits.applyPeer(name, heartbeat.incarnation, heartbeat.serverLimits, now);
             this.serverLoad.applyPeer(name, heartbeat.serverLoads, now);
+            this.view.statedLoads.applyPeer(heartbeat.loadStatements, id => this.serverLoad.ownCalls(id), now);
             this.prefills.applyPeer(name, heartbeat.prefills, now);
             this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
             heartbeat.cacheStores.forEach(status => this.cacheIndex.applyStoreStatus(status, now));
--- a/src/runtime/meter.ts
+++ b/src/runtime/meter.ts
@@ -52,6 +52,15 @@
         this.count(`ibisstep_attempts_failed_total{service="${service}",end="${end}",begun="${hasBegun}"}`);
     }
 
+    serverRejected(service: string, isOccupied: boolean | undefined): void {
+        const occupied = isOccupied ?? "unknown";
+        this.count(`ibisstep_server_rejections_total{service="${service}",occupied="${occupied}"}`);
+    }
+
+    statementUsed(service: string, ageMs: number): void {
+        this.record(`ibisstep_stated_load_age_ms`, `service="${service}"`, ageMs);
+    }
+
     answerRelayed(reason: string): void {
         this.count(`ibisstep_answers_relayed_total{reason="${reason}"}`);
     }
--- a/test/peering/documents.test.ts
+++ b/test/peering/documents.test.ts
@@ -74,6 +74,7 @@
         cacheStores: [],
         rollouts: [],
         serverLimits: [],
+        loadStatements: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [],
         report: undefined,
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -33,6 +33,13 @@
         cacheStores: [{ address: "10.9.0.1:80", incarnation: "7" }, { address: "10.9.0.2:80", incarnation: undefined }],
         rollouts: [],
         serverLimits: [],
+        loadStatements: [{
+            server: "server",
+            startedAt: 5,
+            load: { running: 6, waiting: 24, slots: 6, pace: 2.5 },
+            ageMs: 20,
+            isRejecting: true,
+        }],
         suspects: { records: [], trials: [] },
         desiredWeights: [{ model: "menu", version: 2, position: { era: 1, revision: 9 } }],
         report: {
@@ -66,7 +73,10 @@
     const withoutAppended = (JSON.parse(encoded.toString()) as unknown[]).slice(0, 15);
     const decoded = codec.decode(Buffer.from(JSON.stringify(withoutAppended)));
     const lastChanges = { config: { era: 0, revision: 3 } };
-    assert.deepEqual(decoded, { heartbeat: { ...sent, savedParts: [], cacheStores: [], lastChanges }, passedOn: [] });
+    assert.deepEqual(decoded, {
+        heartbeat: { ...sent, savedParts: [], cacheStores: [], loadStatements: [], lastChanges },
+        passedOn: [],
+    });
 });
 
 testing.test("guards against datagrams of other layouts or of other senders", () => {
--- a/test/peering/malformed-messages.test.ts
+++ b/test/peering/malformed-messages.test.ts
@@ -64,6 +64,7 @@
         cacheStores: [],
         rollouts: [],
         serverLimits: [],
+        loadStatements: [],
         suspects: {
             records: [{
                 fingerprint: "part:a",
--- a/test/placement/prefills.test.ts
+++ b/test/placement/prefills.test.ts
@@ -30,6 +30,7 @@
         cacheStores: [],
         rollouts: [],
         serverLimits: [],
+        loadStatements: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [],
         report: undefined,
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -96,6 +96,22 @@
     ]);
 });
 
+testing.test("guards against statements of load that cannot be read", () => {
+    const decode = (text: string | undefined) => dialect.decodeResponse({ "server-load": text }).load;
+    assert.deepEqual(decode("3,0,8"), { running: 3, waiting: 0, slots: 8, pace: 1 });
+    assert.deepEqual(decode(" 3, 1 ,8, 250 "), { running: 3, waiting: 1, slots: 8, pace: 2.5 });
+    assert.deepEqual(decode("3,1,8,90,7"), { running: 3, waiting: 1, slots: 8, pace: 0.9 }, "a later figure");
+    for (const pace of ["", "-250", "0", "fast", "1e9", "9".repeat(400)]) {
+        assert.deepEqual(decode(`3,1,8,${pace}`), { running: 3, waiting: 1, slots: 8, pace: 1 }, pace);
+    }
+    for (
+        const text of [undefined, "", "3", "3,1", "3,1,", "-3,1,8", "3,+1,8", "a,b,c", "3;1;8", "0x3,1,8", "NaN,1,8"]
+    ) {
+        assert.equal(decode(text), undefined, text);
+    }
+    assert.equal(dialect.decodeResponse({}).load, undefined);
+});
+
 testing.test("no value makes a decoder throw", () => {
     fastCheck.assert(
         fastCheck.property(fastCheck.jsonValue(), value => {
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -289,6 +289,8 @@
                 refused: () => undefined,
                 attemptFailed: () => undefined,
                 answerRelayed: () => undefined,
+                serverRejected: () => undefined,
+                statementUsed: () => undefined,
             },
             dialect: dialects.dialect,
             view: this.view,
--- a/tools/capacity/heartbeat.ts
+++ b/tools/capacity/heartbeat.ts
@@ -27,6 +27,7 @@
         savedParts: [],
         cacheStores: [],
         rollouts: [],
+        loadStatements: [],
         serverLimits: [],
         suspects: { records: [], trials: [] },
         desiredWeights: [{ model: "model", version: 12, position: { era: 0, revision: 345 } }],
