--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -3,7 +3,6 @@
 import type * as fleet from "../fleet/types.js";
 import * as jsonClient from "../http/json-client.js";
 import type * as cachePlans from "../placement/cache-plan.js";
-import * as statedLoads from "../placement/stated-load.js";
 import type * as placement from "../placement/types.js";
 import type * as callOutcomes from "../rollout/call-outcome.js";
 import * as answerReceivers from "./answer-receiver.js";
@@ -15,6 +14,7 @@
 import * as responseReadings from "./response-reading.js";
 import * as retries from "./retry-decision.js";
 import * as serverRequests from "./server-request.js";
+import * as serverStatements from "./server-statements.js";
 import * as streamRelays from "./stream-relay.js";
 import type * as types from "./types.js";
 
@@ -26,7 +26,6 @@
 const FIRST_EVENT_TIMEOUT_MS = 1500;
 /** Timeout in milliseconds between two events of a resumable stream. */
 const NEXT_EVENT_TIMEOUT_MS = 900;
-const SERVICE_UNAVAILABLE = 503;
 const MINIMUM_FAILURE_STATUS = 500;
 /** Codes of the errors of a request whose path or headers have characters that no request can hold. */
 const UNSENDABLE_CODES: ReadonlySet<string> = new Set([
@@ -183,9 +182,7 @@
         const serverId = this.input.choice.candidate.server.id;
         // A server also misdirects calls that expect other weights; without its identity it may be another server.
         if (status !== responseFaults.MISDIRECTED_REQUEST || responseHead.serverId === serverId) {
-            this.ports.serverLimits.recordResponse(serverId, responseHead.requestsPerSecond, now);
-            this.recordNotices(status, responseHead, now);
-            this.recordStatedLoad(status, responseHead, now);
+            serverStatements.record(this.ports, this.input, { status, head: responseHead }, now);
         }
         if (responseHead.isNotExecuted || status === responseFaults.MISDIRECTED_REQUEST) {
             const isOtherServer = responseHead.serverId !== undefined && responseHead.serverId !== serverId;
@@ -335,43 +332,6 @@
         this.finish({ kind: "answered", reason: "" });
     }
 
-    /** Records what the server states about further calls. */
-    private recordNotices(status: number, { isLeaving, retryAfterMs }: dialects.ResponseHead, now: number): void {
-        const { view, journal } = this.ports;
-        const { server } = this.input.choice.candidate;
-        if (isLeaving && view.notices.recordLeaving(server)) {
-            journal.emit("server-leaving", { backendServer: server.id });
-        }
-        if (status === SERVICE_UNAVAILABLE && retryAfterMs !== undefined) {
-            view.notices.recordPause(server, retryAfterMs, now);
-            journal.emit("server-paused", { backendServer: server.id, pauseMs: Math.round(retryAfterMs) });
-        }
-    }
-
-    /** Records the load that the server states. A server that misdirects a call rejects this one only. */
-    private recordStatedLoad(status: number, { load, isNotExecuted }: dialects.ResponseHead, now: number): void {
-        const { view, journal, meter, serverLoad, settings } = this.ports;
-        if (!settings.capabilities.contendedServers || status === responseFaults.MISDIRECTED_REQUEST) {
-            return;
-        }
-        const { server } = this.input.choice.candidate;
-        const ownCalls = serverLoad.ownCalls(server.id);
-        const isRejection = isNotExecuted && status === SERVICE_UNAVAILABLE;
-        const change = isRejection
-            ? view.statedLoads.recordRejection(server, load, ownCalls, now)
-            : view.statedLoads.record(server, load, ownCalls, now);
-        if (isRejection) {
-            meter.serverRejected(this.input.admission.service, load && statedLoads.isOccupied(load));
-        }
-        const { isRejecting, isSlow } = change;
-        if (isRejecting !== undefined) {
-            journal.emit("server-rejecting", { backendServer: server.id, isRejecting, ...load });
-        }
-        if (isSlow !== undefined) {
-            journal.emit("server-pace-changed", { backendServer: server.id, isSlow, ...load });
-        }
-    }
-
     private abandon(kind: retries.AttemptFailure, reason: string): void {
         this.inFlight?.abort();
         this.finish({ kind, reason });
