--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -41,6 +41,8 @@
     readonly requestsPerSecond: number | undefined;
     /** Time in milliseconds for which the server stays cold; undefined if the response does not tell. */
     readonly coldMs?: number | undefined;
+    /** Load of the server at the time of the response, if it states it. */
+    readonly load: fleet.StatedLoad | undefined;
 }
 
 export interface Dialect {
--- a/src/forwarding/placed-call.ts
+++ b/src/forwarding/placed-call.ts
@@ -2,6 +2,7 @@
 import type * as event from "../core/event.js";
 import type * as prefills from "../placement/prefills.js";
 import type * as serverLoads from "../placement/server-load.js";
+import type * as placement from "../placement/types.js";
 import type * as admissions from "./call-admission.js";
 import type * as callPlacements from "./call-placement.js";
 import type * as promptCacheAccess from "./prompt-cache-access.js";
@@ -44,7 +45,8 @@
         attempt,
         costMs: Math.round(choice.costMs),
         isHome: choice.isPreferred,
-        calls: candidate.calls,
+        calls: Math.round(candidate.calls),
+        ...statedFields(candidate.stated),
         unreadTokens: Math.round(candidate.pendingPromptTokens),
         cachedTokens: cacheLookup.cachedTokens,
         part: admission.cache.lastSharedPartId,
@@ -74,3 +76,7 @@
         },
     };
 }
+
+function statedFields(stated: placement.Candidate["stated"]): event.Fields {
+    return stated === undefined ? {} : { pace: Number(stated.pace.toFixed(2)), statedMsAgo: Math.round(stated.ageMs) };
+}
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -33,4 +33,20 @@
         message: fields => `${fields.backendServer} is cold for ${fields.remainingMs} ms, by ${fields.source}`,
         hint: "It has just started, or returns from an evacuation, and gets few calls meanwhile.",
     },
+    "server-rejecting": {
+        number: 3606,
+        level: "info",
+        message: fields =>
+            `${fields.backendServer} ${
+                fields.isRejecting ? "rejects calls" : "takes calls again"
+            }, pace ${fields.pace}`,
+        hint: "It runs and queues as many calls as it can, or loads weights. It is left out for a moment.",
+    },
+    "server-pace-changed": {
+        number: 3607,
+        level: "info",
+        message: fields =>
+            `${fields.backendServer} is ${fields.isSlow ? "slow" : "as fast as usual"}, pace ${fields.pace}`,
+        hint: "Other programs use its machine. Its calls go to other servers while these are faster.",
+    },
 } as const satisfies event.EventCatalogue;
