Measure the longest pause between two events of a stream

Streams have a target for their first event and for the pauses between events, but only the time to the first event was logged, so that a late stream could not be told from one that paused.

--- a/src/forwarding/caller-response.ts
+++ b/src/forwarding/caller-response.ts
@@ -28,6 +28,8 @@
     lastEventId: number | undefined;
     /** Time at which the last event was relayed. */
     lastEventAt: number | undefined;
+    /** Longest time in milliseconds between two events that were relayed. */
+    longestPauseMs = 0;
     private hasEnded = false;
     private relayDelivery: answerDeliveries.AnswerDelivery | undefined;
     /** The end of the connection is the end of the body. */
@@ -106,7 +108,9 @@
 
     /** Writes stream data. Returns false when it waits for the caller; continue after `onDrain`. */
     write(bytes: Buffer): boolean {
-        this.lastEventAt = this.ports.clock.now();
+        const now = this.ports.clock.now();
+        this.longestPauseMs = Math.max(this.longestPauseMs, now - (this.lastEventAt ?? now));
+        this.lastEventAt = now;
         return this.response.write(bytes) || this.isClosed;
     }
 
