Divide the servers of a service between short and long prompts

Engines prefill a prompt in pieces between the tokens of the streams that they run. With short and long prompts on all servers, short streams pause for longer than their target although the engines are idle most of the time.

Entries report the demand of both kinds in their heartbeats, and divide the servers in an order that all of them compute alike. The group for short prompts follows its demand; long prompts use the other servers, whose memory their shared parts need. With one kind of prompt, or with few servers, there is no division. A group with long queues or without servers uses the other one. On only where the settings say that calls compete for servers. Log: servers-divided, and kind, group and longest pause of each call. Metrics: ibisstep_prompts_placed_total, ibisstep_prompts_finished_total, ibisstep_prompt_first_event_ms.

--- a/src/forwarding/call-admission.ts
+++ b/src/forwarding/call-admission.ts
@@ -99,7 +99,14 @@
         body,
     });
     const cache = new promptCacheAccess.PromptCacheAccess(ports, head, customer);
-    const placement = new callPlacements.CallPlacement(ports, { head, service, cache, fingerprints });
+    const placement = new callPlacements.CallPlacement(ports, {
+        head,
+        route,
+        service,
+        priority: priorityOf({ customer, route }),
+        cache,
+        fingerprints,
+    });
     const standing = placement.standing();
     if (standing.kind === "refuse") {
         const { fingerprint: detail, retryAfterMs } = standing;
--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the server of one call, and decides whether the call may run although calls like it crash servers. */
 import type * as fleet from "../fleet/types.js";
+import type * as promptGroups from "../placement/prompt-groups.js";
 import * as selection from "../placement/selection.js";
 import type * as placement from "../placement/types.js";
 import * as attribution from "../quarantine/attribution.js";
@@ -18,7 +19,10 @@
 
 export interface PlacedSubject {
     readonly head: fleet.CallHead;
+    readonly route: fleet.Route;
     readonly service: string;
+    /** 0 is the most urgent. */
+    readonly priority: number;
     readonly cache: promptCacheAccess.PromptCacheAccess;
     readonly fingerprints: callFingerprints.CallFingerprints;
 }
@@ -89,6 +93,42 @@
         return choice.kind === "server" ? choice : this.chooseServer(candidates);
     }
 
+    /** Kind of the call's prompt; undefined unless servers are divided between kinds of prompts. */
+    get promptKind(): placement.PromptKind | undefined {
+        const configuration = this.dividingConfiguration;
+        return configuration === undefined
+            ? undefined
+            : this.ports.promptGroups.kindOf(this.dividedCall, configuration, this.latency);
+    }
+
+    /** Counts the call in the demand of its kind of prompts until the result is disposed of. */
+    countDemand(choice: ServerChoice, uncachedTokens: number, now: number): Disposable {
+        const kind = this.promptKind;
+        if (kind === undefined) {
+            return { [Symbol.dispose]: () => undefined };
+        }
+        this.ports.meter.promptPlaced(kind, choice.group ?? "shared");
+        const prefillMs = uncachedTokens * this.latency.msPerPromptToken;
+        return this.ports.promptGroups.place(this.dividedCall, kind, prefillMs, now);
+    }
+
+    private get latency(): placement.LatencyEstimate {
+        return this.ports.latencyEstimates.get(this.call.service);
+    }
+
+    /** The configuration if the servers of the call are divided between kinds of prompts. */
+    private get dividingConfiguration(): fleet.Configuration | undefined {
+        const { view, settings } = this.ports;
+        const divides = settings.capabilities.contendedServers && this.call.head.model !== undefined
+            && view.servesModels(this.call.service);
+        return divides ? view.routingTable?.configuration : undefined;
+    }
+
+    private get dividedCall(): promptGroups.DividedCall {
+        const { head, route, service, priority } = this.call;
+        return { service, promptTokens: head.promptTokens, targetLatencyMs: route.targetLatencyMs, priority };
+    }
+
     /** Servers of the service. Once the call has tried all of them, it may use each of them again. */
     private candidates(): readonly placement.Candidate[] {
         const { head, service } = this.call;
@@ -102,10 +142,15 @@
     /** Chooses among the versions in the order in which a rollout of the service uses them. */
     private chooseServer(all: readonly placement.Candidate[]): placement.PlacementDecision {
         const { head, service } = this.call;
+        const configuration = this.dividingConfiguration;
+        const now = this.ports.clock.now();
+        const group = configuration === undefined
+            ? undefined
+            : this.ports.promptGroups.groupOf(this.dividedCall, all, configuration, this.latency, now);
         const groups = this.ports.rollouts.groups(service, head.id, all);
         let decision: placement.PlacementDecision = { kind: "none", reason: "no-server" };
         for (const candidates of groups) {
-            decision = this.chooseAmong(candidates, this.ports.clock.now());
+            decision = this.chooseAmong(candidates, group, now);
             if (decision.kind === "server") {
                 break;
             }
@@ -113,9 +158,13 @@
         return decision;
     }
 
-    private chooseAmong(candidates: readonly placement.Candidate[], now: number): placement.PlacementDecision {
+    private chooseAmong(
+        candidates: readonly placement.Candidate[],
+        group: placement.ServerGroup | undefined,
+        now: number,
+    ): placement.PlacementDecision {
         const { head, service, cache } = this.call;
-        const latency = this.ports.latencyEstimates.get(service);
+        const { latency } = this;
         const placementRequest: placement.PlacementRequest = {
             affinityKey: cache.affinityKey,
             prefillingServers: cache.prefillingServers(now),
@@ -127,6 +176,7 @@
             utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
             isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
+            group,
         };
         return selection.chooseServer(
             candidates,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -74,6 +74,8 @@
     /** Number of attempts that reached no server or were rejected without being run. */
     private unexecutedAttempts = 0;
     private attempts = 0;
+    /** Kind of the prompt of a call that was placed; undefined unless servers are divided between kinds. */
+    private promptKind: placement.PromptKind | undefined;
     private readonly request: http.IncomingMessage;
 
     /** `onAccept` is called when the body is wanted. */
@@ -390,6 +392,8 @@
             fetchFrom: cacheLookup.plan?.fetchFrom,
             saves: cacheLookup.plan?.saveTo !== undefined,
             weights: candidate.weightsVersion,
+            prompt: admission.placement.promptKind,
+            group: choice.group,
             serverLimit: this.ports.serverLimits.limitOf(candidate.server.id),
             configuration: this.ports.view.routingTable?.configuration.version,
             serversRevision: this.ports.view.serversRevision,
@@ -399,6 +403,8 @@
         const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
         // Nothing after this may throw, since the call would then count at its server without an owner.
         const load = this.ports.serverLoad.place(candidate.server.id, uncachedTokens);
+        const demand = admission.placement.countDemand(choice, uncachedTokens, now);
+        this.promptKind = admission.placement.promptKind;
         return {
             choice,
             cacheLookup,
@@ -408,6 +414,7 @@
             [Symbol.dispose]: () => {
                 prefill[Symbol.dispose]();
                 load[Symbol.dispose]();
+                demand[Symbol.dispose]();
             },
         };
     }
@@ -685,10 +692,15 @@
             status: this.callerResponse.status,
             elapsedMs: Math.round(elapsedMs),
             firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
+            pauseMs: Math.round(this.callerResponse.longestPauseMs),
             route: route?.name,
             customer: customer?.name,
             attempts: this.attempts,
         });
+        if (this.promptKind !== undefined) {
+            const isPausedTooLong = this.callerResponse.longestPauseMs > (route?.targetGapMs ?? Infinity);
+            this.ports.meter.promptFinished(this.promptKind, firstEventMs, isPausedTooLong);
+        }
         this.ports.meter.finished(
             customer?.name ?? "",
             route?.name ?? "",
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -7,11 +7,13 @@
 import type * as demands from "../placement/demand.js";
 import type * as latencyEstimates from "../placement/latency-estimates.js";
 import type * as prefills from "../placement/prefills.js";
+import type * as promptGroups from "../placement/prompt-groups.js";
 import type * as selection from "../placement/selection.js";
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
 import type * as transferBudgets from "../placement/transfer-budget.js";
+import type * as placement from "../placement/types.js";
 import type * as suspectTrackers from "../quarantine/suspect-tracker.js";
 import type * as ledgers from "../quota/ledger.js";
 import type * as serviceRollouts from "../rollout/service-rollouts.js";
@@ -42,6 +44,10 @@
     attemptFailed(service: string, end: string, hasBegun: boolean): void;
     /** Counts an answer that was relayed instead of buffered. */
     answerRelayed(reason: string): void;
+    /** Counts a call by the kind of its prompt and the group of its server; a server of no group is `shared`. */
+    promptPlaced(kind: placement.PromptKind, group: placement.PromptKind | "shared"): void;
+    /** Records a stream that ended by the kind of its prompt; `isPausedTooLong` if it missed its target gap. */
+    promptFinished(kind: placement.PromptKind, firstEventMs: number | undefined, isPausedTooLong: boolean): void;
     /** Counts a call that failed with an error response of the router. */
     refused(customer: string, failure: string): void;
 }
@@ -59,6 +65,7 @@
     readonly cacheIndex: cacheIndexes.CacheIndex;
     readonly prefills: prefills.PrefillTracker;
     readonly demand: demands.DemandEstimates;
+    readonly promptGroups: promptGroups.PromptGroups;
     readonly transferBudget: transferBudgets.TransferBudget;
     readonly serverHealth: serverHealth.ServerHealth;
     readonly latencyEstimates: latencyEstimates.LatencyEstimates;
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -55,6 +55,15 @@
     connectionSilenceAgeMs?: number,
     /** Number of the finding. */
     connectionSilenceNumber?: number,
+    promptDemands?: readonly PromptDemandTuple[],
+];
+
+type PromptDemandTuple = readonly [
+    service: string,
+    shortBusyServers: number,
+    shortCalls: number,
+    longBusyServers: number,
+    longCalls: number,
 ];
 
 type ReportTuple = readonly [
@@ -107,6 +116,9 @@
         mapValues(heartbeat.lastChanges, ({ era }) => era),
         heartbeat.connectionSilence === undefined ? NO_SILENCE : Math.round(heartbeat.connectionSilence.ageMs),
         heartbeat.connectionSilence?.number ?? 0,
+        (heartbeat.promptDemands ?? []).map(({ service, short, long }) => {
+            return [service, short.busyServers, short.calls, long.busyServers, long.calls] as const;
+        }),
     ];
 }
 
@@ -152,6 +164,7 @@
         changeEras = {},
         silenceAgeMs = NO_SILENCE,
         silenceNumber = 0,
+        promptDemands = [],
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") &&
         addresses.isAddress(beatAddress)
@@ -197,6 +210,7 @@
         ...Number.isFinite(silenceAgeMs) && silenceAgeMs >= 0 && Number.isFinite(silenceNumber)
             ? { connectionSilence: { number: silenceNumber, ageMs: silenceAgeMs } }
             : {},
+        ...promptDemands.length > 0 ? { promptDemands: promptDemands.map(decodePromptDemand) } : {},
     };
 }
 
@@ -234,6 +248,20 @@
     return { server, requestsPerSecond: rate < 0 ? undefined : rate, ageMs, requests };
 }
 
+function decodePromptDemand(
+    [service, shortBusyServers, shortCalls, longBusyServers, longCalls]: PromptDemandTuple,
+): types.PromptDemand {
+    const figures = [shortBusyServers, shortCalls, longBusyServers, longCalls];
+    if (typeof service !== "string" || !figures.every(figure => Number.isFinite(figure) && figure >= 0)) {
+        throw new TypeError("a demand of unexpected types");
+    }
+    return {
+        service,
+        short: { busyServers: shortBusyServers, calls: shortCalls },
+        long: { busyServers: longBusyServers, calls: longCalls },
+    };
+}
+
 function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
     const hashes = values.filter((_, index) => index % 2 === 0);
     return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -10,5 +10,6 @@
     cacheStores: [],
     serverLimits: [],
     rollouts: [],
+    promptDemands: [],
     suspects: { records: [], trials: [] },
 } as const satisfies Partial<types.Heartbeat>;
--- a/src/peering/types.ts
+++ b/src/peering/types.ts
@@ -29,6 +29,21 @@
     readonly pendingPromptTokens: number;
 }
 
+/** Demand of the calls of one entry whose prompts are of one kind. */
+export interface KindDemand {
+    /** Number of servers that their prefill keeps busy. */
+    readonly busyServers: number;
+    /** Calls in flight. */
+    readonly calls: number;
+}
+
+/** Demand of the calls of one entry at a service. */
+export interface PromptDemand {
+    readonly service: string;
+    readonly short: KindDemand;
+    readonly long: KindDemand;
+}
+
 /** A shared part of prompts that a server prefills or has just prefilled, since no cache store has it. */
 export interface Prefill {
     /** Hash of the part and of the scope under which it is cached. */
@@ -142,6 +157,8 @@
     readonly serverLimits: readonly ServerLimit[];
     /** Rollouts of services; entries only. */
     readonly rollouts: readonly ServiceRollout[];
+    /** Demand of short and long prompts by service; entries that divide servers between them only. */
+    readonly promptDemands?: readonly PromptDemand[];
     /** Open connections to the store were found to be silent a moment ago while new ones work. */
     readonly connectionSilence?: silenceFindings.SilenceFinding;
     readonly desiredWeights: readonly DesiredWeights[];
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -27,4 +27,12 @@
             `${fields.backendServer} takes ${fields.requestsPerSecond ?? "any number of"} requests a second`,
         hint: "A server in need names a limit; its calls go to other servers, or wait.",
     },
+    "servers-divided": {
+        number: 3605,
+        level: "info",
+        message: fields => {
+            return `${fields.shortServers} of ${fields.servers} servers of ${fields.service} are for short prompts`;
+        },
+        hint: "The division follows the demand of both kinds. With 0, all prompts share the servers.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -6,6 +6,7 @@
  * crossing data centres, outdated weights, failures, and delaying a server whose weights update is pending.
  */
 import * as rendezvous from "../core/rendezvous.js";
+import * as groupChoice from "./group-choice.js";
 import * as spread from "./spread.js";
 import type * as types from "./types.js";
 
@@ -77,12 +78,17 @@
         eligible = accepted;
     }
     eligible = spareLimited(eligible, request);
-    const preferred = findPreferred(ready, request);
+    const { own, other } = groupChoice.groupCandidates(eligible, request, latency);
+    const preferred = findPreferred(ready.filter(candidate => groupChoice.isInGroup(candidate, request)), request);
     const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
-    const compared = spread.candidatesToCompare(
-        { eligible, preferred, busyServers: candidates.length * request.utilization, isOutdated },
-        random,
-    );
+    const busyServers = request.group?.busyServers ?? candidates.length * request.utilization;
+    const isSampled = request.group !== undefined;
+    const compared = [
+        ...spread.candidatesToCompare({ eligible: own, preferred, busyServers, isOutdated, isSampled }, random),
+    ];
+    if (other.length > 0 && compared.every(candidate => hasLongQueue(candidate, request, latency))) {
+        compared.push(...spread.candidatesToCompare({ eligible: other, busyServers, isOutdated, isSampled }, random));
+    }
     const costs = compared.map(candidate => {
         return {
             candidate,
@@ -98,6 +104,7 @@
         isPreferred: best.candidate.server.id === preferred?.server.id,
         preferredServer: preferred?.server,
         costMs: best.cost,
+        ...groupChoice.groupOfServer(best.candidate, request),
     };
 }
 
@@ -153,6 +160,15 @@
     return candidate.pendingPromptTokens * latency.msPerPromptToken + candidate.calls * STEP_MS_PER_RUNNING_CALL;
 }
 
+/** Whether a call would wait so long at a server of its own group that servers of the other one are worth a look. */
+function hasLongQueue(
+    candidate: types.Candidate,
+    request: types.PlacementRequest,
+    latency: types.LatencyEstimate,
+): boolean {
+    return request.group !== undefined && queueMs(candidate, request, latency) > request.group.maximumQueueMs;
+}
+
 function prefillMs(
     candidate: types.Candidate,
     request: types.PlacementRequest,
--- a/src/placement/spread.ts
+++ b/src/placement/spread.ts
@@ -19,16 +19,18 @@
 export interface SpreadInput {
     /** Servers that may get the call. */
     readonly eligible: readonly types.Candidate[];
-    readonly preferred: types.Candidate | undefined;
+    readonly preferred?: types.Candidate | undefined;
     /** Number of servers that the calls of all entries keep busy. */
     readonly busyServers: number;
     readonly isOutdated: (candidate: types.Candidate) => boolean;
+    /** The servers are part of a larger number, so that a call compares a few of them in any case. */
+    readonly isSampled?: boolean;
 }
 
 /** Returns the candidates to compare. `random` returns numbers in [0, 1). */
 export function candidatesToCompare(input: SpreadInput, random: () => number): readonly types.Candidate[] {
     const { eligible, preferred } = input;
-    if (eligible.length < MINIMUM_SAMPLED) {
+    if (eligible.length < MINIMUM_SAMPLED && input.isSampled !== true) {
         return eligible;
     }
     const tier = chooseTier(input, random);
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -26,6 +26,21 @@
     readonly failureShare: number;
 }
 
+/** How long a prompt takes to prefill, compared to the pauses that the streams on the same server tolerate. */
+export type PromptKind = "short" | "long";
+
+/** The servers of a service that calls with prompts of one kind prefer. */
+export interface ServerGroup {
+    readonly kind: PromptKind;
+    readonly servers: ServerIds;
+    /** Number of servers that the calls of this kind keep busy. */
+    readonly busyServers: number;
+    /** Queue in milliseconds at the servers of the group from which on those of the other group are compared as well. */
+    readonly maximumQueueMs: number;
+    /** Time in milliseconds for all prompts at a server of the other group, this one included, if the call is placed there. */
+    readonly maximumBacklogMs: number;
+}
+
 /** What matters about a call when its server is chosen. */
 export interface PlacementRequest {
     /** Calls with the same key share cached parts and prefer the same server; undefined without shared parts. */
@@ -48,6 +63,8 @@
     readonly isShort: boolean;
     /** The target is an HTTP service rather than an inference engine. */
     readonly isHttpService: boolean;
+    /** The servers for prompts like the call's; undefined while all prompts share the servers. */
+    readonly group?: ServerGroup | undefined;
 }
 
 export type ServerIds = ReadonlySet<string>;
@@ -80,6 +97,8 @@
         readonly preferredServer: fleet.BackendServer | undefined;
         /** Cost of the chosen server in milliseconds. */
         readonly costMs: number;
+        /** Kind of the prompts for which the chosen server is; undefined while all prompts share the servers. */
+        readonly group?: PromptKind | undefined;
     }
     | {
         readonly kind: "none";
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -19,6 +19,8 @@
 import * as demands from "../placement/demand.js";
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
+import * as promptDemands from "../placement/prompt-demand.js";
+import * as promptGroups from "../placement/prompt-groups.js";
 import * as serverHealth from "../placement/server-health.js";
 import * as serverLimits from "../placement/server-limits.js";
 import * as serverLoads from "../placement/server-load.js";
@@ -81,6 +83,7 @@
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly serverLimits: serverLimits.ServerLimits;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
+    private readonly promptDemands = new promptDemands.PromptDemands(now => this.quotas.entryCount(now));
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
     private readonly view: views.FleetView;
@@ -180,6 +183,7 @@
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
             demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
+            promptGroups: new promptGroups.PromptGroups({ journal, demands: this.promptDemands }),
             transferBudget: new transferBudgets.TransferBudget(now => this.quotas.entryCount(now)),
             serverHealth: health,
             latencyEstimates: new latencyEstimates.LatencyEstimates(),
@@ -496,6 +500,7 @@
             cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
             serverLimits: this.serverLimits.snapshot(now),
             rollouts: this.rollouts.snapshot(now),
+            promptDemands: this.promptDemands.snapshot(now),
             suspects: this.suspects.snapshot(sequence, { now, wallTime: this.clock.wallTime() }),
             ...this.storeConnections.snapshot(now),
             desiredWeights: this.view.desiredWeights(),
@@ -512,6 +517,7 @@
             this.serverLoad.applyPeer(name, heartbeat.serverLoads, now);
             this.prefills.applyPeer(name, heartbeat.prefills, now);
             this.cacheIndex.applyPeerSaves(heartbeat.savedParts, now);
+            this.promptDemands.applyPeer(name, heartbeat.promptDemands ?? [], now);
             heartbeat.cacheStores.forEach(status => this.cacheIndex.applyStoreStatus(status, now));
             this.rollouts.applyPeer(name, heartbeat.incarnation, heartbeat.rollouts, now);
             this.suspects.applyPeer(name, heartbeat.suspects, { now, wallTime: this.clock.wallTime() });
--- a/src/runtime/meter.ts
+++ b/src/runtime/meter.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms of an entry, rendered in the Prometheus text format. */
 import type * as hdr from "hdr-histogram-js";
 import type * as forwarding from "../forwarding/types.js";
+import type * as placement from "../placement/types.js";
 
 const QUANTILES = [50, 90, 95, 99] as const;
 /** Further series are merged into one, so that a large configuration cannot exhaust the memory. */
@@ -56,6 +57,17 @@
         this.count(`ibisstep_answers_relayed_total{reason="${reason}"}`);
     }
 
+    promptPlaced(kind: placement.PromptKind, group: placement.PromptKind | "shared"): void {
+        this.count(`ibisstep_prompts_placed_total{kind="${kind}",group="${group}"}`);
+    }
+
+    promptFinished(kind: placement.PromptKind, firstEventMs: number | undefined, isPausedTooLong: boolean): void {
+        this.count(`ibisstep_prompts_finished_total{kind="${kind}",paused="${isPausedTooLong}"}`);
+        if (firstEventMs !== undefined) {
+            this.record("ibisstep_prompt_first_event_ms", `kind="${kind}"`, firstEventMs);
+        }
+    }
+
     /** Renders all series in the Prometheus text format. */
     render(): string {
         const counts = [...this.counts].map(([series, value]) => `${series} ${value}`);
--- a/test/peering/heartbeats.test.ts
+++ b/test/peering/heartbeats.test.ts
@@ -52,7 +52,9 @@
     const sent = heartbeat("a", "run", 1);
     const minimal = { ...sent, report: undefined, serverLoads: {}, spentTokens: {}, isLeaving: true };
     const located = { ...sent, member: { ...sent.member, dataCentre: "one" } };
-    const message = { heartbeat: sent, passedOn: [minimal, located] };
+    const demand = { service: "menu", short: { busyServers: 0.25, calls: 3 }, long: { busyServers: 1.5, calls: 2 } };
+    const dividing = { ...sent, promptDemands: [demand] };
+    const message = { heartbeat: sent, passedOn: [minimal, located, dividing] };
     assert.deepEqual(codec.decode(codec.encode(message)), message);
     assert.deepEqual(codec.decode(codec.encode({ heartbeat: minimal, passedOn: [] })), {
         heartbeat: minimal,
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -17,6 +17,8 @@
 import * as demands from "../../src/placement/demand.js";
 import * as latencyEstimates from "../../src/placement/latency-estimates.js";
 import * as prefills from "../../src/placement/prefills.js";
+import * as promptDemands from "../../src/placement/prompt-demand.js";
+import * as promptGroups from "../../src/placement/prompt-groups.js";
 import * as serverHealth from "../../src/placement/server-health.js";
 import * as serverLimits from "../../src/placement/server-limits.js";
 import * as serverLoads from "../../src/placement/server-load.js";
@@ -281,14 +283,19 @@
 
     private ports(capabilities: fleet.Capabilities): forwarding.CallPorts {
         const clock = clocks.systemClock;
+        const journal: event.Journal = {
+            emit: (name, fields = {}) => void this.events.push({ name, fields }),
+        };
         return {
             clock,
-            journal: { emit: (name, fields = {}) => void this.events.push({ name, fields }) },
+            journal,
             meter: {
                 finished: () => undefined,
                 refused: () => undefined,
                 attemptFailed: () => undefined,
                 answerRelayed: () => undefined,
+                promptPlaced: () => undefined,
+                promptFinished: () => undefined,
             },
             dialect: dialects.dialect,
             view: this.view,
@@ -297,6 +304,10 @@
             cacheIndex: new cacheIndexes.CacheIndex(),
             prefills: new prefills.PrefillTracker(),
             demand: new demands.DemandEstimates(() => 1),
+            promptGroups: new promptGroups.PromptGroups({
+                journal,
+                demands: new promptDemands.PromptDemands(() => 1),
+            }),
             transferBudget: new transferBudgets.TransferBudget(() => 1),
             serverHealth: this.health,
             latencyEstimates: new latencyEstimates.LatencyEstimates(),
