--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -3,6 +3,7 @@
 import * as catalogue from "../catalogue/failures.js";
 import type * as event from "../core/event.js";
 import type * as failure from "../core/failure.js";
+import type * as placement from "../placement/types.js";
 import * as attemptKinds from "./attempt-kinds.js";
 import * as attemptRecords from "./attempt-record.js";
 import * as discards from "./body-discard.js";
@@ -42,6 +43,8 @@
     /** Number of attempts that reached no server or were rejected without being run. */
     private unexecutedAttempts = 0;
     private attempts = 0;
+    /** Kind of the prompt of a call that was placed; undefined unless servers are divided between kinds. */
+    private promptKind: placement.PromptKind | undefined;
     private readonly request: http.IncomingMessage;
 
     /** `onAccept` is called when the body is wanted. */
@@ -212,7 +215,14 @@
             log: this.log,
         }, {
             place: choice => {
-                return placedCalls.place(this.ports, { admission, choice, attempt: ++this.attempts, log: this.log });
+                const placed = placedCalls.place(this.ports, {
+                    admission,
+                    choice,
+                    attempt: ++this.attempts,
+                    log: this.log,
+                });
+                this.promptKind = admission.placement.promptKind;
+                return placed;
             },
             refuse: refusal => this.refuseUnplaced(admission, refusal),
         });
@@ -436,10 +446,15 @@
             status: this.callerResponse.status,
             elapsedMs: Math.round(elapsedMs),
             firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
+            pauseMs: Math.round(this.callerResponse.longestPauseMs),
             route: route?.name,
             customer: customer?.name,
             attempts: this.attempts,
         });
+        if (this.promptKind !== undefined) {
+            const isPausedTooLong = this.callerResponse.longestPauseMs > (route?.targetGapMs ?? Infinity);
+            this.ports.meter.promptFinished(this.promptKind, firstEventMs, isPausedTooLong);
+        }
         this.ports.meter.finished(
             customer?.name ?? "",
             route?.name ?? "",
--- a/src/forwarding/placed-call.ts
+++ b/src/forwarding/placed-call.ts
@@ -54,6 +54,8 @@
         saves: cacheLookup.plan?.saveTo !== undefined,
         weights: candidate.weightsVersion,
         isCold: candidate.isCold === true ? true : undefined,
+        prompt: admission.placement.promptKind,
+        group: choice.group,
         serverLimit: ports.serverLimits.limitOf(candidate.server.id),
         configuration: ports.view.routingTable?.configuration.version,
         serversRevision: ports.view.serversRevision,
@@ -64,6 +66,7 @@
     const prefill = admission.cache.beginPrefill(candidate, cacheLookup, now);
     // Nothing after this may throw, since the call would then count at its server without an owner.
     const load = ports.serverLoad.place(candidate.server.id, uncachedTokens);
+    const demand = admission.placement.countDemand(choice, uncachedTokens, now);
     return {
         choice,
         cacheLookup,
@@ -73,6 +76,7 @@
         [Symbol.dispose]: () => {
             prefill[Symbol.dispose]();
             load[Symbol.dispose]();
+            demand[Symbol.dispose]();
         },
     };
 }
--- a/src/peering/codec.ts
+++ b/src/peering/codec.ts
@@ -56,6 +56,7 @@
     /** Number of the finding. */
     connectionSilenceNumber?: number,
     loadStatements?: readonly LoadStatementTuple[],
+    promptDemands?: readonly PromptDemandTuple[],
 ];
 
 type LoadStatementTuple = readonly [
@@ -70,6 +71,14 @@
     isRejecting: 0 | 1,
 ];
 
+type PromptDemandTuple = readonly [
+    service: string,
+    shortBusyServers: number,
+    shortCalls: number,
+    longBusyServers: number,
+    longCalls: number,
+];
+
 type ReportTuple = readonly [
     address: string,
     isAlive: 0 | 1,
@@ -121,6 +130,9 @@
         heartbeat.connectionSilence === undefined ? NO_SILENCE : Math.round(heartbeat.connectionSilence.ageMs),
         heartbeat.connectionSilence?.number ?? 0,
         heartbeat.loadStatements.map(encodeLoadStatement),
+        (heartbeat.promptDemands ?? []).map(({ service, short, long }) => {
+            return [service, short.busyServers, short.calls, long.busyServers, long.calls] as const;
+        }),
     ];
 }
 
@@ -167,6 +179,7 @@
         silenceAgeMs = NO_SILENCE,
         silenceNumber = 0,
         loadStatements = [],
+        promptDemands = [],
     ] = tuple;
     const isUsable = typeof name === "string" && (role === "entry" || role === "agent") &&
         addresses.isAddress(beatAddress)
@@ -213,6 +226,7 @@
         ...Number.isFinite(silenceAgeMs) && silenceAgeMs >= 0 && Number.isFinite(silenceNumber)
             ? { connectionSilence: { number: silenceNumber, ageMs: silenceAgeMs } }
             : {},
+        ...promptDemands.length > 0 ? { promptDemands: promptDemands.map(decodePromptDemand) } : {},
     };
 }
 
@@ -271,6 +285,20 @@
     };
 }
 
+function decodePromptDemand(
+    [service, shortBusyServers, shortCalls, longBusyServers, longCalls]: PromptDemandTuple,
+): types.PromptDemand {
+    const figures = [shortBusyServers, shortCalls, longBusyServers, longCalls];
+    if (typeof service !== "string" || !figures.every(figure => Number.isFinite(figure) && figure >= 0)) {
+        throw new TypeError("a demand of unexpected types");
+    }
+    return {
+        service,
+        short: { busyServers: shortBusyServers, calls: shortCalls },
+        long: { busyServers: longBusyServers, calls: longCalls },
+    };
+}
+
 function decodeSavedParts(values: readonly number[]): readonly types.SavedPart[] {
     const hashes = values.filter((_, index) => index % 2 === 0);
     return hashes.map((partHash, index) => ({ partHash, tokens: values[2 * index + 1] ?? 0 }));
--- a/src/peering/entry-state.ts
+++ b/src/peering/entry-state.ts
@@ -11,5 +11,6 @@
     serverLimits: [],
     loadStatements: [],
     rollouts: [],
+    promptDemands: [],
     suspects: { records: [], trials: [] },
 } as const satisfies Partial<types.Heartbeat>;
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -49,4 +49,12 @@
             `${fields.backendServer} is ${fields.isSlow ? "slow" : "as fast as usual"}, pace ${fields.pace}`,
         hint: "Other programs use its machine. Its calls go to other servers while these are faster.",
     },
+    "servers-divided": {
+        number: 3608,
+        level: "info",
+        message: fields => {
+            return `${fields.shortServers} of ${fields.servers} servers of ${fields.service} are for short prompts`;
+        },
+        hint: "The division follows the demand of both kinds. With 0, all prompts share the servers.",
+    },
 } as const satisfies event.EventCatalogue;
