Order, limit and refuse waiting calls by what their callers need

The customer's priority took the place of the route's, so that the kinds of calls of one customer had one rank, in the queue and in the engines. Waits ended after 1 s or 0.4 of the time, and refused callers got a constant delay by reason.

Where calls of several kinds compete for servers, a customer's priority now decides first and that of the route within it, numbered without gaps for the engines. Within a rank, calls that can still be on time start first. Calls wait for as long as a start is of use, are refused before if the rate at which calls are placed shows that they will not start in time, and refused callers are told the expected wait, spread, later for less urgent ranks and within a third of their time. Without the capability, decisions are as before.

--- a/src/forwarding/call-queue.ts
+++ b/src/forwarding/call-queue.ts
@@ -1,9 +1,11 @@
 /**
  * Queue of calls that wait for a server, or for a condition of their own before they are placed.
  *
- * Calls are placed by priority, then by arrival time. A call leaves the queue when a server is available for it or when
- * its wait times out.
+ * Calls are placed by priority, then by the times until which a start is of use, or else by arrival time. A call leaves
+ * the queue when a server is available for it, when its wait times out, or when waiting is known to be futile.
  */
+import * as callTimes from "../scheduling/call-times.js";
+import type * as expectedWaits from "../scheduling/expected-wait.js";
 
 export interface QueuedCall {
     /** 0 is the most urgent. */
@@ -21,12 +23,27 @@
     /** Called when placing the call threw an error, with which it leaves the queue. */
     readonly onError: (error: unknown) => void;
     readonly timeoutAt: number;
+    /** Orders the calls of one priority; without them, they are placed in the order of their arrival. */
+    readonly startTimes?: callTimes.StartTimes | undefined;
+    /** Whether waiting is futile behind the calls that wait for a server before this one. */
+    readonly isFutile?: (ahead: expectedWaits.QueueAhead, now: number) => boolean;
     /** False while the call waits for a condition of its own, such as shared parts that are being prefilled. */
     readonly waitsForServer?: boolean;
     /** A pass leaves out the call while this is false; always true if absent. */
     readonly isReady?: (now: number) => boolean;
 }
 
+/** State of a pass over the queue. */
+interface Pass {
+    readonly now: number;
+    /** Requirements of calls for which the pass has found no server. */
+    readonly unplaceable: Set<string>;
+    /** Calls that go on waiting for a server: all, and those of the last priority. */
+    kept: number;
+    keptOfPriority: number;
+    priority: number | undefined;
+}
+
 export class CallQueue {
     /** In order, apart from the calls that were enqueued during the pass in progress. */
     private calls: QueuedCall[] = [];
@@ -43,9 +60,17 @@
         return this.present().filter(call => call.waitsForServer !== false).length;
     }
 
-    enqueue(call: QueuedCall): void {
+    /** Whether a call waits for a server that goes before this one and has the same requirements. */
+    isBehindAlike(call: QueuedCall, now: number): boolean {
+        return this.present().some(queued => {
+            return queued.waitsForServer !== false && queued.requirements === call.requirements
+                && compare(queued, call, now) < 0;
+        });
+    }
+
+    enqueue(call: QueuedCall, now = call.arrivedAt): void {
         if (this.left === undefined) {
-            this.calls.splice(this.positionOf(call), 0, call);
+            this.calls.splice(this.positionOf(call, now), 0, call);
         }
         else {
             this.added.push(call);
@@ -66,9 +91,11 @@
         }
         const left = new Set<QueuedCall>();
         this.left = left;
-        const unplaceable = new Set<string>();
+        // Calls that have become late go behind the others of their priority.
+        this.calls.sort((first, second) => compare(first, second, now));
+        const pass: Pass = { now, unplaceable: new Set(), kept: 0, keptOfPriority: 0, priority: undefined };
         for (const call of this.calls) {
-            if (!left.has(call) && leavesInPass(call, unplaceable, now)) {
+            if (!left.has(call) && leavesInPass(call, pass)) {
                 left.add(call);
             }
         }
@@ -77,7 +104,7 @@
         // Calls that were enqueued during this pass go behind those of equal order that were already queued.
         const added = this.added.filter(call => !left.has(call));
         this.added = [];
-        added.forEach(call => this.enqueue(call));
+        added.forEach(call => this.enqueue(call, now));
     }
 
     private present(): readonly QueuedCall[] {
@@ -85,12 +112,12 @@
     }
 
     /** Position behind all calls that go before this one or are of equal order, by binary search. */
-    private positionOf(call: QueuedCall): number {
+    private positionOf(call: QueuedCall, now: number): number {
         let low = 0;
         let high = this.calls.length;
         while (low < high) {
             const middle = Math.floor((low + high) / 2);
-            if (isBefore(call, this.calls[middle]!)) {
+            if (compare(call, this.calls[middle]!, now) < 0) {
                 high = middle;
             }
             else {
@@ -101,23 +128,33 @@
     }
 }
 
-/** Tries one call in a pass. `unplaceable` are the requirements of calls for which the pass has found no server. */
-function leavesInPass(call: QueuedCall, unplaceable: Set<string>, now: number): boolean {
-    if (call.isReady?.(now) === false) {
+/** Tries one call in a pass. */
+function leavesInPass(call: QueuedCall, pass: Pass): boolean {
+    if (call.isReady?.(pass.now) === false) {
         return false;
     }
-    const isUnplaceable = call.requirements !== undefined && unplaceable.has(call.requirements);
+    const isUnplaceable = call.requirements !== undefined && pass.unplaceable.has(call.requirements);
     if (!isUnplaceable && leavesQueue(call, () => call.tryPlace())) {
         return true;
     }
     if (call.requirements !== undefined) {
-        unplaceable.add(call.requirements);
+        pass.unplaceable.add(call.requirements);
     }
-    if (now < call.timeoutAt) {
-        return false;
+    if (pass.now >= call.timeoutAt || call.isFutile?.(aheadOf(call, pass), pass.now) === true) {
+        leavesQueue(call, () => call.onTimeout());
+        return true;
+    }
+    if (call.waitsForServer !== false) {
+        pass.keptOfPriority = (call.priority === pass.priority ? pass.keptOfPriority : 0) + 1;
+        pass.priority = call.priority;
+        pass.kept++;
     }
-    leavesQueue(call, () => call.onTimeout());
-    return true;
+    return false;
+}
+
+function aheadOf(call: QueuedCall, { priority, kept, keptOfPriority }: Pass): expectedWaits.QueueAhead {
+    const sameRank = call.priority === priority ? keptOfPriority : 0;
+    return { sameRank, moreUrgent: kept - sameRank };
 }
 
 /** An error ends the call that it belongs to, and not the pass over the others. */
@@ -131,6 +168,12 @@
     }
 }
 
-function isBefore(left: QueuedCall, right: QueuedCall): boolean {
-    return left.priority < right.priority || left.priority === right.priority && left.arrivedAt < right.arrivedAt;
+function compare(left: QueuedCall, right: QueuedCall, now: number): number {
+    if (left.priority !== right.priority) {
+        return left.priority - right.priority;
+    }
+    const starts = left.startTimes === undefined || right.startTimes === undefined
+        ? 0
+        : callTimes.compareStarts(left.startTimes, right.startTimes, now);
+    return starts === 0 ? left.arrivedAt - right.arrivedAt : starts;
 }
--- a/src/forwarding/call-refusal.ts
+++ b/src/forwarding/call-refusal.ts
@@ -26,6 +26,8 @@
     readonly retryAfterMs: number | undefined;
     /** The call has not run, so that its customer gets the charge back. */
     readonly refunds: boolean;
+    /** Expected wait in milliseconds behind the other calls, if it was known. */
+    readonly expectedWaitMs?: number | undefined;
 }
 
 /**
--- a/src/forwarding/call-wait.ts
+++ b/src/forwarding/call-wait.ts
@@ -3,27 +3,23 @@
  * capacity. Both waits are in the queue of the service, where other decisions see them.
  */
 import type * as event from "../core/event.js";
-import * as admissions from "./call-admission.js";
+import type * as callTimes from "../scheduling/call-times.js";
+import * as expectedWaits from "../scheduling/expected-wait.js";
 import type * as callPlacements from "./call-placement.js";
 import type * as callQueues from "./call-queue.js";
 import * as callRefusals from "./call-refusal.js";
 import type * as types from "./types.js";
-import * as waitLimits from "./wait-limit.js";
+import type * as waitPolicies from "./wait-policy.js";
 
 /** Longest wait in milliseconds for shared parts that another call prefills. Prefilling them takes about as long. */
 const MAXIMUM_PREFILL_WAIT_MS = 350;
 /** Interval in milliseconds at which a call that waits for shared parts is tried. */
 const PREFILL_POLL_MS = 40;
 
-export interface WaitingSubject {
-    readonly admission: admissions.Admission;
-    readonly arrivedAt: number;
+export interface WaitingSubject extends waitPolicies.WaitingCall {
     /** Number of earlier attempts. */
     readonly attempts: number;
-    /** Number of earlier attempts that may have run. */
-    readonly executedAttempts: number;
-    /** Time of the last event that the caller received; the arrival before the first one. */
-    readonly lastProgressAt: number;
+    readonly policy: waitPolicies.WaitPolicy;
     readonly log: (name: event.EventName, fields: event.Fields) => void;
 }
 
@@ -37,6 +33,7 @@
 export class CallWait<Placed> implements callQueues.QueuedCall {
     readonly priority: number;
     readonly arrivedAt: number;
+    readonly startTimes: callTimes.StartTimes | undefined;
     private readonly startedAt: number;
     private readonly queue: callQueues.CallQueue;
     private readonly result: Promise<Placed | undefined>;
@@ -46,15 +43,18 @@
     private nextPollAt: number | undefined;
     private serverTimeoutAt = Infinity;
     private reason: callRefusals.UnplacedReason = "all-full";
+    private expectedMs: number | undefined;
     private isCancelled = false;
+    private isQueued = false;
 
     constructor(
         private readonly ports: types.CallPorts,
         private readonly subject: WaitingSubject,
         private readonly outcome: WaitOutcome<Placed>,
     ) {
-        this.priority = admissions.priorityOf(subject.admission);
+        this.priority = subject.policy.rankOf(subject.admission);
         this.arrivedAt = subject.arrivedAt;
+        this.startTimes = subject.policy.startTimesOf(subject);
         this.startedAt = ports.clock.now();
         this.queue = ports.queues.of(subject.admission.service);
         this.result = new Promise((resolve, reject) => {
@@ -68,13 +68,13 @@
         const choice = this.choose();
         if (this.isAwaitingParts(choice)) {
             this.nextPollAt = this.startedAt + PREFILL_POLL_MS;
-            this.ports.queues.enqueue(this.subject.admission.service, this);
+            this.enqueue();
         }
-        else if (choice.kind === "server" && this.queue.waitingForServer === 0) {
+        else if (choice.kind === "server" && !this.isBehindOthers) {
             this.resolve(this.outcome.place(choice));
         }
         else if (this.beginServerWait(choice)) {
-            this.ports.queues.enqueue(this.subject.admission.service, this);
+            this.enqueue();
         }
         return this.result;
     }
@@ -83,6 +83,7 @@
     cancel(): void {
         this.isCancelled = true;
         this.queue.remove(this);
+        this.count("cancelled");
         this.resolve(undefined);
     }
 
@@ -97,9 +98,18 @@
 
     get requirements(): string | undefined {
         const { admission } = this.subject;
-        return this.waitsForServer && admission.placement.triedServers.size === 0 && this.ports.suspects.isEmpty
-            ? admission.head.model ?? ""
-            : undefined;
+        if (!this.waitsForServer || admission.placement.triedServers.size > 0 || !this.ports.suspects.isEmpty) {
+            return undefined;
+        }
+        const model = admission.head.model ?? "";
+        return this.startTimes === undefined ? model : `${model} ${admission.route.name}`;
+    }
+
+    /** Whether other calls go first although there is a server for this one. */
+    private get isBehindOthers(): boolean {
+        return this.startTimes === undefined
+            ? this.queue.waitingForServer > 0
+            : this.queue.isBehindAlike(this, this.startedAt);
     }
 
     isReady(now: number): boolean {
@@ -136,10 +146,23 @@
             this.reason = choice.reason;
             return false;
         }
+        this.ports.queues.throughputOf(this.subject.admission.service)
+            .recordPlacement(this.priority, this.ports.clock.now());
+        this.count("placed");
         this.resolve(this.outcome.place(choice));
         return true;
     }
 
+    /** Whether the call is known to wait for longer than that is of use. Nothing is known while servers are excluded. */
+    isFutile(ahead: expectedWaits.QueueAhead, now: number): boolean {
+        const isKnown = this.startTimes !== undefined && this.waitsForServer && this.reason === "all-full";
+        if (!isKnown || this.subject.executedAttempts > 0) {
+            return false;
+        }
+        this.expectedMs = this.subject.policy.expectedWaitMs(this.subject, ahead, now);
+        return expectedWaits.isFutile(this.expectedMs, this.startTimes!.usefulUntil, now);
+    }
+
     onTimeout(): void {
         this.refuse(callRefusals.unplaced(this.reason, this.subject.executedAttempts));
     }
@@ -156,7 +179,7 @@
             return false;
         }
         const now = this.ports.clock.now();
-        this.serverTimeoutAt = this.waitEndsAt(now);
+        this.serverTimeoutAt = this.subject.policy.waitEndsAt(this.subject, now);
         if (choice.kind === "none") {
             this.reason = choice.reason;
             if (executedAttempts === 0 && now + (choice.pauseMs ?? 0) > this.serverTimeoutAt) {
@@ -168,6 +191,7 @@
             reason: this.reason,
             waiting: this.queue.waitingForServer,
             service: admission.service,
+            rank: this.priority,
             limitMs: Math.round(this.serverTimeoutAt - now),
         });
         return true;
@@ -185,22 +209,30 @@
             && this.subject.admission.cache.isBeingPrefilled(choice.candidate, now);
     }
 
-    /** Time until which the call waits for a server. */
-    private waitEndsAt(now: number): number {
-        const { admission: { route, deadlineAt }, arrivedAt, executedAttempts, lastProgressAt } = this.subject;
-        return waitLimits.waitEndsAt({
-            kind: route.kind,
-            arrivedAt,
-            deadlineAt,
-            executedAttempts,
-            lastProgressAt,
-            targetLatencyMs: route.targetLatencyMs,
-            targetGapMs: route.targetGapMs,
-        }, now);
+    private enqueue(): void {
+        this.isQueued = true;
+        this.ports.queues.enqueue(this.subject.admission.service, this);
     }
 
     private refuse(refusal: callRefusals.CallRefusal): void {
-        this.outcome.refuse(refusal);
+        const { admission, policy } = this.subject;
+        const { retryAfterMs: usualMs } = refusal;
+        const unmet = { isFull: this.reason === "all-full", expectedMs: this.expectedMs };
+        const retryAfterMs = usualMs === undefined || refusal.failure !== "no-server-available"
+            ? usualMs
+            : policy.retryAfterMs(admission, { ...unmet, usualMs }, this.ports.clock.now());
+        this.count("refused");
+        this.outcome.refuse({ ...refusal, retryAfterMs, expectedWaitMs: this.expectedMs });
         this.resolve(undefined);
     }
+
+    /** Counts the end of the wait, if there was one. */
+    private count(end: types.WaitEnd): void {
+        if (this.isQueued) {
+            this.isQueued = false;
+            const reason = this.waitsForServer ? this.reason : "part-being-read";
+            const waitedMs = this.ports.clock.now() - this.startedAt;
+            this.ports.meter.waited(this.subject.admission.service, reason, end, waitedMs);
+        }
+    }
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -17,6 +17,7 @@
 import * as retries from "./retry-decision.js";
 import type * as types from "./types.js";
 import * as uploads from "./upload.js";
+import * as waitPolicies from "./wait-policy.js";
 
 /** Interval in milliseconds at which an answer that is delivered after the deadline is checked. */
 const LATE_ANSWER_POLL_MS = 100;
@@ -43,6 +44,7 @@
     private unexecutedAttempts = 0;
     private attempts = 0;
     private readonly request: http.IncomingMessage;
+    private readonly waitPolicy: waitPolicies.WaitPolicy;
 
     /** `onAccept` is called when the body is wanted. */
     constructor(
@@ -53,6 +55,7 @@
         this.request = response.req;
         this.arrivedAt = ports.clock.now();
         this.callerResponse = new callerResponses.CallerResponse(response, ports);
+        this.waitPolicy = waitPolicies.waitPolicy(ports);
         response.on("close", () => this.onCallerDisconnect());
     }
 
@@ -209,6 +212,7 @@
             attempts: this.attempts,
             executedAttempts: this.executedAttempts,
             lastProgressAt: this.callerResponse.lastEventAt ?? this.arrivedAt,
+            policy: this.waitPolicy,
             log: this.log,
         }, {
             place: choice => {
@@ -224,7 +228,14 @@
         if (refusal.refunds) {
             this.refund(admission);
         }
-        this.refuse(refusal.failure, refusal.detail, refusal.retryAfterMs);
+        const { failure: kind, detail, retryAfterMs, expectedWaitMs } = refusal;
+        this.refuse(kind, detail, retryAfterMs, { expectedWaitMs: expectedWaitMs && Math.round(expectedWaitMs) });
+    }
+
+    /** Delay in milliseconds after which the caller of a call that the servers did not run retries. */
+    private retryAfterRejectionMs(admission: admissions.Admission): number {
+        const unmet = { usualMs: callRefusals.RETRY_AFTER_REJECTION_MS, isFull: true, expectedMs: undefined };
+        return this.waitPolicy.retryAfterMs(admission, unmet, this.ports.clock.now());
     }
 
     private async runAttempt(
@@ -233,7 +244,7 @@
     ): Promise<callAttempts.AttemptResult | undefined> {
         const { candidate } = choice;
         const attempt = new callAttempts.CallAttempt(this.ports, {
-            admission: { ...admission, priority: admissions.priorityOf(admission) },
+            admission: { ...admission, priority: this.waitPolicy.enginePriorityOf(admission) },
             choice,
             request: this.request,
             callerResponse: this.callerResponse,
@@ -332,7 +343,7 @@
         }
         if (decision === "fail-not-run" && !this.callerResponse.hasStarted) {
             this.refund(admission);
-            this.refuse("call-turned-away", result.reason, callRefusals.RETRY_AFTER_REJECTION_MS);
+            this.refuse("call-turned-away", result.reason, this.retryAfterRejectionMs(admission));
             return;
         }
         this.refuse("call-outcome-unknown", result.reason);
@@ -366,7 +377,7 @@
             this.refuse(
                 "no-server-available",
                 "no server before the deadline of the call",
-                callRefusals.RETRY_AFTER_REJECTION_MS,
+                this.retryAfterRejectionMs(admission),
             );
         }
         else {
@@ -396,7 +407,12 @@
     }
 
     /** Sends an error response, or aborts the response if it has already started. */
-    private refuse(kind: failure.FailureKind, detail: string, retryAfterMs?: number): undefined {
+    private refuse(
+        kind: failure.FailureKind,
+        detail: string,
+        retryAfterMs?: number,
+        fields: event.Fields = {},
+    ): undefined {
         if (this.isFinished || this.callerResponse.isEnded) {
             return undefined;
         }
@@ -413,8 +429,12 @@
             retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
             elapsedMs: Math.round(this.elapsedMs),
             attempts: this.attempts,
+            ...fields,
         });
         this.ports.meter.refused(this.accepted?.customer?.name ?? "", kind);
+        if (retryAfterMs !== undefined) {
+            this.ports.meter.retryAdvised(kind, retryAfterMs);
+        }
         discards.discardBody(this.response, this.ports.view.routingTable?.configuration.limits.bodyBytes);
         this.callerResponse.sendFailure(definition.status, definition.message(detail), retryAfterMs);
         return undefined;
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -28,6 +28,9 @@
     readonly capabilities: fleet.Capabilities;
 }
 
+/** How the wait of a call ends. */
+export type WaitEnd = "placed" | "refused" | "cancelled";
+
 /** Records the metrics of calls. */
 export interface CallMeter {
     /** Records the status and latency of a call that got a response; `firstEventMs` is the time until its headers. */
@@ -44,6 +47,10 @@
     answerRelayed(reason: string): void;
     /** Counts a call that failed with an error response of the router. */
     refused(customer: string, failure: string): void;
+    /** Records the wait of a call for a server or for shared parts, by the last reason for it. */
+    waited(service: string, reason: string, end: WaitEnd, waitedMs: number): void;
+    /** Records the delay after which the caller of a refused call is to retry. */
+    retryAdvised(failure: string, retryAfterMs: number): void;
 }
 
 export interface CallPorts {
--- a/src/runtime/meter.ts
+++ b/src/runtime/meter.ts
@@ -48,6 +48,15 @@
         this.count(`ibisstep_refusals_total{customer="${customer}",failure="${failure}"}`);
     }
 
+    waited(service: string, reason: string, end: forwarding.WaitEnd, waitedMs: number): void {
+        this.count(`ibisstep_waits_total{service="${service}",reason="${reason}",end="${end}"}`);
+        this.record("ibisstep_wait_ms", `service="${service}",reason="${reason}"`, waitedMs);
+    }
+
+    retryAdvised(failure: string, retryAfterMs: number): void {
+        this.record("ibisstep_retry_after_ms", `failure="${failure}"`, retryAfterMs);
+    }
+
     attemptFailed(service: string, end: string, hasBegun: boolean): void {
         this.count(`ibisstep_attempts_failed_total{service="${service}",end="${end}",begun="${hasBegun}"}`);
     }
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -287,6 +287,8 @@
             meter: {
                 finished: () => undefined,
                 refused: () => undefined,
+                waited: () => undefined,
+                retryAdvised: () => undefined,
                 attemptFailed: () => undefined,
                 answerRelayed: () => undefined,
             },
