--- a/src/scheduling/service-throughput.ts
+++ b/src/scheduling/service-throughput.ts
@@ -4,6 +4,8 @@
 const WINDOW_MS = 1000;
 /** Time in milliseconds for which calls have to have waited before the rate is known. */
 const MINIMUM_CONTENTION_MS = 300;
+/** Placements with which the rate is known. Fewer say little: servers may take many calls at once as soon as one ends. */
+const MINIMUM_PLACEMENTS = 4;
 /** With more milliseconds between two observations the process did not run, and what it saw before says nothing. */
 const MAXIMUM_PAUSE_MS = 250;
 
@@ -47,10 +49,11 @@
         }
     }
 
-    /** Undefined while calls have not waited for long enough. */
+    /** Undefined while calls have not waited for long enough, or while too few have been placed. */
     at(now: number): Throughput | undefined {
         const contendedMs = now - (this.contendedSince ?? now);
-        if (contendedMs < MINIMUM_CONTENTION_MS || now - this.observedAt > MAXIMUM_PAUSE_MS) {
+        const isKnown = contendedMs >= MINIMUM_CONTENTION_MS && this.placements.length >= MINIMUM_PLACEMENTS;
+        if (!isKnown || now - this.observedAt > MAXIMUM_PAUSE_MS) {
             return undefined;
         }
         return {
