--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -1,22 +1,21 @@
 /** Handles one call from its headers to its final response. */
 import type * as http from "node:http";
-import * as catalogue from "../catalogue/failures.js";
 import type * as event from "../core/event.js";
 import type * as failure from "../core/failure.js";
-import * as attemptKinds from "./attempt-kinds.js";
+import * as attemptHistories from "./attempt-history.js";
 import * as attemptRecords from "./attempt-record.js";
 import * as discards from "./body-discard.js";
 import * as admissions from "./call-admission.js";
+import * as callArrivals from "./call-arrival.js";
 import * as callAttempts from "./call-attempt.js";
 import type * as callPlacements from "./call-placement.js";
+import * as callRecords from "./call-record.js";
 import * as callRefusals from "./call-refusal.js";
 import * as callWaits from "./call-wait.js";
 import * as callerResponses from "./caller-response.js";
-import * as memoryOwners from "./memory-owner.js";
 import * as placedCalls from "./placed-call.js";
-import * as retries from "./retry-decision.js";
+import type * as retries from "./retry-decision.js";
 import type * as types from "./types.js";
-import * as uploads from "./upload.js";
 import * as waitPolicies from "./wait-policy.js";
 
 /** Interval in milliseconds at which an answer that is delivered after the deadline is checked. */
@@ -38,11 +37,7 @@
     private isFinished = false;
     private isAttempting = false;
     private deadlineTimer: NodeJS.Timeout | undefined;
-    /** Number of attempts that may have run. */
-    private executedAttempts = 0;
-    /** Number of attempts that reached no server or were rejected without being run. */
-    private unexecutedAttempts = 0;
-    private attempts = 0;
+    private readonly history = new attemptHistories.AttemptHistory();
     private readonly request: http.IncomingMessage;
     private readonly waitPolicy: waitPolicies.WaitPolicy;
 
@@ -112,7 +107,7 @@
         if (this.isFinished || this.isAttempting || this.callerResponse.isEnded) {
             return;
         }
-        if (this.executedAttempts > 0) {
+        if (this.history.executed > 0) {
             this.endUnknown();
             return;
         }
@@ -138,11 +133,20 @@
         this.interrupt?.();
     }
 
+    private get state(): callRecords.EndedCall {
+        return {
+            accepted: this.accepted,
+            elapsedMs: this.elapsedMs,
+            attempts: this.history.attempts,
+            log: this.log,
+        };
+    }
+
     private get elapsedMs(): number {
         return this.ports.clock.now() - this.arrivedAt;
     }
 
-    /** Checks the head, reads the body and charges the call. Undefined if the call was refused. */
+    /** Takes in the call. Undefined if it was refused or cancelled. */
     private async admit(): Promise<admissions.Admission | undefined> {
         const head = this.ports.dialect.decodeCall(this.request.headers);
         if (head === undefined) {
@@ -150,46 +154,24 @@
         }
         this.callerResponse.callId = head.id;
         const arrival = { request: this.request, head, arrivedAt: this.arrivedAt };
-        const accepted = admissions.acceptHead(this.ports, arrival);
-        if (accepted.kind === "refused") {
-            return this.refuseAdmission(accepted);
-        }
-        this.accepted = accepted;
-        this.startDeadline(accepted.deadlineAt);
-        const received = await this.receiveBody(accepted);
-        if (this.isFinished || received.kind === "aborted") {
-            return undefined;
-        }
-        if (received.kind === "refused") {
-            return this.refuseAdmission(received);
-        }
-        const confirmed = admissions.reauthorize(this.ports, arrival, accepted);
-        if (confirmed.kind === "refused") {
-            return this.refuseAdmission(confirmed);
-        }
-        this.accepted = confirmed;
-        const admission = admissions.admit(this.ports, this.request, confirmed, received.body);
-        return admission.kind === "refused" ? this.refuseAdmission(admission) : admission;
-    }
-
-    private async receiveBody(accepted: admissions.AcceptedCall): Promise<uploads.UploadResult> {
-        const upload = new uploads.Upload(this.ports, {
-            request: this.request,
-            owner: memoryOwners.memoryOwner(accepted.customer, this.request),
-            deadlineAt: accepted.deadlineAt,
-            limitBytes: accepted.table.configuration.limits.bodyBytes,
+        const admission = await callArrivals.receive(this.ports, arrival, {
             onAccept: this.onAccept,
+            onAccepted: accepted => {
+                if (this.accepted === undefined) {
+                    this.startDeadline(accepted.deadlineAt);
+                }
+                this.accepted = accepted;
+            },
+            onUpload: cancel => {
+                this.interrupt = cancel;
+            },
+            onBody: memory => {
+                this.memory = memory;
+            },
+            isFinished: () => this.isFinished,
+            log: this.log,
         });
-        this.interrupt = () => upload.cancel();
-        const received = await upload.receive();
-        this.interrupt = undefined;
-        if (received.kind === "body") {
-            this.memory = received.memory;
-        }
-        if (upload.waitedMs >= 1) {
-            this.log("call-waits", { reason: "memory", waitedMs: Math.round(upload.waitedMs) });
-        }
-        return received;
+        return admission?.kind === "refused" ? this.refuseAdmission(admission) : admission;
     }
 
     private refuseAdmission({ failure: kind, detail, retryAfterMs, closesConnection }: admissions.Refusal): undefined {
@@ -209,14 +191,19 @@
         const wait = new callWaits.CallWait<placedCalls.PlacedCall>(this.ports, {
             admission,
             arrivedAt: this.arrivedAt,
-            attempts: this.attempts,
-            executedAttempts: this.executedAttempts,
+            attempts: this.history.attempts,
+            executedAttempts: this.history.executed,
             lastProgressAt: this.callerResponse.lastEventAt ?? this.arrivedAt,
             policy: this.waitPolicy,
             log: this.log,
         }, {
             place: choice => {
-                return placedCalls.place(this.ports, { admission, choice, attempt: ++this.attempts, log: this.log });
+                return placedCalls.place(this.ports, {
+                    admission,
+                    choice,
+                    attempt: ++this.history.attempts,
+                    log: this.log,
+                });
             },
             refuse: refusal => this.refuseUnplaced(admission, refusal),
         });
@@ -258,8 +245,8 @@
             cacheScope: cacheLookup.scope,
             cachePlan: cacheLookup.plan,
             onBegun: () => attemptRecords.recordBegun(this.ports, admission),
-            isRepeated: this.attempts > 1,
-            hasAttemptLeft: this.executedAttempts + 1 < admission.route.maximumAttempts,
+            isRepeated: this.history.attempts > 1,
+            hasAttemptLeft: this.history.executed + 1 < admission.route.maximumAttempts,
         });
         const mayWithdraw = admission.route.kind !== "at-most-once";
         using _pending = this.ports.suspects.trackPending({
@@ -290,46 +277,19 @@
         choice: callPlacements.ServerChoice,
         result: callAttempts.AttemptResult,
     ): boolean {
-        if (result.kind === "answered" || this.isFinished) {
+        const { kind } = result;
+        if (kind === "answered" || this.isFinished) {
             return false;
         }
-        const now = this.ports.clock.now();
-        const wasUnexecuted = attemptKinds.UNEXECUTED_KINDS.has(result.kind);
-        this.executedAttempts += wasUnexecuted ? 0 : 1;
-        this.unexecutedAttempts += wasUnexecuted ? 1 : 0;
-        attemptRecords.updateServerHealth(this.ports, choice.candidate.server, result, this.log);
-        const budget = this.ports.retryBudgets.of(admission.service, now);
-        const decision = retries.decide(result.kind, {
-            kind: admission.route.kind,
-            isResumable: admission.route.resumable,
-            maximumAttempts: admission.route.maximumAttempts,
-            executedAttempts: this.executedAttempts,
-            unexecutedAttempts: this.unexecutedAttempts,
-            remainingMs: admission.deadlineAt - now,
-            isRelayed: this.callerResponse.isRelayed,
-            hasRetryBudget: budget.canRetry(now),
-        });
-        const backendServer = choice.candidate.server.id;
-        this.log("attempt-ended", {
-            backendServer,
-            end: result.kind,
-            reason: result.reason,
-            decision,
-            ran: this.executedAttempts,
-            mismatch: result.mismatch,
-            hasBegun: result.hasBegun,
-            parts: result.kind === "broken" ? admission.head.parts.map(part => part.id).join(" ") : undefined,
-        });
-        this.ports.meter.attemptFailed(admission.service, result.kind, result.hasBegun);
-        if (decision === "retry") {
-            // An attempt that reached no server adds no load to the service, so its retry is not counted.
-            if (result.kind !== "not-sent") {
-                budget.tryRetry(now);
-            }
-            return true;
+        const { server } = choice.candidate;
+        attemptRecords.updateServerHealth(this.ports, server, result, this.log);
+        const { isRelayed } = this.callerResponse;
+        const failed = { admission, server: server.id, result: { ...result, kind }, isRelayed, log: this.log };
+        const decision = this.history.decide(this.ports, failed);
+        if (decision !== "retry") {
+            this.failCall(admission, decision, result);
         }
-        this.failCall(admission, decision, result);
-        return false;
+        return decision === "retry";
     }
 
     private failCall(
@@ -353,7 +313,7 @@
     private failInternally(error: unknown): void {
         const reason = error instanceof Error ? error.stack ?? error.message : String(error);
         this.log("call-faulted", { reason });
-        this.refuse(this.attempts > 0 ? "call-outcome-unknown" : "call-failed-internally", "internal error");
+        this.refuse(this.history.attempts > 0 ? "call-outcome-unknown" : "call-failed-internally", "internal error");
     }
 
     /** Ends the call at its deadline. */
@@ -372,7 +332,7 @@
             this.callerResponse.closeAfterResponse();
             this.refuse("call-upload-timed-out", `after ${Math.round(this.elapsedMs)} ms`);
         }
-        else if (this.executedAttempts === 0 && !this.isAttempting) {
+        else if (this.history.executed === 0 && !this.isAttempting) {
             this.refund(admission);
             this.refuse(
                 "no-server-available",
@@ -391,9 +351,9 @@
         if (this.isFinished || this.callerResponse.isEnded) {
             return;
         }
-        this.log("call-cancelled", { elapsedMs: Math.round(this.elapsedMs), attempts: this.attempts });
+        this.log("call-cancelled", { elapsedMs: Math.round(this.elapsedMs), attempts: this.history.attempts });
         // An at-most-once call continues: aborting it would leave its outcome unknown.
-        const continues = this.admission?.route.kind === "at-most-once" && this.attempts > 0;
+        const continues = this.admission?.route.kind === "at-most-once" && this.history.attempts > 0;
         this.isFinished = true;
         if (!continues) {
             this.interrupt?.();
@@ -421,20 +381,7 @@
             this.callerResponse.abort();
             return undefined;
         }
-        const definition: failure.FailureDefinition = catalogue.failures[kind];
-        this.log("call-refused", {
-            failure: kind,
-            detail,
-            status: definition.status,
-            retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
-            elapsedMs: Math.round(this.elapsedMs),
-            attempts: this.attempts,
-            ...fields,
-        });
-        this.ports.meter.refused(this.accepted?.customer?.name ?? "", kind);
-        if (retryAfterMs !== undefined) {
-            this.ports.meter.retryAdvised(kind, retryAfterMs);
-        }
+        const definition = callRecords.recordRefusal(this.ports, this.state, kind, { detail, retryAfterMs, fields });
         discards.discardBody(this.response, this.ports.view.routingTable?.configuration.limits.bodyBytes);
         this.callerResponse.sendFailure(definition.status, definition.message(detail), retryAfterMs);
         return undefined;
@@ -447,26 +394,9 @@
         if (this.callerResponse.status === undefined) {
             return;
         }
-        const { route, customer } = this.accepted ?? {};
-        const elapsedMs = this.elapsedMs;
-        const firstEventMs = this.callerResponse.startedAt === undefined
-            ? undefined
-            : this.callerResponse.startedAt - this.arrivedAt;
-        this.log("call-answered", {
-            status: this.callerResponse.status,
-            elapsedMs: Math.round(elapsedMs),
-            firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
-            route: route?.name,
-            customer: customer?.name,
-            attempts: this.attempts,
-        });
-        this.ports.meter.finished(
-            customer?.name ?? "",
-            route?.name ?? "",
-            this.callerResponse.status,
-            elapsedMs,
-            firstEventMs,
-        );
+        const { status, startedAt } = this.callerResponse;
+        const firstEventMs = startedAt === undefined ? undefined : startedAt - this.arrivedAt;
+        callRecords.recordResponse(this.ports, this.state, status, firstEventMs);
     }
 
     /** The response may go on for a while, but does not need the body any more. */
