--- a/src/forwarding/attempt-record.ts
+++ b/src/forwarding/attempt-record.ts
@@ -76,7 +76,7 @@
     if (attemptKinds.BLAMELESS_KINDS.has(result.kind)) {
         return;
     }
-    if (result.kind === "server-failure") {
+    if (result.kind === "server-failure" || result.isServerBusy) {
         ports.serverHealth.recordResponse(server.id, true, now);
         return;
     }
--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -5,6 +5,7 @@
 import type * as cachePlans from "../placement/cache-plan.js";
 import type * as placement from "../placement/types.js";
 import type * as callOutcomes from "../rollout/call-outcome.js";
+import * as silentAttempts from "../scheduling/silent-attempt.js";
 import * as answerReceivers from "./answer-receiver.js";
 import type * as callerResponses from "./caller-response.js";
 import type * as dialects from "./dialect.js";
@@ -16,6 +17,7 @@
 import * as serverRequests from "./server-request.js";
 import * as streamRelays from "./stream-relay.js";
 import type * as types from "./types.js";
+import * as waitLimits from "./wait-limit.js";
 
 /** Response timeout of an idempotent call, as a multiple of the mean call time of its service. */
 const IDEMPOTENT_TIMEOUT_FACTOR = 4;
@@ -47,6 +49,8 @@
 
 export interface AttemptInput {
     readonly admission: AttemptAdmission;
+    /** Arrival of the call. */
+    readonly arrivedAt: number;
     readonly choice: placement.PlacementDecision & { readonly kind: "server"; };
     readonly request: http.IncomingMessage;
     readonly callerResponse: callerResponses.CallerResponse;
@@ -72,12 +76,16 @@
     readonly hasBegun: boolean;
     /** Expectation of the attempt that the server did not meet: its identity, or the version of its weights. */
     readonly mismatch: "server" | "weights" | undefined;
+    /** The server works, but was too busy for the call; for the kind `silent`. */
+    readonly isServerBusy: boolean;
     /** Complete failure response of the server, for the kind `server-failure`, unless there was no memory for it. */
     readonly response: callerResponses.BufferedResponse | undefined;
 }
 
 /** How an attempt ended, with the fields that its kind has. */
-type AttemptEnd = Pick<AttemptResult, "kind" | "reason"> & Partial<Pick<AttemptResult, "mismatch" | "response">>;
+type AttemptEnd =
+    & Pick<AttemptResult, "kind" | "reason">
+    & Partial<Pick<AttemptResult, "mismatch" | "response" | "isServerBusy">>;
 
 type Mode = "awaiting-head" | "answering" | "streaming" | "finished";
 
@@ -355,7 +363,7 @@
         if (end?.response === undefined) {
             this.answer?.[Symbol.dispose]();
         }
-        this.resolveResult(end && { mismatch: undefined, response: undefined, ...end, hasBegun });
+        this.resolveResult(end && { mismatch: undefined, response: undefined, isServerBusy: false, ...end, hasBegun });
     }
 
     private get isResumable(): boolean {
@@ -392,11 +400,40 @@
             // The server waits for the caller.
             return;
         }
+        const silence = this.silence();
+        if (silence.kind === "wait") {
+            this.timer = setTimeout(() => this.abandonIfRetryable(timeoutMs + silence.checkInMs), silence.checkInMs);
+            return;
+        }
         // The server may be slow, or the connection silent as well as others that were opened before.
         this.ports.connectionPool.closeIdle(this.input.choice.candidate.server.address);
         if (this.isRetryAllowed()) {
-            this.abandon("silent", `no data for ${Math.round(timeoutMs)} ms`);
+            this.inFlight?.abort();
+            const { isServerBusy } = silence;
+            this.finish({ kind: "silent", reason: `no data for ${Math.round(timeoutMs)} ms`, isServerBusy });
+        }
+    }
+
+    /** Whether the call goes on waiting for a server that sends nothing. */
+    private silence(): silentAttempts.SilenceDecision {
+        const { admission: { route, deadlineAt }, choice, callerResponse } = this.input;
+        if (!this.ports.settings.capabilities.contendedServers || !this.isResumable) {
+            return { kind: "abandon", isServerBusy: false };
         }
+        const now = this.ports.clock.now();
+        return silentAttempts.decide({
+            isReportedAlive: this.ports.view.isReportedAlive(choice.candidate.server, now),
+            abandonedAt: Math.min(
+                deadlineAt,
+                waitLimits.abandonedAt({
+                    kind: route.kind,
+                    deadlineAt,
+                    lastProgressAt: callerResponse.lastEventAt ?? this.input.arrivedAt,
+                    targetLatencyMs: route.targetLatencyMs,
+                    targetGapMs: route.targetGapMs,
+                }),
+            ),
+        }, now);
     }
 
     private isRetryAllowed(): boolean {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -232,6 +232,7 @@
         const { candidate } = choice;
         const attempt = new callAttempts.CallAttempt(this.ports, {
             admission: { ...admission, priority: this.waitPolicy.enginePriorityOf(admission) },
+            arrivedAt: this.arrivedAt,
             choice,
             request: this.request,
             callerResponse: this.callerResponse,
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -126,6 +126,12 @@
         this.leaveOutEarlierIncarnations();
     }
 
+    /** Whether a recent report of the agent beside the server states that it works. */
+    isReportedAlive(server: fleet.BackendServer, now: number): boolean {
+        const report = this.recentReport(server.address, now);
+        return report !== undefined && report.isAlive && isSameIncarnation(server, report);
+    }
+
     /** Servers of a service with their current load and state, as input for server selection. */
     candidates(service: string, model: string | undefined, now: number): readonly placement.Candidate[] {
         const modelOfWeights = this.servesModels(service) ? model : undefined;
