Have released buffers collected before they fill the memory of a small machine

Cause: the runtime collects released buffers once they have grown by half of its heap limit, 48 MB, whatever the process may hold, and later beside load.

Change: the budget tells a collector what is given back. If the buffers of the process exceed what is reserved by a tenth of the budget (2 MB at least), it has young objects collected, and the whole heap if that was not enough; the latter at most once for twice that amount released.

--- a/src/memory/budget.ts
+++ b/src/memory/budget.ts
@@ -2,6 +2,7 @@
  * Memory budget of a process. All that holds bytes of others reserves them here first, so that load is refused or read
  * slower before the process exceeds the limit of its machine.
  */
+import type * as collectors from "./collector.js";
 import * as reservations from "./reservation.js";
 import type * as types from "./types.js";
 
@@ -53,8 +54,11 @@
     private peakTotal = 0;
     private usableBytes: number;
 
-    /** `capacityBytes` is what may be reserved in all; `Infinity` turns the budget off. */
-    constructor(readonly capacityBytes: number) {
+    /**
+     * `capacityBytes` is what may be reserved in all; `Infinity` turns the budget off. `collector` is told of released
+     * buffers.
+     */
+    constructor(readonly capacityBytes: number, private readonly collector?: collectors.Collector) {
         this.usableBytes = capacityBytes;
     }
 
@@ -160,6 +164,9 @@
     /** For reservations only. */
     giveBack(owner: string, purpose: types.Purpose, bytes: number): void {
         this.add(owner, purpose, -bytes);
+        if (purpose !== "connection") {
+            this.collector?.released(bytes, this.heldTotal - this.heldByPurpose.connection);
+        }
         this.grantWaits();
     }
 
--- a/src/memory/monitor.ts
+++ b/src/memory/monitor.ts
@@ -2,6 +2,7 @@
 import type * as clocks from "../clock/clock.js";
 import type * as event from "../core/event.js";
 import type * as budgets from "./budget.js";
+import type * as collectors from "./collector.js";
 import type * as types from "./types.js";
 
 /** Interval in milliseconds between samples while little is reserved, and while much is. */
@@ -20,6 +21,7 @@
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
     readonly budget: budgets.MemoryBudget;
+    readonly collector: Pick<collectors.Collector, "collections">;
     /** Memory limit of the process in bytes; undefined for none. */
     readonly limitBytes: number | undefined;
     readonly measure: () => types.ProcessMemory;
@@ -58,7 +60,7 @@
 
     /** Renders the memory of the process in the Prometheus text format. */
     render(): string {
-        const { budget, limitBytes } = this.ports;
+        const { budget, collector, limitBytes } = this.ports;
         const memory = this.latest ?? this.ports.measure();
         const series: readonly (readonly [name: string, value: number])[] = [
             ["ibisstep_memory_resident_bytes", memory.residentBytes],
@@ -74,6 +76,9 @@
             ...Object.entries(budget.refusals).map(([purpose, count]) => {
                 return [`ibisstep_memory_refusals_total{purpose="${purpose}"}`, count] as const;
             }),
+            ...Object.entries(collector.collections).map(([collection, count]) => {
+                return [`ibisstep_memory_collections_total{collection="${collection}"}`, count] as const;
+            }),
         ];
         return series.map(([name, value]) => `${name} ${Math.round(value)}\n`).join("");
     }
@@ -117,3 +122,8 @@
     const { rss, heapUsed, external } = process.memoryUsage();
     return { residentBytes: rss, heapBytes: heapUsed, externalBytes: external };
 }
+
+/** Bytes of the buffers of this process, with those that are released but not collected. */
+export function measureBuffers(): number {
+    return process.memoryUsage().arrayBuffers;
+}
--- a/src/memory/process-memory.ts
+++ b/src/memory/process-memory.ts
@@ -3,6 +3,7 @@
 import type * as event from "../core/event.js";
 import * as budgets from "./budget.js";
 import * as capacities from "./capacity.js";
+import * as collectors from "./collector.js";
 import * as monitors from "./monitor.js";
 import * as readMemory from "./read-memory.js";
 
@@ -20,9 +21,19 @@
     private readonly monitor: monitors.MemoryMonitor;
 
     constructor(ports: ProcessMemoryPorts) {
-        this.budget = new budgets.MemoryBudget(capacities.capacityOf(ports.limitBytes));
+        const capacityBytes = capacities.capacityOf(ports.limitBytes);
+        const collector = new collectors.Collector(capacityBytes, {
+            measureBuffers: monitors.measureBuffers,
+            collect: collectors.collectorOfRuntime(),
+        });
+        this.budget = new budgets.MemoryBudget(capacityBytes, collector);
         this.reads = new readMemory.ReadMemory(this.budget);
-        this.monitor = new monitors.MemoryMonitor({ ...ports, budget: this.budget, measure: monitors.measureProcess });
+        this.monitor = new monitors.MemoryMonitor({
+            ...ports,
+            budget: this.budget,
+            collector,
+            measure: monitors.measureProcess,
+        });
     }
 
     /** Begins to compare the process with its limit. */
