--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -30,6 +30,8 @@
  * call has finished. About the duration of one engine step.
  */
 const PENDING_UPDATE_MS_PER_OUTPUT_TOKEN = 5;
+/** Output tokens of an answer that ends within a tenth of a second, so that it hardly delays an update of weights. */
+const MAXIMUM_SHORT_OUTPUT_TOKENS = 16;
 /**
  * Extra cost of a server other than the preferred one, relative to the prefill time of the shared parts: they evict other
  * parts there, and fetching them uses the network link of the store, which all servers share.
@@ -76,7 +78,7 @@
         }
         eligible = accepted;
     }
-    eligible = spareLimited(eligible, request);
+    eligible = sparePending(spareLimited(eligible, request), request);
     const preferred = findPreferred(ready, request);
     const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
     const compared = spread.candidatesToCompare(
@@ -119,6 +121,22 @@
     return unlimited.length === 0 ? eligible : unlimited;
 }
 
+/**
+ * Under contention, leaves servers whose update is pending to short answers while others have capacity. Their queues and
+ * caches would outweigh the penalty, and a server that begins to load weights with many long answers is out of use for
+ * seconds until these have ended.
+ */
+function sparePending(
+    eligible: readonly types.Candidate[],
+    request: types.PlacementRequest,
+): readonly types.Candidate[] {
+    if (request.isContended !== true || request.expectedOutputTokens <= MAXIMUM_SHORT_OUTPUT_TOKENS) {
+        return eligible;
+    }
+    const others = eligible.filter(candidate => !candidate.isUpdatePending);
+    return others.length === 0 ? eligible : others;
+}
+
 /** The ready server to which rendezvous hashing assigns the shared parts. All entries agree on it without communication. */
 function findPreferred(
     ready: readonly types.Candidate[],
--- a/src/runtime/agent.ts
+++ b/src/runtime/agent.ts
@@ -62,7 +62,7 @@
             journal,
             engine: platform.engine(address),
             address,
-            emptiesQueue: settings.capabilities.contendedServers,
+            isContended: settings.capabilities.contendedServers,
             neighbours: model => this.neighbours(model),
             announce: () => this.heartbeats.sendToAll(),
         });
--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -8,6 +8,11 @@
  * that are running when the update becomes pending end within this time.
  */
 const MAXIMUM_PENDING_MS = 800;
+/**
+ * The same where calls compete for the servers: a busy server takes longer for its running calls, and it serves short calls
+ * while its update is pending, but none while it is announced.
+ */
+const MAXIMUM_CONTENDED_PENDING_MS = 1600;
 /** Number of running calls up to which a server may update without waiting for them to end. */
 const NEARLY_IDLE_CALLS = 2;
 /** Time in milliseconds between the announcement to the entries and the order, so that calls stop arriving first. */
@@ -39,8 +44,8 @@
     readonly desired: fleet.DesiredWeights;
     /** Token of orders to the server; it does not go back from one order to the next. */
     readonly fencingToken: number;
-    /** The server's queue is to be empty before the order, if that does not take long. */
-    readonly emptiesQueue?: boolean;
+    /** Calls compete for the servers, so that a server that finishes many calls before the update is missed. */
+    readonly isContended?: boolean;
     /** When the server may update, depending on the other servers. */
     readonly timing: rollingUpdates.UpdateTiming;
     /** The update in progress. */
@@ -87,8 +92,9 @@
     }
     const since = update?.pendingSince ?? now;
     const next = { model: desired.model, version: desired.version, pendingSince: since, orderedAt: undefined };
+    const maximumPendingMs = input.isContended === true ? MAXIMUM_CONTENDED_PENDING_MS : MAXIMUM_PENDING_MS;
     const mayAnnounce = input.timing === "now"
-        && (now - since >= MAXIMUM_PENDING_MS || engine.running <= NEARLY_IDLE_CALLS);
+        && (now - since >= maximumPendingMs || engine.running <= NEARLY_IDLE_CALLS);
     if (update?.announcedAt === undefined && !mayAnnounce) {
         const isPending = update?.version === desired.version;
         return isPending ? { kind: "wait" } : { kind: "set-pending", update: { ...next, announcedAt: undefined } };
@@ -98,7 +104,7 @@
     }
     const isAnnounced = now - update.announcedAt >= ANNOUNCEMENT_DELAY_MS;
     const wasJustOrdered = update.orderedAt !== undefined && now - update.orderedAt < ORDER_RETRY_MS;
-    const isEmptying = input.emptiesQueue === true && (engine.unstarted ?? 0) > 0
+    const isEmptying = input.isContended === true && (engine.unstarted ?? 0) > 0
         && now - update.announcedAt < MAXIMUM_QUEUE_MS;
     if (!isAnnounced || isEmptying || wasJustOrdered) {
         return { kind: "wait" };
--- a/src/weights/updater.ts
+++ b/src/weights/updater.ts
@@ -20,8 +20,8 @@
     readonly journal: event.Journal;
     readonly engine: types.EnginePort;
     readonly address: string;
-    /** Orders wait for a short time until the server has begun to answer all calls that it has. */
-    readonly emptiesQueue?: boolean;
+    /** Calls compete for the servers: an update waits longer for those that the server has. */
+    readonly isContended?: boolean;
     /** The other servers with the model that respond, according to the recent heartbeats of their agents. */
     readonly neighbours: (model: string) => readonly rollingUpdates.ServerStatus[];
     /** Sends the current report to the entries immediately. */
@@ -135,7 +135,7 @@
                 fencingToken: this.fencingToken(),
                 timing: this.updateTiming(history, desired, now),
                 update: this.update,
-                emptiesQueue: this.ports.emptiesQueue === true,
+                isContended: this.ports.isContended === true,
             },
             now,
         );
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -196,3 +196,13 @@
     const decision = choose([candidate("a", { stated: stated({ isFull: true }) })]);
     assert.deepEqual(decision, { kind: "none", reason: "all-full" });
 });
+
+testing.test("contended servers: long answers stay off a server with a pending update while another has capacity", () => {
+    const pending = candidate("pending", { isUpdatePending: true });
+    const busy = candidate("busy", { pendingPromptTokens: 60_000 });
+    const long = { ...REVIEW, affinityKey: undefined, expectedOutputTokens: 40, isContended: true };
+    assert.equal(chosen(choose([pending, busy], long)), "busy");
+    assert.equal(chosen(choose([pending, busy], { ...long, expectedOutputTokens: 7 })), "pending");
+    assert.equal(chosen(choose([pending, busy], { ...long, isContended: false })), "pending");
+    assert.equal(chosen(choose([pending], long)), "pending", "there is no other");
+});
--- a/test/weights/update-step.test.ts
+++ b/test/weights/update-step.test.ts
@@ -216,13 +216,13 @@
 });
 
 testing.test("server with a queue: the order waits until all its calls have begun, but not for long", () => {
-    const step = (unstarted: number, now: number, emptiesQueue: boolean) => {
+    const step = (unstarted: number, now: number, isContended: boolean) => {
         return updateSteps.nextStep({
             engine: engine(1, { running: 20, waiting: unstarted, unstarted }),
             desired: DESIRED,
             fencingToken: 40,
             timing: "now",
-            emptiesQueue,
+            isContended,
             update: update(),
         }, now).kind;
     };
@@ -231,3 +231,19 @@
     assert.equal(step(6, 600, true), "order", "the update is not held up by a server that makes no progress");
     assert.equal(step(6, 100, false), "order", "as before where servers are not contended");
 });
+
+testing.test("contended servers: the update stays pending for longer, so that fewer long answers run when it is announced", () => {
+    const step = (now: number, running: number) => {
+        return updateSteps.nextStep({
+            engine: engine(1, { running }),
+            desired: DESIRED,
+            fencingToken: 40,
+            timing: "now",
+            isContended: true,
+            update: update({ announcedAt: undefined }),
+        }, now).kind;
+    };
+    assert.equal(step(900, 20), "wait");
+    assert.equal(step(900, 2), "announce");
+    assert.equal(step(1600, 20), "announce");
+});
