--- a/src/forwarding/server-statements.ts
+++ b/src/forwarding/server-statements.ts
@@ -53,7 +53,7 @@
     const { statedLoads: known } = ports.view;
     const ownCalls = ports.serverLoad.ownCalls(server.id);
     const { isRejecting, isSlow } = isRejection
-        ? known.recordRejection(server, load, ownCalls, now)
+        ? known.recordRejection(server, { load, isEngine: engineOf(ports, attempt) !== undefined }, ownCalls, now)
         : known.record(server, load, ownCalls, now);
     if (isRejection) {
         ports.meter.serverRejected(attempt.admission.service, load && statedLoads.isOccupied(load));
@@ -67,7 +67,10 @@
 }
 
 /** No server of the service could hold the call, so that its rejection tells nothing of the server's load. */
-function exceedsServerMemory({ view }: types.CallPorts, { admission: { service, head } }: StatedAttempt): boolean {
-    const { engine } = view.routingTable?.configuration.services.get(service) ?? {};
-    return engine !== undefined && head.promptTokens > engine.memoryTokens;
+function exceedsServerMemory(ports: types.CallPorts, attempt: StatedAttempt): boolean {
+    return attempt.admission.head.promptTokens > (engineOf(ports, attempt)?.memoryTokens ?? Infinity);
+}
+
+function engineOf({ view }: types.CallPorts, { admission }: StatedAttempt): fleet.Engine | undefined {
+    return view.routingTable?.configuration.services.get(admission.service)?.engine;
 }
--- a/src/placement/stated-load.ts
+++ b/src/placement/stated-load.ts
@@ -61,6 +61,12 @@
     readonly isSlow: boolean | undefined;
 }
 
+export interface Rejection {
+    /** Undefined if the server stated none. */
+    readonly load: fleet.StatedLoad | undefined;
+    readonly isEngine: boolean;
+}
+
 interface Statement {
     /** Start of the run of the server that made the statement. */
     readonly startedAt: number | undefined;
@@ -78,7 +84,7 @@
     readonly count: number;
     readonly rejectedAt: number;
     readonly excludedUntil: number;
-    /** Length of the server's queue at the last rejection; undefined if it was not full then, or stated nothing. */
+    /** Length of the queue of an HTTP server at the last rejection as full; undefined if it was not full then. */
     readonly fullWaiting: number | undefined;
     readonly isOwn: boolean;
 }
@@ -130,10 +136,13 @@
         return { isRejecting, isSlow: this.recordPace(server.id, load.pace) };
     }
 
-    /** Records that a server rejected a call of this entry without running it. */
+    /**
+     * Records that a server rejected a call of this entry without running it. An engine also rejects the calls in its queue
+     * when it loads weights, so that the length of its queue tells nothing then.
+     */
     recordRejection(
         server: fleet.BackendServer,
-        load: fleet.StatedLoad | undefined,
+        { load, isEngine }: Rejection,
         ownCalls: number,
         now: number,
     ): StatedChange {
@@ -151,7 +160,7 @@
             count,
             rejectedAt: now,
             excludedUntil: isSameMoment ? previous.excludedUntil : now + exclusionMs,
-            fullWaiting: load !== undefined && isOccupied(load) ? load.waiting : undefined,
+            fullWaiting: load !== undefined && !isEngine && load.running >= load.slots ? load.waiting : undefined,
             isOwn: true,
         });
         return {
@@ -208,7 +217,7 @@
                         statedAt + FIRST_EXCLUSION_MS,
                         this.rejections.get(server)?.excludedUntil ?? 0,
                     ),
-                    fullWaiting: isOccupied(load) ? load.waiting : undefined,
+                    fullWaiting: this.rejections.get(server)?.fullWaiting,
                     isOwn: false,
                 });
             }
--- a/test/placement/stated-load-replay.ts
+++ b/test/placement/stated-load-replay.ts
@@ -121,7 +121,7 @@
         if (running.length >= SLOTS && waiting.length >= QUEUE) {
             outcome.rejected++;
             if (course.usesStatements) {
-                statedLoads.recordRejection(server, statedLoad(index), ownCalls(), now);
+                statedLoads.recordRejection(server, { load: statedLoad(index), isEngine: false }, ownCalls(), now);
             }
             placed[Symbol.dispose]();
             call.tried.add(server.id);
--- a/test/placement/stated-load.test.ts
+++ b/test/placement/stated-load.test.ts
@@ -12,6 +12,7 @@
 const COUNTED = { total: 2, own: 0 };
 const USUAL: fleet.StatedLoad = { running: 2, waiting: 0, slots: 6, pace: 1 };
 const FULL: fleet.StatedLoad = { running: 6, waiting: 24, slots: 6, pace: 1 };
+const REJECTION = { load: FULL, isEngine: false };
 const SLOW: fleet.StatedLoad = { running: 4, waiting: 0, slots: 6, pace: 3 };
 
 function server(startedAt: number | undefined = 1): fleet.BackendServer {
@@ -119,11 +120,11 @@
 testing.test("full server: it is left out after a rejection, longer after each further one, and not after an answer", () => {
     const loads = new statedLoads.StatedLoads();
     const isFull = (now: number) => loads.stateOf(server(), COUNTED, now)?.isFull ?? false;
-    assert.deepEqual(loads.recordRejection(server(), FULL, 0, 1000), { isRejecting: true, isSlow: undefined });
+    assert.deepEqual(loads.recordRejection(server(), REJECTION, 0, 1000), { isRejecting: true, isSlow: undefined });
     assert.deepEqual([1000, 1199, 1210].map(isFull), [true, true, false]);
-    loads.recordRejection(server(), FULL, 0, 1100);
+    loads.recordRejection(server(), REJECTION, 0, 1100);
     assert.deepEqual([1199, 1320].map(isFull), [true, false], "calls already under way do not prolong the exclusion");
-    loads.recordRejection(server(), FULL, 0, 1320);
+    loads.recordRejection(server(), REJECTION, 0, 1320);
     assert.deepEqual([1700, 1730].map(isFull), [true, false]);
     assert.deepEqual(loads.record(server(), USUAL, 0, 1730), { isRejecting: false, isSlow: undefined });
     assert.equal(isFull(1730), false);
@@ -131,7 +132,7 @@
 
 testing.test("full server without a statement: it is left out all the same", () => {
     const loads = new statedLoads.StatedLoads();
-    loads.recordRejection(server(), undefined, 0, 1000);
+    loads.recordRejection(server(), { load: undefined, isEngine: false }, 0, 1000);
     assert.deepEqual(loads.stateOf(server(), COUNTED, 1010), {
         calls: 2,
         waiting: 0,
@@ -144,15 +145,22 @@
 
 testing.test("queue as long as at the last rejection: the server counts as full for a moment", () => {
     const loads = new statedLoads.StatedLoads();
-    loads.recordRejection(server(), FULL, 0, 1000);
+    loads.recordRejection(server(), REJECTION, 0, 1000);
     loads.applyPeer([{ server: "server", startedAt: 1, load: FULL, ageMs: 0, isRejecting: false }], () => 0, 1400);
     assert.equal(loads.stateOf(server(), COUNTED, 1450)!.isFull, true);
     assert.equal(loads.stateOf(server(), COUNTED, 1650)!.isFull, false);
 });
 
+testing.test("engine that rejects its queue to load weights: a queue of that length is not taken for a full one later", () => {
+    const loads = new statedLoads.StatedLoads();
+    loads.recordRejection(server(), { load: FULL, isEngine: true }, 0, 1000);
+    loads.applyPeer([{ server: "server", startedAt: 1, load: FULL, ageMs: 0, isRejecting: false }], () => 0, 1400);
+    assert.equal(loads.stateOf(server(), COUNTED, 1450)!.isFull, false);
+});
+
 testing.test("restarted server: statements and rejections of its earlier run do not count", () => {
     const loads = new statedLoads.StatedLoads();
-    loads.recordRejection(server(1), FULL, 0, 1000);
+    loads.recordRejection(server(1), REJECTION, 0, 1000);
     assert.equal(loads.stateOf(server(2), COUNTED, 1010), undefined);
     assert.equal(
         loads.stateOf(server(undefined), COUNTED, 1010)!.isFull,
@@ -182,7 +190,7 @@
 
 testing.test("rejection told by a peer: the server is left out here as well", () => {
     const [sender, receiver] = [new statedLoads.StatedLoads(), new statedLoads.StatedLoads()];
-    sender.recordRejection(server(), FULL, 0, 1000);
+    sender.recordRejection(server(), REJECTION, 0, 1000);
     receiver.applyPeer(sender.snapshot(1050), () => 0, 1100);
     assert.equal(receiver.stateOf(server(), COUNTED, 1100)!.isFull, true);
     assert.equal(receiver.stateOf(server(), COUNTED, 1300)!.isFull, false);
@@ -198,7 +206,7 @@
 
 testing.test("servers that are no longer listed: nothing is kept of them", () => {
     const loads = new statedLoads.StatedLoads();
-    loads.recordRejection(server(), FULL, 0, 1000);
+    loads.recordRejection(server(), REJECTION, 0, 1000);
     loads.retain(new Set());
     assert.equal(loads.stateOf(server(), COUNTED, 1001), undefined);
 });
