--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -165,6 +165,7 @@
     ): placement.PlacementDecision {
         const { head, service, cache } = this.call;
         const { latency } = this;
+        const meanPromptTokens = this.ports.demand.meanPromptTokens(service, now);
         const placementRequest: placement.PlacementRequest = {
             affinityKey: cache.affinityKey,
             prefillingServers: cache.prefillingServers(now),
@@ -174,7 +175,8 @@
             triedServers: this.triedServers,
             dataCentre: this.ports.settings.dataCentre,
             utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
-            isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
+            meanPromptTokens,
+            isShort: head.promptTokens < meanPromptTokens,
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
             isContended: this.ports.settings.capabilities.contendedServers,
             group,
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -31,6 +31,8 @@
  * call has finished. About the duration of one engine step.
  */
 const PENDING_UPDATE_MS_PER_OUTPUT_TOKEN = 5;
+/** Output tokens of an answer that ends within a tenth of a second, so that it hardly delays an update of weights. */
+const MAXIMUM_SHORT_OUTPUT_TOKENS = 16;
 /**
  * Extra cost of a server other than the preferred one, relative to the prefill time of the shared parts: they evict other
  * parts there, and fetching them uses the network link of the store, which all servers share.
@@ -80,7 +82,7 @@
         }
         eligible = accepted;
     }
-    eligible = spareLimited(eligible, request);
+    eligible = sparePending(spareLimited(eligible, request), request);
     const { own, other } = groupChoice.groupCandidates(eligible, request, latency);
     const preferred = findPreferred(ready.filter(candidate => groupChoice.isInGroup(candidate, request)), request);
     const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
@@ -126,6 +128,22 @@
     return unlimited.length === 0 ? eligible : unlimited;
 }
 
+/**
+ * Under contention, leaves servers whose update is pending to short answers while others have capacity. Their queues and
+ * caches would outweigh the penalty, and a server that begins to load weights with many long answers is out of use for
+ * seconds until these have ended.
+ */
+function sparePending(
+    eligible: readonly types.Candidate[],
+    request: types.PlacementRequest,
+): readonly types.Candidate[] {
+    if (request.isContended !== true || request.expectedOutputTokens <= MAXIMUM_SHORT_OUTPUT_TOKENS) {
+        return eligible;
+    }
+    const others = eligible.filter(candidate => !candidate.isUpdatePending);
+    return others.length === 0 ? eligible : others;
+}
+
 /** The ready server to which rendezvous hashing assigns the shared parts. All entries agree on it without communication. */
 function findPreferred(
     ready: readonly types.Candidate[],
@@ -179,7 +197,13 @@
         const waiting = Math.max(0, candidate.calls + 1 - slots);
         return waiting * latency.callMs / slots + candidate.calls / slots * latency.callMs / 4;
     }
-    return candidate.pendingPromptTokens * latency.msPerPromptToken + candidate.calls * STEP_MS_PER_RUNNING_CALL;
+    return queuedTokens(candidate, request) * latency.msPerPromptToken + candidate.calls * STEP_MS_PER_RUNNING_CALL;
+}
+
+/** Prompt tokens that an engine prefills before those of the call, by the entries' counts or its own statement. */
+function queuedTokens(candidate: types.Candidate, request: types.PlacementRequest): number {
+    const statedTokens = (candidate.stated?.waiting ?? 0) * (request.meanPromptTokens ?? 0);
+    return Math.max(candidate.pendingPromptTokens, statedTokens);
 }
 
 /** Whether a call would wait so long at a server of its own group that servers of the other one are worth a look. */
@@ -222,5 +246,5 @@
         return candidate.calls < Math.ceil(candidate.server.slots * (1 + HTTP_SERVICE_QUEUE_RATIO));
     }
     return candidate.calls < candidate.server.slots
-        && candidate.pendingPromptTokens * latency.msPerPromptToken * paceOf(candidate) <= MAXIMUM_ENGINE_QUEUE_MS;
+        && queuedTokens(candidate, request) * latency.msPerPromptToken * paceOf(candidate) <= MAXIMUM_ENGINE_QUEUE_MS;
 }
--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -8,10 +8,20 @@
  * that are running when the update becomes pending end within this time.
  */
 const MAXIMUM_PENDING_MS = 800;
+/**
+ * The same where calls compete for the servers: a busy server takes longer for its running calls, and it serves short calls
+ * while its update is pending, but none while it is announced.
+ */
+const MAXIMUM_CONTENDED_PENDING_MS = 1600;
 /** Number of running calls up to which a server may update without waiting for them to end. */
 const NEARLY_IDLE_CALLS = 2;
 /** Time in milliseconds between the announcement to the entries and the order, so that calls stop arriving first. */
 const ANNOUNCEMENT_DELAY_MS = 60;
+/**
+ * Longest time in milliseconds from the announcement for which the order waits for calls that the server has not begun to
+ * answer. It would reject them, after all the time that they have waited there.
+ */
+const MAXIMUM_QUEUE_MS = 500;
 /** Time in milliseconds after which an order without visible effect is repeated. */
 const ORDER_RETRY_MS = 400;
 
@@ -34,6 +44,8 @@
     readonly desired: fleet.DesiredWeights;
     /** Token of orders to the server; it does not go back from one order to the next. */
     readonly fencingToken: number;
+    /** Calls compete for the servers, so that a server that finishes many calls before the update is missed. */
+    readonly isContended?: boolean;
     /** When the server may update, depending on the other servers. */
     readonly timing: rollingUpdates.UpdateTiming;
     /** The update in progress. */
@@ -80,8 +92,9 @@
     }
     const since = update?.pendingSince ?? now;
     const next = { model: desired.model, version: desired.version, pendingSince: since, orderedAt: undefined };
+    const maximumPendingMs = input.isContended === true ? MAXIMUM_CONTENDED_PENDING_MS : MAXIMUM_PENDING_MS;
     const mayAnnounce = input.timing === "now"
-        && (now - since >= MAXIMUM_PENDING_MS || engine.running <= NEARLY_IDLE_CALLS);
+        && (now - since >= maximumPendingMs || engine.running <= NEARLY_IDLE_CALLS);
     if (update?.announcedAt === undefined && !mayAnnounce) {
         const isPending = update?.version === desired.version;
         return isPending ? { kind: "wait" } : { kind: "set-pending", update: { ...next, announcedAt: undefined } };
@@ -91,7 +104,9 @@
     }
     const isAnnounced = now - update.announcedAt >= ANNOUNCEMENT_DELAY_MS;
     const wasJustOrdered = update.orderedAt !== undefined && now - update.orderedAt < ORDER_RETRY_MS;
-    if (!isAnnounced || wasJustOrdered) {
+    const isEmptying = input.isContended === true && (engine.unstarted ?? 0) > 0
+        && now - update.announcedAt < MAXIMUM_QUEUE_MS;
+    if (!isAnnounced || isEmptying || wasJustOrdered) {
         return { kind: "wait" };
     }
     const order = {
--- a/src/weights/updater.ts
+++ b/src/weights/updater.ts
@@ -20,6 +20,8 @@
     readonly journal: event.Journal;
     readonly engine: types.EnginePort;
     readonly address: string;
+    /** Calls compete for the servers: an update waits longer for those that the server has. */
+    readonly isContended?: boolean;
     /** The other servers with the model that respond, according to the recent heartbeats of their agents. */
     readonly neighbours: (model: string) => readonly rollingUpdates.ServerStatus[];
     /** Sends the current report to the entries immediately. */
@@ -133,6 +135,7 @@
                 fencingToken: this.fencingToken(),
                 timing: this.updateTiming(history, desired, now),
                 update: this.update,
+                isContended: this.ports.isContended === true,
             },
             now,
         );
