Send no calls to evacuated data centres, nor outside the home regions of routes and customers

The operator evacuates a data centre by a record of kind evacuations, in force until it is removed. Entries watch the kind, with the same copies as the others (outages, peers, restored store), and answer calls once they know it. Calls that are not sent yet (queued, retried, resumed, trials) go elsewhere; with all data centres evacuated they are refused at once as not run. After the end the servers count as cold.

Routes and customers may name regions; both lists bind. A call runs only there, and its cached parts have a scope of their own and are neither fetched from nor saved to a place outside. Only with the capability for placement constraints.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -38,6 +38,8 @@
     readonly priority: number;
     /** Calls need no key. */
     readonly open: boolean;
+    /** Regions in which calls may run; all if there are none. */
+    readonly homes?: readonly string[];
 }
 
 export interface Customer {
@@ -47,6 +49,8 @@
     readonly priority: number | undefined;
     /** Shares no cached prompt parts with other customers. */
     readonly isolated: boolean;
+    /** Regions in which the customer's calls may run; all if there are none. */
+    readonly homes?: readonly string[];
     /** Unit of the rate limit. With `calls`, each call is charged one token. */
     readonly rateUnit: "tokens" | "calls";
     /** Tokens per second; 0 means no limit. */
--- a/src/forwarding/call-admission.ts
+++ b/src/forwarding/call-admission.ts
@@ -3,6 +3,7 @@
 import type * as failure from "../core/failure.js";
 import * as routingTables from "../fleet/routing-table.js";
 import type * as fleet from "../fleet/types.js";
+import * as homeRegions from "../placement/homes.js";
 import * as callFingerprints from "./call-fingerprints.js";
 import * as callPlacements from "./call-placement.js";
 import * as callSyntax from "./call-syntax.js";
@@ -98,8 +99,12 @@
         path: request.url ?? "/",
         body,
     });
-    const cache = new promptCacheAccess.PromptCacheAccess(ports, head, customer);
-    const placement = new callPlacements.CallPlacement(ports, { head, service, cache, fingerprints });
+    const { capabilities, regions } = ports.settings;
+    const homes = capabilities.placementConstraints
+        ? homeRegions.homesOf([route.homes, customer?.homes], regions)
+        : undefined;
+    const cache = new promptCacheAccess.PromptCacheAccess(ports, head, customer, homes);
+    const placement = new callPlacements.CallPlacement(ports, { head, service, cache, fingerprints, homes });
     const standing = placement.standing();
     if (standing.kind === "refuse") {
         const { fingerprint: detail, retryAfterMs } = standing;
--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the server of one call, and decides whether the call may run although calls like it crash servers. */
 import type * as fleet from "../fleet/types.js";
+import type * as homeRegions from "../placement/homes.js";
 import * as selection from "../placement/selection.js";
 import type * as placement from "../placement/types.js";
 import * as attribution from "../quarantine/attribution.js";
@@ -21,8 +22,16 @@
     readonly service: string;
     readonly cache: promptCacheAccess.PromptCacheAccess;
     readonly fingerprints: callFingerprints.CallFingerprints;
+    /** Where the call may run; undefined for anywhere. */
+    readonly homes?: homeRegions.Homes | undefined;
 }
 
+/** Reasons that last until the operator changes what it has ordered, so that a call need not wait. */
+export const LASTING_REASONS: ReadonlySet<string> = new Set<placement.UnplacedReason>([
+    "all-outside-homes",
+    "all-evacuated",
+]);
+
 interface Trial {
     readonly suspects: readonly string[];
     readonly reservation: Disposable;
@@ -36,6 +45,15 @@
 
     constructor(private readonly ports: types.CallPorts, private readonly call: PlacedSubject) {}
 
+    /** Same for calls that can be placed only under the same conditions; undefined if those of this call are its own. */
+    get requirements(): string | undefined {
+        const { head, homes } = this.call;
+        const homesSuffix = homes === undefined ? "" : `@${homes.key}`;
+        return this.triedServers.size === 0 && this.ports.suspects.isEmpty
+            ? `${head.model ?? ""}${homesSuffix}`
+            : undefined;
+    }
+
     get isTrial(): boolean {
         return this.trial !== undefined;
     }
@@ -80,7 +98,7 @@
     /** Prefers the servers with the fewest calls, so that a crash of one of them ends few. */
     private chooseTrialServer(): placement.PlacementDecision {
         const candidates = this.candidates();
-        const untried = candidates.filter(({ server, isSuspected }) => {
+        const untried = this.permitted(candidates).filter(({ server, isSuspected }) => {
             return server.state === "ready" && !isSuspected && !this.triedServers.has(server.id);
         });
         const fewest = Math.min(...untried.map(candidate => candidate.calls));
@@ -93,12 +111,17 @@
     private candidates(): readonly placement.Candidate[] {
         const { head, service } = this.call;
         const candidates = this.ports.view.candidates(service, head.model, this.ports.clock.now());
-        if (candidates.length > 0 && candidates.every(candidate => this.triedServers.has(candidate.server.id))) {
+        const permitted = this.permitted(candidates);
+        if (permitted.length > 0 && permitted.every(candidate => this.triedServers.has(candidate.server.id))) {
             this.triedServers.clear();
         }
         return candidates;
     }
 
+    private permitted(candidates: readonly placement.Candidate[]): readonly placement.Candidate[] {
+        return candidates.filter(candidate => selection.isPermitted(candidate, { isHome: this.call.homes?.includes }));
+    }
+
     /** Chooses among the versions in the order in which a rollout of the service uses them. */
     private chooseServer(all: readonly placement.Candidate[]): placement.PlacementDecision {
         const { head, service } = this.call;
@@ -124,6 +147,7 @@
             expectedOutputTokens: head.expectedOutputTokens,
             triedServers: this.triedServers,
             dataCentre: this.ports.settings.dataCentre,
+            isHome: this.call.homes?.includes,
             utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
             isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -11,7 +11,7 @@
 import * as discards from "./body-discard.js";
 import * as admissions from "./call-admission.js";
 import * as callAttempts from "./call-attempt.js";
-import type * as callPlacements from "./call-placement.js";
+import * as callPlacements from "./call-placement.js";
 import * as callerResponses from "./caller-response.js";
 import * as memoryOwners from "./memory-owner.js";
 import type * as promptCacheAccess from "./prompt-cache-access.js";
@@ -28,6 +28,8 @@
     "all-moving": 300,
     "all-limited": 500,
     "all-cold": 300,
+    "all-evacuated": 1000,
+    "all-outside-homes": 1000,
     "all-paused": 300,
     "all-full": 400,
 };
@@ -250,7 +252,8 @@
         const now = this.ports.clock.now();
         const timeoutAt = this.waitEndsAt(admission, now);
         if (
-            firstChoice.kind === "none" && this.executedAttempts === 0 && now + (firstChoice.pauseMs ?? 0) > timeoutAt
+            firstChoice.kind === "none" && this.executedAttempts === 0
+            && (callPlacements.LASTING_REASONS.has(firstChoice.reason) || now + (firstChoice.pauseMs ?? 0) > timeoutAt)
         ) {
             this.refuseUnplaced(admission, firstChoice.reason, firstChoice.pauseMs);
             return undefined;
@@ -267,9 +270,7 @@
                 priority: admissions.priorityOf(admission),
                 arrivedAt: this.arrivedAt,
                 timeoutAt,
-                requirements: admission.placement.triedServers.size === 0 && this.ports.suspects.isEmpty
-                    ? admission.head.model ?? ""
-                    : undefined,
+                requirements: admission.placement.requirements,
                 tryPlace: () => {
                     if (this.isFinished) {
                         resolve(undefined);
@@ -283,7 +284,12 @@
                     }
                     if (choice.kind === "none") {
                         reason = choice.reason;
-                        return false;
+                        if (this.executedAttempts > 0 || !callPlacements.LASTING_REASONS.has(reason)) {
+                            return false;
+                        }
+                        this.refuseUnplaced(admission, reason);
+                        resolve(undefined);
+                        return true;
                     }
                     resolve(this.place(admission, choice));
                     return true;
--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -3,6 +3,7 @@
 import type * as fleet from "../fleet/types.js";
 import type * as peering from "../peering/types.js";
 import type * as coldServers from "../placement/cold-servers.js";
+import type * as evacuations from "../placement/evacuations.js";
 import type * as serverHealth from "../placement/server-health.js";
 import type * as serverLimits from "../placement/server-limits.js";
 import type * as serverLoads from "../placement/server-load.js";
@@ -26,6 +27,8 @@
     readonly serverHealth: serverHealth.ServerHealth;
     /** Undefined where no server is ever cold. */
     readonly coldServers?: Pick<coldServers.ColdServers, "isCold"> | undefined;
+    /** Undefined where data centres are never evacuated. */
+    readonly evacuations?: Pick<evacuations.Evacuations, "includes" | "isKnown"> | undefined;
 }
 
 export class FleetView {
@@ -54,9 +57,9 @@
         return this.routing;
     }
 
-    /** The configuration and the servers are known, so that calls can be served. */
+    /** The configuration, the servers and the evacuations are known, so that calls can be served. */
     get isComplete(): boolean {
-        return this.routing !== undefined && this.hasServers;
+        return this.routing !== undefined && this.hasServers && this.ports.evacuations?.isKnown !== false;
     }
 
     /** Revision of the store from which the list of servers is; negative if it is unknown. */
@@ -172,6 +175,7 @@
             pauseMs: this.notices.remainingPauseMs(server, now),
             limit: this.ports.serverLimits.stateOf(server.id, now),
             isCold: this.ports.coldServers?.isCold(server.id, now) === true,
+            isEvacuated: this.ports.evacuations?.includes(server.dataCentre) === true,
             failureShare: this.ports.serverHealth.failureShare(server.id, now),
         };
     }
--- a/src/forwarding/prompt-cache-access.ts
+++ b/src/forwarding/prompt-cache-access.ts
@@ -1,6 +1,7 @@
 /** Locates the cached parts of one call's prompt, and records the parts that the call prefills and saves. */
 import type * as fleet from "../fleet/types.js";
 import * as cachePlans from "../placement/cache-plan.js";
+import type * as homeRegions from "../placement/homes.js";
 import type * as prefills from "../placement/prefills.js";
 import type * as placement from "../placement/types.js";
 import type * as types from "./types.js";
@@ -23,6 +24,8 @@
         private readonly ports: types.CallPorts,
         private readonly head: fleet.CallHead,
         private readonly customer: fleet.Customer | undefined,
+        /** Where cached parts may be; undefined for anywhere. */
+        private readonly homes?: homeRegions.Homes,
     ) {
         this.lastSharedPart = cachePlans.lastSharedPart(head.parts);
     }
@@ -81,7 +84,8 @@
         const holders = this.holders(scope, this.lastSharedPart, version, now);
         const isHolder = holders.has(candidate.server.id);
         const holder = this.ports.view.listedServers().find(server => {
-            return server.state === "ready" && server.id !== candidate.server.id && holders.has(server.id);
+            return server.state === "ready" && server.id !== candidate.server.id && holders.has(server.id)
+                && this.isHome(server.dataCentre);
         });
         const plan = cachePlans.planCache({
             store,
@@ -129,12 +133,17 @@
 
     /** The store that is assigned to the last shared part; the parts before it are kept in the same store. */
     private get store(): fleet.CacheStore | undefined {
-        const stores = this.ports.view.routingTable?.configuration.cacheStores ?? [];
+        const all = this.ports.view.routingTable?.configuration.cacheStores ?? [];
+        const stores = all.filter(store => this.isHome(store.dataCentre));
         return this.lastSharedPart === undefined ? undefined : cachePlans.storeForPart(this.lastSharedPart.id, stores);
     }
 
+    private isHome(dataCentre: string): boolean {
+        return this.homes === undefined || this.homes.includes(dataCentre);
+    }
+
     private cacheScope(version: number): string {
-        return cachePlans.cacheScope(this.head.model ?? "", version, this.customer);
+        return cachePlans.cacheScope(this.head.model ?? "", version, this.customer, this.homes);
     }
 
     /** Scope of prefills: a part that several last shared parts have in common is prefilled once per store. */
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -27,6 +27,8 @@
     readonly dataCentre: string;
     readonly selection: selection.SelectionSettings;
     readonly capabilities: fleet.Capabilities;
+    /** Region of each data centre. */
+    readonly regions: ReadonlyMap<string, string>;
 }
 
 /** Records the metrics of calls. */
--- a/src/placement/cache-plan.ts
+++ b/src/placement/cache-plan.ts
@@ -1,6 +1,7 @@
 /** Plans from where a server fetches cached prompt parts for a call, and to which store it saves them. */
 import * as rendezvous from "../core/rendezvous.js";
 import type * as fleet from "../fleet/types.js";
+import type * as homeRegions from "./homes.js";
 import type * as transferBudgets from "./transfer-budget.js";
 
 /** Share of the shared tokens that the preferred server has evicted since their last use. */
@@ -52,12 +53,18 @@
 }
 
 /**
- * Namespace of cached parts. It contains the weights version, since neither servers nor stores compare versions, and
- * the name of an isolated customer.
+ * Namespace of cached parts. It contains the weights version, since neither servers nor stores compare versions, the name
+ * of an isolated customer, and the regions that the parts may not leave: calls without them would move parts elsewhere.
  */
-export function cacheScope(model: string, weightsVersion: number, customer: fleet.Customer | undefined): string {
+export function cacheScope(
+    model: string,
+    weightsVersion: number,
+    customer: fleet.Customer | undefined,
+    homes?: homeRegions.Homes,
+): string {
     const customerSuffix = customer?.isolated === true ? `/${asciiName(customer.name)}` : "";
-    return `${model}/${weightsVersion}${customerSuffix}`;
+    const homesSuffix = homes === undefined ? "" : `@${homes.key}`;
+    return `${model}/${weightsVersion}${customerSuffix}${homesSuffix}`;
 }
 
 /** The name in characters that a header can hold, different for each name. */
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -33,4 +33,16 @@
         message: fields => `${fields.backendServer} is cold for ${fields.remainingMs} ms, by ${fields.source}`,
         hint: "It has just started, or returns from an evacuation, and gets few calls meanwhile.",
     },
+    "data-centre-evacuated": {
+        number: 3606,
+        level: "warn",
+        message: fields => `${fields.dataCentre} is evacuated; its servers get no more calls`,
+        hint: "The other servers take its calls. It lasts until the operator removes the record.",
+    },
+    "evacuation-ended": {
+        number: 3607,
+        level: "info",
+        message: fields => `the evacuation of ${fields.dataCentre} has ended`,
+        hint: "Its servers count as cold for some seconds, in which they get few calls.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -59,8 +59,13 @@
     settings: SelectionSettings,
     random: () => number,
 ): types.PlacementDecision {
-    const ready = candidates.filter(candidate => candidate.server.state === "ready");
+    const ready = candidates.filter(candidate => {
+        return candidate.server.state === "ready" && isPermitted(candidate, request);
+    });
     const filters: readonly (readonly [types.UnplacedReason, (candidate: types.Candidate) => boolean])[] = [
+        ["no-server", candidate => candidate.server.state === "ready"],
+        ["all-outside-homes", candidate => isAtHome(candidate, request)],
+        ["all-evacuated", candidate => candidate.isEvacuated !== true],
         ["no-server", candidate => !request.triedServers.has(candidate.server.id)],
         ["all-suspected", candidate => !candidate.isSuspected],
         ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedExcludedFromMs],
@@ -70,7 +75,7 @@
         ["all-limited", candidate => candidate.limit !== "closed"],
         ["all-full", candidate => hasCapacity(candidate, request, latency)],
     ];
-    let eligible: readonly types.Candidate[] = ready;
+    let eligible: readonly types.Candidate[] = candidates;
     for (const [reason, accepts] of filters) {
         const accepted = eligible.filter(accepts);
         if (accepted.length === 0) {
@@ -104,6 +109,18 @@
     };
 }
 
+/** Whether the operator permits the call at the server, apart from the server's state. */
+export function isPermitted(
+    candidate: types.Candidate,
+    request: Pick<types.PlacementRequest, "isHome">,
+): boolean {
+    return isAtHome(candidate, request) && candidate.isEvacuated !== true;
+}
+
+function isAtHome(candidate: types.Candidate, { isHome }: Pick<types.PlacementRequest, "isHome">): boolean {
+    return isHome === undefined || isHome(candidate.server.dataCentre);
+}
+
 /**
  * Leaves the few requests of servers that name a limit to calls with long prompts, for which a server does most work for
  * one request; the others use them only when no other server has capacity.
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -24,6 +24,8 @@
     readonly limit: "none" | "open" | "closed";
     /** The server has just started and is slow; its limit then also covers what it takes while it is cold. */
     readonly isCold?: boolean;
+    /** The server's data centre is evacuated; it gets no calls. */
+    readonly isEvacuated?: boolean;
     /** Share of recent calls that failed, from 0 to 1. */
     readonly failureShare: number;
 }
@@ -44,6 +46,8 @@
     readonly triedServers: ReadonlySet<string>;
     /** Data centre of this entry. */
     readonly dataCentre: string;
+    /** Whether the call may run in a data centre; undefined if it may run in all of them. */
+    readonly isHome?: ((dataCentre: string) => boolean) | undefined;
     /** Load of all servers of the service together, relative to their capacity. */
     readonly utilization: number;
     /** The prompt is shorter than the mean of the service's calls. */
@@ -67,6 +71,8 @@
     | "no-server"
     | "all-moving"
     | "all-suspected"
+    | "all-outside-homes"
+    | "all-evacuated"
     | "all-limited"
     | "all-cold"
     | "all-paused"
--- a/src/runtime/entry-watches.ts
+++ b/src/runtime/entry-watches.ts
@@ -36,12 +36,15 @@
 const MAXIMUM_ENTRIES_AT_BASE_WAIT = 8;
 const MAXIMUM_WAIT_FACTOR = 3;
 
-export type WatchedKind = "configuration" | "servers" | "weights" | "suspects" | "rollouts";
+export type WatchedKind = "configuration" | "servers" | "weights" | "suspects" | "rollouts" | "evacuations";
 
-export type EntryWatches = Readonly<Record<WatchedKind, watches.KindWatch>>;
+/** Evacuations are watched only where the deployment may have them, since each watch needs calls to the store. */
+export type EntryWatches =
+    & Readonly<Record<Exclude<WatchedKind, "evacuations">, watches.KindWatch>>
+    & { readonly evacuations?: watches.KindWatch; };
 
 export interface EntryWatchPorts extends Required<Pick<watches.WatchPorts, "onEraChange" | "onSilentConnection">> {
-    readonly settings: Pick<types.ProcessSettings, "name" | "changeLimitMs">;
+    readonly settings: Pick<types.ProcessSettings, "name" | "changeLimitMs" | "capabilities">;
     readonly platform: types.Platform;
     readonly clock: clocks.Clock;
     readonly journal: event.Journal;
@@ -90,6 +93,9 @@
         weights: create("weights", { restoration: restoration.byVersion(weightsVersion) }),
         rollouts: create("rollouts", { restoration: restoration.unordered }),
         suspects: create("suspects", { restoration: restoration.asStored }),
+        ...ports.settings.capabilities.placementConstraints
+            ? { evacuations: create("evacuations", { restoration: restoration.unordered }) }
+            : {},
     };
 }
 
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -18,6 +18,7 @@
 import * as cacheIndexes from "../placement/cache-index.js";
 import * as coldServers from "../placement/cold-servers.js";
 import * as demands from "../placement/demand.js";
+import * as evacuations from "../placement/evacuations.js";
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
 import * as serverHealth from "../placement/server-health.js";
@@ -83,6 +84,8 @@
     private readonly serverLimits: serverLimits.ServerLimits;
     /** Undefined where no server is ever cold. */
     private readonly coldServers: coldServers.ColdServers | undefined;
+    /** Undefined where data centres are never evacuated. */
+    private readonly evacuations: evacuations.Evacuations | undefined;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
@@ -131,6 +134,10 @@
             coldStart: service => this.view.routingTable?.configuration.services.get(service)?.coldStart,
             isFirstStart: settings.isFirstStart,
         });
+        this.evacuations = !settings.capabilities.placementConstraints ? undefined : new evacuations.Evacuations({
+            journal,
+            onReturn: dataCentre => this.coldServers?.recordReturn(dataCentre, clock.now()),
+        });
         this.serverLimits = new serverLimits.ServerLimits({
             journal,
             self: settings.name,
@@ -150,6 +157,7 @@
             serverHealth: health,
             serverLimits: this.serverLimits,
             coldServers: this.coldServers,
+            evacuations: this.evacuations,
         });
         this.quotas = new ledgers.QuotaLedger({
             ...silence,
@@ -222,6 +230,7 @@
                     crossDataCentreMs: CROSS_DATA_CENTRE_COST_MS,
                 },
                 capabilities: settings.capabilities,
+                regions: settings.regions,
             },
             isDraining: () => this.isDraining,
             isClosing: () => clock.now() - (this.drainingSince ?? Infinity) >= REFUSE_CALLS_AFTER_MS,
@@ -249,6 +258,7 @@
                 servers: copy => this.adoptServers(copy),
                 weights: copy => this.adoptWeights(copy),
                 rollouts: copy => this.adoptRollouts(copy),
+                evacuations: copy => this.adoptEvacuations(copy),
                 suspects: copy => this.refusals.adopt(copy.records(clock.now())[0]),
             },
         });
@@ -435,6 +445,13 @@
         this.updateState();
     }
 
+    private adoptEvacuations(copy: copies.KindCopy): void {
+        const decoded = this.platform.decodeEvacuations(copy.records(this.clock.now()));
+        this.reportInvalid(this.platform.kinds.evacuations, decoded.invalid);
+        this.evacuations?.adopt({ dataCentres: decoded.values, unreadable: decoded.invalid.map(({ name }) => name) });
+        this.updateState();
+    }
+
     private adoptDesiredWeights(weights: fleet.DesiredWeights): void {
         if (this.view.recordDesiredWeights(weights, this.clock.now())) {
             const { model, version, position } = weights;
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -29,6 +29,8 @@
     /** Calls and prompt parts that crash servers. */
     readonly suspects: string;
     readonly rollouts: string;
+    /** Data centres whose servers are to get no calls. */
+    readonly evacuations: string;
 }
 
 /** The platform's store, protocols and record formats. */
@@ -44,6 +46,8 @@
     /** `era` is that of the store from which the records are. */
     decodeWeights(records: readonly storeAccess.StoredRecord[], era: number): Decoded<fleet.DesiredWeights>;
     decodeRollouts(records: readonly storeAccess.StoredRecord[]): Decoded<fleet.RolloutOrder>;
+    /** Names of the evacuated data centres. */
+    decodeEvacuations(records: readonly storeAccess.StoredRecord[]): Decoded<string>;
     /** Order of the states of a record by its content; records that cannot be decoded come first. */
     readonly configurationVersion: restoration.LogicalVersion;
     readonly serverVersion: restoration.LogicalVersion;
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -95,6 +95,20 @@
     assert.deepEqual([...coldMs, dialect.decodeResponse({}).coldMs], [2100, 0.5, undefined, undefined, undefined]);
 });
 
+testing.test("homes of routes and customers are decoded; other values than names of regions are left out", () => {
+    const route = { hostname: "a", pathPrefix: "/a/", routeType: "idempotent", service: "s" };
+    const lists = [["north", "south"], [], undefined, ["north", 7], "north"];
+    const spec = {
+        version: 1,
+        routes: lists.map(allowedRegions => ({ ...route, allowedRegions })),
+        tenants: lists.map(allowedRegions => ({ name: "club", allowedRegions })),
+    };
+    const [decoded] = records.decodeConfigurations([storedRecord("main", spec)]).values;
+    const expected = [["north", "south"], [], [], ["north"], []];
+    assert.deepEqual(decoded?.routes.map(({ homes }) => homes), expected);
+    assert.deepEqual(decoded?.customers.map(({ homes }) => homes), expected);
+});
+
 testing.test("guards against times that a timer cannot wait for, and against inherited names of kinds", () => {
     const route = { hostname: "a", pathPrefix: "/a/", routeType: "idempotent", service: "s" };
     const limits = { idleTimeoutMs: -5, headerTimeoutMs: 3e9 };
--- a/test/runtime/agent-silence.test.ts
+++ b/test/runtime/agent-silence.test.ts
@@ -66,6 +66,7 @@
             members: "members",
             suspects: "suspects",
             rollouts: "rollouts",
+            evacuations: "evacuations",
         },
         readinessPath: "/",
         engine: () => ({ state: () => Promise.resolve(state), order: () => Promise.resolve("accepted") }),
--- a/test/runtime/member-directory.test.ts
+++ b/test/runtime/member-directory.test.ts
@@ -42,6 +42,7 @@
             members: "members",
             suspects: "",
             rollouts: "",
+            evacuations: "",
         },
     };
 }
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -14,7 +14,9 @@
 import type * as forwarding from "../../src/forwarding/types.js";
 import * as budgets from "../../src/memory/budget.js";
 import * as cacheIndexes from "../../src/placement/cache-index.js";
+import * as coldServers from "../../src/placement/cold-servers.js";
 import * as demands from "../../src/placement/demand.js";
+import * as evacuations from "../../src/placement/evacuations.js";
 import * as latencyEstimates from "../../src/placement/latency-estimates.js";
 import * as prefills from "../../src/placement/prefills.js";
 import * as serverHealth from "../../src/placement/server-health.js";
@@ -68,6 +70,11 @@
     readonly routeTimeoutMs?: number;
     /** None by default. */
     readonly capabilities?: fleet.Capabilities;
+    /** Data centres of the servers; all in the entry's by default. */
+    readonly dataCentres?: readonly string[];
+    /** Regions in which calls on the routes may run. */
+    readonly homes?: readonly string[];
+    readonly coldStart?: fleet.ColdStart;
 }
 
 /** A raw connection of a caller. */
@@ -87,16 +94,33 @@
     private readonly queues = new serviceQueues.ServiceQueues(clocks.systemClock);
     readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly health = new serverHealth.ServerHealth();
-    readonly serverLimits = new serverLimits.ServerLimits({
+    readonly coldServers: coldServers.ColdServers = new coldServers.ColdServers({
+        journal: { emit: () => undefined },
+        bounds: { overshootFactor: 1.5, slackRequests: 5 },
+        coldStart: service => this.view.routingTable?.configuration.services.get(service)?.coldStart,
+        isFirstStart: false,
+    });
+    readonly evacuations = new evacuations.Evacuations({
+        journal: { emit: () => undefined },
+        onReturn: dataCentre => this.coldServers.recordReturn(dataCentre, clocks.systemClock.now()),
+    });
+    readonly serverLimits: serverLimits.ServerLimits = new serverLimits.ServerLimits({
         journal: { emit: () => undefined },
         self: "entry",
         slotMs: () => 200,
         ledger: { overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 },
+        cold: {
+            limitOf: (server, now) => this.coldServers.limitOf(server, now),
+            registeredEntries: () => ({ registered: 1, hasRead: true }),
+            startedAt: 0,
+        },
     });
-    readonly view = new views.FleetView({
+    readonly view: views.FleetView = new views.FleetView({
         serverLoad: this.serverLoad,
         serverHealth: this.health,
         serverLimits: this.serverLimits,
+        coldServers: this.coldServers,
+        evacuations: this.evacuations,
     });
     readonly suspects = new suspectTrackers.SuspectTracker({
         journal: { emit: (name, fields = {}) => void this.events.push({ name, fields }) },
@@ -138,8 +162,14 @@
                 targetGapMs: 200,
                 priority: 1,
                 open: options.customers === undefined,
+                homes: options.homes ?? [],
             })),
-            services: new Map([[SERVICE, { name: SERVICE, maximumConnections: 100, engine: undefined }]]),
+            services: new Map([[SERVICE, {
+                name: SERVICE,
+                maximumConnections: 100,
+                engine: undefined,
+                coldStart: options.coldStart,
+            }]]),
             cacheStores: [],
             customers: options.customers ?? [],
             limits: {
@@ -150,20 +180,18 @@
                 ...options.limits,
             },
         });
-        harness.view.updateServers(
-            addresses.map((address, index) => ({
-                id: `server-${index}`,
-                startedAt: 1,
-                service: SERVICE,
-                address,
-                dataCentre: "one",
-                slots: 8,
-                state: "ready",
-                softwareVersion: "v1",
-                weights: new Map(),
-            })),
-            0,
-        );
+        harness.evacuations.adopt({ dataCentres: [], unreadable: [] });
+        harness.list(addresses.map((address, index) => ({
+            id: `server-${index}`,
+            startedAt: 1,
+            service: SERVICE,
+            address,
+            dataCentre: options.dataCentres?.[index] ?? "one",
+            slots: 8,
+            state: "ready",
+            softwareVersion: "v1",
+            weights: new Map(),
+        })));
         const probe = net.createServer();
         await new Promise<void>(resolve => probe.listen(0, "127.0.0.1", resolve));
         harness.port = (probe.address() as net.AddressInfo).port;
@@ -172,6 +200,18 @@
         return harness;
     }
 
+    /** Replaces the list of servers. */
+    list(servers: readonly fleet.BackendServer[]): void {
+        const { now, wallTime } = { now: clocks.systemClock.now(), wallTime: clocks.systemClock.wallTime() };
+        this.coldServers.recordServers(servers, { now, wallTime });
+        this.view.updateServers(servers, now);
+    }
+
+    /** Applies changes of the operator to the calls that wait. */
+    dispatch(): void {
+        this.queues.dispatch();
+    }
+
     /** Sends a call with a fresh connection, or on the agent's. */
     call(route: string, options: {
         readonly id?: string;
@@ -294,6 +334,7 @@
             view: this.view,
             serverLoad: this.serverLoad,
             serverLimits: this.serverLimits,
+            coldServers: this.coldServers,
             cacheIndex: new cacheIndexes.CacheIndex(),
             prefills: new prefills.PrefillTracker(),
             demand: new demands.DemandEstimates(() => 1),
@@ -315,6 +356,7 @@
                 dataCentre: "one",
                 selection: { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 },
                 capabilities,
+                regions: new Map([["one", "north"], ["two", "south"]]),
             },
             isDraining: () => this.isDraining,
             isClosing: () => false,
