--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -388,7 +388,15 @@
     private renderMetrics(): string {
         const waitingAnswers = `ibisstep_answers_waiting_for_callers ${this.server.waitingAnswers}\n`;
         return this.meter.render() + this.renderCopyAges() + this.memory.renderMetrics() + waitingAnswers
-            + this.server.renderMetrics();
+            + this.renderConstraints() + this.server.renderMetrics();
+    }
+
+    /** Cold servers and evacuated data centres, in the Prometheus text format. */
+    private renderConstraints(): string {
+        return this.coldServers === undefined || this.evacuations === undefined
+            ? ""
+            : `ibisstep_cold_servers ${this.coldServers.count(this.clock.now())}\n`
+                + `ibisstep_evacuated_data_centres ${this.evacuations.count}\n`;
     }
 
     /** Times since the store last confirmed the copies, in the Prometheus text format. */
