--- a/src/forwarding/call-refusal.ts
+++ b/src/forwarding/call-refusal.ts
@@ -11,6 +11,8 @@
     "all-moving": 300,
     "all-limited": 500,
     "all-cold": 300,
+    "all-evacuated": 1000,
+    "all-outside-homes": 1000,
     "all-paused": 300,
     "all-full": 400,
     "on-trial": 400,
--- a/src/forwarding/call-wait.ts
+++ b/src/forwarding/call-wait.ts
@@ -5,7 +5,7 @@
 import type * as event from "../core/event.js";
 import type * as callTimes from "../scheduling/call-times.js";
 import * as expectedWaits from "../scheduling/expected-wait.js";
-import type * as callPlacements from "./call-placement.js";
+import * as callPlacements from "./call-placement.js";
 import type * as callQueues from "./call-queue.js";
 import * as callRefusals from "./call-refusal.js";
 import type * as types from "./types.js";
@@ -98,11 +98,11 @@
 
     get requirements(): string | undefined {
         const { admission } = this.subject;
-        if (!this.waitsForServer || admission.placement.triedServers.size > 0 || !this.ports.suspects.isEmpty) {
+        const { requirements } = admission.placement;
+        if (!this.waitsForServer || requirements === undefined) {
             return undefined;
         }
-        const model = admission.head.model ?? "";
-        return this.startTimes === undefined ? model : `${model} ${admission.route.name}`;
+        return this.startTimes === undefined ? requirements : `${requirements} ${admission.route.name}`;
     }
 
     /** Whether other calls go first although there is a server for this one. */
@@ -144,7 +144,11 @@
         }
         if (choice.kind === "none") {
             this.reason = choice.reason;
-            return false;
+            if (!this.isLasting(choice)) {
+                return false;
+            }
+            this.refuse(callRefusals.unplaced(choice.reason, this.subject.executedAttempts));
+            return true;
         }
         this.ports.queues.throughputOf(this.subject.admission.service)
             .recordPlacement(this.priority, this.ports.clock.now());
@@ -182,7 +186,8 @@
         this.serverTimeoutAt = this.subject.policy.waitEndsAt(this.subject, now);
         if (choice.kind === "none") {
             this.reason = choice.reason;
-            if (executedAttempts === 0 && now + (choice.pauseMs ?? 0) > this.serverTimeoutAt) {
+            const isTooLong = executedAttempts === 0 && now + (choice.pauseMs ?? 0) > this.serverTimeoutAt;
+            if (isTooLong || this.isLasting(choice)) {
                 this.refuse(callRefusals.unplaced(choice.reason, executedAttempts, choice.pauseMs));
                 return false;
             }
@@ -197,6 +202,11 @@
         return true;
     }
 
+    /** Whether waiting is of no use to a call that may be refused as not run. */
+    private isLasting({ reason }: callPlacements.Placement & { readonly kind: "none"; }): boolean {
+        return this.subject.executedAttempts === 0 && callPlacements.LASTING_REASONS.has(reason);
+    }
+
     private choose(): callPlacements.Placement {
         return this.subject.admission.placement.choose();
     }
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -57,4 +57,16 @@
         },
         hint: "The division follows the demand of both kinds. With 0, all prompts share the servers.",
     },
+    "data-centre-evacuated": {
+        number: 3609,
+        level: "warn",
+        message: fields => `${fields.dataCentre} is evacuated; its servers get no more calls`,
+        hint: "The other servers take its calls. It lasts until the operator removes the record.",
+    },
+    "evacuation-ended": {
+        number: 3610,
+        level: "info",
+        message: fields => `the evacuation of ${fields.dataCentre} has ended`,
+        hint: "Its servers count as cold for some seconds, in which they get few calls.",
+    },
 } as const satisfies event.EventCatalogue;
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -18,6 +18,7 @@
 import * as cacheIndexes from "../placement/cache-index.js";
 import * as coldServers from "../placement/cold-servers.js";
 import * as demands from "../placement/demand.js";
+import * as evacuations from "../placement/evacuations.js";
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
 import * as promptDemands from "../placement/prompt-demand.js";
@@ -86,6 +87,8 @@
     private readonly serverLimits: serverLimits.ServerLimits;
     /** Undefined where no server is ever cold. */
     private readonly coldServers: coldServers.ColdServers | undefined;
+    /** Undefined where data centres are never evacuated. */
+    private readonly evacuations: evacuations.Evacuations | undefined;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly promptDemands = new promptDemands.PromptDemands(now => this.quotas.entryCount(now));
     private readonly prefills = new prefills.PrefillTracker();
@@ -136,6 +139,10 @@
             coldStart: service => this.view.routingTable?.configuration.services.get(service)?.coldStart,
             isFirstStart: settings.isFirstStart,
         });
+        this.evacuations = !settings.capabilities.placementConstraints ? undefined : new evacuations.Evacuations({
+            journal,
+            onReturn: dataCentre => this.coldServers?.recordReturn(dataCentre, clock.now()),
+        });
         this.serverLimits = new serverLimits.ServerLimits({
             journal,
             self: settings.name,
@@ -155,6 +162,7 @@
             serverHealth: health,
             serverLimits: this.serverLimits,
             coldServers: this.coldServers,
+            evacuations: this.evacuations,
         });
         this.quotas = new ledgers.QuotaLedger({
             ...silence,
@@ -232,6 +240,7 @@
                     crossDataCentreMs: CROSS_DATA_CENTRE_COST_MS,
                 },
                 capabilities: settings.capabilities,
+                regions: settings.regions,
             },
             isDraining: () => this.isDraining,
             isClosing: () => clock.now() - (this.drainingSince ?? Infinity) >= REFUSE_CALLS_AFTER_MS,
@@ -259,6 +268,7 @@
                 servers: copy => this.adoptServers(copy),
                 weights: copy => this.adoptWeights(copy),
                 rollouts: copy => this.adoptRollouts(copy),
+                evacuations: copy => this.adoptEvacuations(copy),
                 suspects: copy => this.refusals.adopt(copy.records(clock.now())[0]),
             },
         });
@@ -388,7 +398,16 @@
     private renderMetrics(): string {
         const waitingAnswers = `ibisstep_answers_waiting_for_callers ${this.server.waitingAnswers}\n`;
         return this.meter.render() + this.renderCopyAges() + this.memory.renderMetrics() + waitingAnswers
-            + this.server.renderMetrics() + `ibisstep_traffic_share ${this.trafficShare.share(this.clock.now())}\n`;
+            + this.renderConstraints() + this.server.renderMetrics()
+            + `ibisstep_traffic_share ${this.trafficShare.share(this.clock.now())}\n`;
+    }
+
+    /** Cold servers and evacuated data centres, in the Prometheus text format. */
+    private renderConstraints(): string {
+        return this.coldServers === undefined || this.evacuations === undefined
+            ? ""
+            : `ibisstep_cold_servers ${this.coldServers.count(this.clock.now())}\n`
+                + `ibisstep_evacuated_data_centres ${this.evacuations.count}\n`;
     }
 
     /** Times since the store last confirmed the copies, in the Prometheus text format. */
@@ -445,6 +464,13 @@
         this.updateState();
     }
 
+    private adoptEvacuations(copy: copies.KindCopy): void {
+        const decoded = this.platform.decodeEvacuations(copy.records(this.clock.now()));
+        this.reportInvalid(this.platform.kinds.evacuations, decoded.invalid);
+        this.evacuations?.adopt({ dataCentres: decoded.values, unreadable: decoded.invalid.map(({ name }) => name) });
+        this.updateState();
+    }
+
     private adoptDesiredWeights(weights: fleet.DesiredWeights): void {
         if (this.view.recordDesiredWeights(weights, this.clock.now())) {
             const { model, version, position } = weights;
