Show where a call would be placed now, and why, without sending it

An operator could see only where calls went, from the logs. `ibisstep placement` asks an entry at its metrics address, which applies the filters and costs of the placement to the call that is described, and lists the servers with their cost or the reason why they do not get it. Nothing is charged, counted or sent; the question names a customer, never a key.

Tests: test/forwarding/placement-preview.test.ts (the call goes to the server named first), test/cli/placement.test.ts.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -17,6 +17,10 @@
     "histograms": { summary: "show latencies per customer and class", load: () => import("./commands/histograms.js") },
     "key hash": { summary: "compute the hash of a key", load: () => import("./commands/key-hash.js") },
     "explain": { summary: "show what happened to a call", load: () => import("./commands/explain.js") },
+    "placement": {
+        summary: "show where a call would be placed now, and why",
+        load: () => import("./commands/placement.js"),
+    },
     "drain": { summary: "shut a process down gracefully", load: () => import("./commands/drain.js") },
 };
 
--- a/src/cli/types.ts
+++ b/src/cli/types.ts
@@ -37,6 +37,13 @@
     readonly timeoutMs: number;
     readonly expect?: number;
     readonly wait: boolean;
+    readonly host?: string;
+    readonly path?: string;
+    readonly customer?: string;
+    readonly model?: string;
+    readonly tokens?: string;
+    readonly parts?: string;
+    readonly callId?: string;
 }
 
 export interface Invocation {
--- a/src/forwarding/call-admission.ts
+++ b/src/forwarding/call-admission.ts
@@ -92,27 +92,12 @@
     { head, route, service, customer, deadlineAt }: AcceptedCall,
     body: Buffer,
 ): Admission | Refusal {
-    const fingerprints = new callFingerprints.CallFingerprints({
-        head,
-        customer,
-        method: request.method ?? "GET",
-        path: request.url ?? "/",
+    const { method = "GET", url: path = "/" } = request;
+    const { cache, fingerprints, placement } = preparePlacement(ports, { head, route, service, customer }, {
+        method,
+        path,
         body,
     });
-    const { capabilities, regions } = ports.settings;
-    const homes = capabilities.placementConstraints
-        ? homeRegions.homesOf([route.homes, customer?.homes], regions)
-        : undefined;
-    const cache = new promptCacheAccess.PromptCacheAccess(ports, head, customer, homes);
-    const placement = new callPlacements.CallPlacement(ports, {
-        head,
-        route,
-        service,
-        priority: priorityOf({ customer, route }),
-        cache,
-        fingerprints,
-        homes,
-    });
     const standing = placement.standing();
     if (standing.kind === "refuse") {
         const { fingerprint: detail, retryAfterMs } = standing;
@@ -139,6 +124,30 @@
     };
 }
 
+/** What placing a call needs. Charges and reserves nothing. */
+export function preparePlacement(
+    ports: types.CallPorts,
+    { head, route, service, customer }: Pick<AcceptedCall, "head" | "route" | "service" | "customer">,
+    request: Pick<callFingerprints.FingerprintedCall, "method" | "path" | "body">,
+): Pick<Admission, "cache" | "fingerprints" | "placement"> {
+    const fingerprints = new callFingerprints.CallFingerprints({ head, customer, ...request });
+    const { capabilities, regions } = ports.settings;
+    const homes = capabilities.placementConstraints
+        ? homeRegions.homesOf([route.homes, customer?.homes], regions)
+        : undefined;
+    const cache = new promptCacheAccess.PromptCacheAccess(ports, head, customer, homes);
+    const placement = new callPlacements.CallPlacement(ports, {
+        head,
+        route,
+        service,
+        priority: priorityOf({ customer, route }),
+        cache,
+        fingerprints,
+        homes,
+    });
+    return { cache, fingerprints, placement };
+}
+
 /** Rank of the call in the queues; 0 is the highest. */
 export function priorityOf({ customer, route }: Pick<Admission, "customer" | "route">): number {
     return customer?.priority ?? route.priority;
--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -165,11 +165,8 @@
     /** Chooses among the versions in the order in which a rollout of the service uses them. */
     private chooseServer(all: readonly placement.Candidate[]): placement.PlacementDecision {
         const { head, service } = this.call;
-        const configuration = this.dividingConfiguration;
         const now = this.ports.clock.now();
-        const group = configuration === undefined
-            ? undefined
-            : this.ports.promptGroups.groupOf(this.dividedCall, all, configuration, this.latency, now);
+        const group = this.groupAmong(all, now);
         const groups = this.ports.rollouts.groups(service, head.id, all);
         let decision: placement.PlacementDecision = { kind: "none", reason: "no-server" };
         for (const candidates of groups) {
@@ -181,15 +178,48 @@
         return decision;
     }
 
+    /** The servers for prompts like the call's; undefined while all prompts share the servers. */
+    private groupAmong(all: readonly placement.Candidate[], now: number): placement.ServerGroup | undefined {
+        const configuration = this.dividingConfiguration;
+        return configuration === undefined
+            ? undefined
+            : this.ports.promptGroups.groupOf(this.dividedCall, all, configuration, this.latency, now);
+    }
+
+    /** Assesses the servers in the order in which the call would use them. Decides and reserves nothing. */
+    assess(): readonly selection.Assessment[] {
+        const { head, service } = this.call;
+        const now = this.ports.clock.now();
+        const all = this.ports.view.candidates(service, head.model, now);
+        const request = this.placementRequest(all, this.groupAmong(all, now), now);
+        return this.ports.rollouts.groups(service, head.id, all).flatMap(candidates => {
+            return selection.assess(candidates, request, this.latency, this.ports.settings.selection);
+        });
+    }
+
     private chooseAmong(
         candidates: readonly placement.Candidate[],
         group: placement.ServerGroup | undefined,
         now: number,
     ): placement.PlacementDecision {
+        return selection.chooseServer(
+            candidates,
+            this.placementRequest(candidates, group, now),
+            this.latency,
+            this.ports.settings.selection,
+            () => this.ports.clock.random(),
+        );
+    }
+
+    private placementRequest(
+        candidates: readonly placement.Candidate[],
+        group: placement.ServerGroup | undefined,
+        now: number,
+    ): placement.PlacementRequest {
         const { head, service, cache } = this.call;
         const { latency } = this;
         const meanPromptTokens = this.ports.demand.meanPromptTokens(service, now);
-        const placementRequest: placement.PlacementRequest = {
+        return {
             affinityKey: cache.affinityKey,
             prefillingServers: cache.prefillingServers(now),
             sharedTokens: cache.sharedTokens,
@@ -205,12 +235,5 @@
             isContended: this.ports.settings.capabilities.contendedServers,
             group,
         };
-        return selection.chooseServer(
-            candidates,
-            placementRequest,
-            latency,
-            this.ports.settings.selection,
-            () => this.ports.clock.random(),
-        );
     }
 }
--- a/src/http/text-server.ts
+++ b/src/http/text-server.ts
@@ -7,13 +7,15 @@
     readonly body: string;
 }
 
+export type TextHandler = (query: URLSearchParams) => TextResponse;
+
 export class TextServer implements AsyncDisposable {
     private readonly server: boundedServers.BoundedServer;
 
-    constructor(private readonly handlers: Readonly<Record<string, () => TextResponse>>) {
+    constructor(private readonly handlers: Readonly<Record<string, TextHandler>>) {
         this.server = new boundedServers.BoundedServer((request, response) => {
-            const path = request.url?.split("?")[0] ?? "/";
-            const content = this.handlers[path]?.() ?? { status: 404, body: "" };
+            const [path = "/", ...query] = (request.url ?? "/").split("?");
+            const content = this.handlers[path]?.(new URLSearchParams(query.join("?"))) ?? { status: 404, body: "" };
             response.writeHead(content.status, {
                 "Content-Type": "text/plain; charset=utf-8",
                 "Content-Length": Buffer.byteLength(content.body),
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -62,24 +62,8 @@
     settings: SelectionSettings,
     random: () => number,
 ): types.PlacementDecision {
-    const ready = candidates.filter(candidate => {
-        return candidate.server.state === "ready" && isPermitted(candidate, request);
-    });
-    const filters: readonly (readonly [types.UnplacedReason, (candidate: types.Candidate) => boolean])[] = [
-        ["no-server", candidate => candidate.server.state === "ready"],
-        ["all-outside-homes", candidate => isAtHome(candidate, request)],
-        ["all-evacuated", candidate => candidate.isEvacuated !== true],
-        ["no-server", candidate => !request.triedServers.has(candidate.server.id)],
-        ["all-suspected", candidate => !candidate.isSuspected],
-        ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedExcludedFromMs],
-        ["all-moving", candidate => !candidate.isUpdatingWeights],
-        ["all-paused", candidate => candidate.pauseMs === 0],
-        ["all-cold", candidate => candidate.isCold !== true || candidate.limit !== "closed"],
-        ["all-limited", candidate => candidate.limit !== "closed"],
-        ["all-full", candidate => hasCapacity(candidate, request, latency)],
-    ];
     let eligible: readonly types.Candidate[] = candidates;
-    for (const [reason, accepts] of filters) {
+    for (const [reason, accepts] of filtersOf(request, latency, settings)) {
         const accepted = eligible.filter(accepts);
         if (accepted.length === 0) {
             const pauseMs = Math.min(...eligible.map(candidate => candidate.pauseMs));
@@ -89,7 +73,7 @@
     }
     eligible = sparePending(spareLimited(eligible, request), request);
     const { own, other } = groupChoice.groupCandidates(eligible, request, latency);
-    const preferred = findPreferred(ready.filter(candidate => groupChoice.isInGroup(candidate, request)), request);
+    const preferred = preferredOf(candidates, request);
     const isOutdated = (candidate: types.Candidate) => (candidate.outdatedForMs ?? 0) >= settings.outdatedPenaltyFromMs;
     const busyServers = request.group?.busyServers ?? candidates.length * request.utilization;
     const spreadInput = {
@@ -121,6 +105,63 @@
     };
 }
 
+type Filter = readonly [reason: types.UnplacedReason, accepts: (candidate: types.Candidate) => boolean];
+
+/** What a server needs to get the call, in the order in which the first unmet one becomes the reason for waiting. */
+function filtersOf(
+    request: types.PlacementRequest,
+    latency: types.LatencyEstimate,
+    settings: SelectionSettings,
+): readonly Filter[] {
+    return [
+        ["no-server", candidate => candidate.server.state === "ready"],
+        ["all-outside-homes", candidate => isAtHome(candidate, request)],
+        ["all-evacuated", candidate => candidate.isEvacuated !== true],
+        ["no-server", candidate => !request.triedServers.has(candidate.server.id)],
+        ["all-suspected", candidate => !candidate.isSuspected],
+        ["all-outdated", candidate => (candidate.outdatedForMs ?? 0) < settings.outdatedExcludedFromMs],
+        ["all-moving", candidate => !candidate.isUpdatingWeights],
+        ["all-paused", candidate => candidate.pauseMs === 0],
+        ["all-cold", candidate => candidate.isCold !== true || candidate.limit !== "closed"],
+        ["all-limited", candidate => candidate.limit !== "closed"],
+        ["all-full", candidate => hasCapacity(candidate, request, latency)],
+    ];
+}
+
+/** A server as a choice sees it, for the explanation of choices. */
+export interface Assessment {
+    readonly candidate: types.Candidate;
+    /** Why the server does not get the call; undefined if it may. */
+    readonly excludedBy: types.UnplacedReason | undefined;
+    readonly costMs: number;
+    readonly isPreferred: boolean;
+}
+
+/** Assesses all servers, those with the lowest cost first and the excluded ones last. Decides nothing. */
+export function assess(
+    candidates: readonly types.Candidate[],
+    request: types.PlacementRequest,
+    latency: types.LatencyEstimate,
+    settings: SelectionSettings,
+): readonly Assessment[] {
+    const preferred = preferredOf(candidates, request);
+    const filters = filtersOf(request, latency, settings);
+    const assessments = candidates.map(candidate => {
+        const isPreferred = candidate.server.id === preferred?.server.id;
+        const excludedBy = filters.find(([, accepts]) => !accepts(candidate))?.[0];
+        return {
+            candidate,
+            excludedBy,
+            isPreferred,
+            costMs: costMs(candidate, request, latency, settings, isPreferred),
+        };
+    });
+    return assessments.toSorted((left, right) => {
+        const byExclusion = Number(left.excludedBy !== undefined) - Number(right.excludedBy !== undefined);
+        return byExclusion === 0 ? left.costMs - right.costMs : byExclusion;
+    });
+}
+
 /** Whether the operator permits the call at the server, apart from the server's state. */
 export function isPermitted(
     candidate: types.Candidate,
@@ -162,13 +203,17 @@
 }
 
 /** The ready server to which rendezvous hashing assigns the shared parts. All entries agree on it without communication. */
-function findPreferred(
-    ready: readonly types.Candidate[],
+function preferredOf(
+    candidates: readonly types.Candidate[],
     request: types.PlacementRequest,
 ): types.Candidate | undefined {
     if (request.affinityKey === undefined) {
         return undefined;
     }
+    const ready = candidates.filter(candidate => {
+        return candidate.server.state === "ready" && isPermitted(candidate, request)
+            && groupChoice.isInGroup(candidate, request);
+    });
     const nodes = ready.map(candidate => ({ id: candidate.server.id, weight: 1, candidate }));
     return rendezvous.best(request.affinityKey, nodes)?.candidate;
 }
--- a/src/quota/ledger.ts
+++ b/src/quota/ledger.ts
@@ -61,6 +61,11 @@
         return waitMs;
     }
 
+    /** Time in milliseconds after which a call would be admitted, without charging it. */
+    waitMs(account: Account, tokens: number, now: number): number {
+        return account.tokensPerSecond <= 0 ? 0 : this.bucket(account, now).waitMs(tokens, now);
+    }
+
     /** Tokens that the account has left; negative if more was spent. */
     available(account: Account, now: number): number {
         return this.bucket(account, now).available(now);
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -6,6 +6,7 @@
 import * as crashDetectors from "../forwarding/crash-detector.js";
 import * as entryServers from "../forwarding/entry-server.js";
 import * as views from "../forwarding/fleet-view.js";
+import * as placementPreviews from "../forwarding/placement-preview.js";
 import * as serviceQueues from "../forwarding/service-queues.js";
 import * as serviceRetryBudgets from "../forwarding/service-retry-budgets.js";
 import type * as forwarding from "../forwarding/types.js";
@@ -252,6 +253,10 @@
         });
         this.metricsServer = new textServers.TextServer({
             "/metrics": () => ({ status: 200, body: this.renderMetrics() }),
+            "/placement": query => {
+                const preview = placementPreviews.preview(ports, placementPreviews.decode(query));
+                return { status: 200, body: JSON.stringify(preview) };
+            },
         });
         this.watches = entryWatches.createWatches({
             settings,
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -138,6 +138,7 @@
         onStageChange: () => undefined,
     });
     isDraining = false;
+    readonly callPorts: forwarding.CallPorts;
     readonly entry: entryServers.EntryServer;
     port = 0;
 
@@ -148,7 +149,8 @@
         { capacityBytes = Infinity, maximumConnections, capabilities = NO_CAPABILITIES }: HarnessOptions,
     ) {
         this.memory = new budgets.MemoryBudget(capacityBytes);
-        this.entry = new entryServers.EntryServer({ ...this.ports(capabilities), maximumConnections });
+        this.callPorts = { ...this.ports(capabilities), maximumConnections };
+        this.entry = new entryServers.EntryServer(this.callPorts);
     }
 
     /** Starts one server for each script, and the entry. */
