--- a/src/placement/prompt-groups.ts
+++ b/src/placement/prompt-groups.ts
@@ -39,8 +39,8 @@
     readonly updatedAt: number;
 }
 
-/** Ids of the ready servers in the order of the registry, to detect changes. */
 interface DividedService {
+    /** Ids of the ready servers in the order of the registry, to detect changes. */
     readonly readyIds: readonly string[];
     readonly division: Division;
     readonly loggedAt: number;
