Estimate the calls of engines from the later of statement and agent's report, and not below the counts

The counts lack the calls of entries that are not heard and those that an engine still runs for callers that left.

--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -24,6 +24,8 @@
     readonly serverLoad: Pick<serverLoads.ServerLoadTracker, "totalLoad" | "ownCalls">;
     readonly serverLimits: Pick<serverLimits.ServerLimits, "stateOf" | "retain">;
     readonly serverHealth: serverHealth.ServerHealth;
+    /** The calls that agents report of their servers count as well. */
+    readonly usesReportedLoad?: boolean;
 }
 
 export class FleetView {
@@ -158,7 +160,11 @@
             isLaterStart(reportAtAddress.startedAt, server.startedAt);
         const load = this.ports.serverLoad.totalLoad(server.id, now);
         const counted = { total: load.calls, own: this.ports.serverLoad.ownCalls(server.id) };
-        const stated = this.statedLoads.stateOf(server, counted, now);
+        const isEngine = this.routing?.configuration.services.get(server.service)?.engine !== undefined;
+        const reported = this.ports.usesReportedLoad === true && report !== undefined
+            ? { ...report, receivedAt: this.reports.get(server.address)!.receivedAt }
+            : undefined;
+        const stated = this.statedLoads.stateOf(server, { counted, isEngine, reported }, now);
         const isDead = report !== undefined && !report.isAlive || hasLaterIncarnation;
         const weightsVersion = model === undefined ? undefined : this.weightsVersionOf(server, report, model);
         const history = model === undefined ? undefined : this.histories.get(model);
--- a/src/placement/stated-load.ts
+++ b/src/placement/stated-load.ts
@@ -11,8 +11,12 @@
 
 /** Time in milliseconds after which a statement of the load counts as much as the calls that the entries count. */
 const LOAD_HALF_LIFE_MS = 200;
+/** The same for engines, whose calls take longer. */
+const ENGINE_LOAD_HALF_LIFE_MS = 1000;
 /** Time in milliseconds after which the deviation of a stated pace counts half. */
 const PACE_HALF_LIFE_MS = 200;
+/** Age in milliseconds of the figures in an agent's report when it arrives. */
+const REPORT_AGE_MS = 300;
 /** Age in milliseconds beyond which a statement is not used. */
 const MAXIMUM_AGE_MS = 1000;
 /** Time in milliseconds without calls to a server after it rejected one, doubled with each further rejection in a row. */
@@ -54,6 +58,21 @@
     readonly own: number;
 }
 
+/** What an entry knows of a server apart from its statements. */
+export interface ObservedLoad {
+    readonly counted: CountedCalls;
+    readonly isEngine: boolean;
+    /** What the agent beside the server reported last, if that may be used. */
+    readonly reported?: ReportedLoad | undefined;
+}
+
+export interface ReportedLoad {
+    readonly running: number;
+    readonly waiting: number;
+    /** Time at which the report arrived. */
+    readonly receivedAt: number;
+}
+
 export interface StatedChange {
     /** The server begins or ceases to reject calls; undefined for no change. */
     readonly isRejecting: boolean | undefined;
@@ -100,12 +119,15 @@
 export function estimateCalls(
     statement: Pick<Statement, "load" | "statedAt" | "ownCalls">,
     counted: CountedCalls,
+    isEngine: boolean,
     now: number,
 ): number {
     const { running, waiting } = statement.load;
     const stated = Math.max(0, running + waiting + counted.own - statement.ownCalls);
-    const weight = decay(now - statement.statedAt, LOAD_HALF_LIFE_MS);
-    return stated * weight + counted.total * (1 - weight);
+    const weight = decay(now - statement.statedAt, halfLifeMs(isEngine));
+    const blended = stated * weight + counted.total * (1 - weight);
+    // The counts lack the calls of entries that are not heard, and those that an engine still runs for callers that left.
+    return isEngine ? Math.max(counted.total, blended) : blended;
 }
 
 /** Pace expected at `now`: the stated one at first, then the usual one. */
@@ -170,8 +192,9 @@
     }
 
     /** What is known of a server; undefined without a recent statement or rejection. */
-    stateOf(server: fleet.BackendServer, counted: CountedCalls, now: number): StatedState | undefined {
-        const statement = this.statementOf(server, now);
+    stateOf(server: fleet.BackendServer, observed: ObservedLoad, now: number): StatedState | undefined {
+        const { counted, isEngine } = observed;
+        const statement = latest(this.statementOf(server, now), reportedStatement(server, observed, now));
         const rejections = this.rejectionsOf(server);
         const isExcluded = rejections !== undefined && now < rejections.excludedUntil;
         if (statement === undefined) {
@@ -180,8 +203,8 @@
                 : undefined;
         }
         return {
-            calls: estimateCalls(statement, counted, now),
-            waiting: statement.load.waiting * decay(now - statement.statedAt, LOAD_HALF_LIFE_MS),
+            calls: estimateCalls(statement, counted, isEngine, now),
+            waiting: statement.load.waiting * decay(now - statement.statedAt, halfLifeMs(isEngine)),
             pace: estimatePace(statement, now),
             isFull: isExcluded || hasFullQueue(statement, rejections, now),
             ageMs: now - statement.statedAt,
@@ -282,6 +305,33 @@
     return startedAt === undefined || server.startedAt === undefined || startedAt === server.startedAt;
 }
 
+function halfLifeMs(isEngine: boolean): number {
+    return isEngine ? ENGINE_LOAD_HALF_LIFE_MS : LOAD_HALF_LIFE_MS;
+}
+
+/** The report of an agent as a statement; it tells nothing of the pace. */
+function reportedStatement(
+    server: fleet.BackendServer,
+    { counted, reported }: ObservedLoad,
+    now: number,
+): Statement | undefined {
+    if (reported === undefined || now - reported.receivedAt > MAXIMUM_AGE_MS) {
+        return undefined;
+    }
+    const { running, waiting, receivedAt } = reported;
+    return {
+        startedAt: server.startedAt,
+        load: { running, waiting, slots: server.slots, pace: 1 },
+        statedAt: receivedAt - REPORT_AGE_MS,
+        ownCalls: counted.own,
+        isOwn: false,
+    };
+}
+
+function latest(left: Statement | undefined, right: Statement | undefined): Statement | undefined {
+    return left === undefined || right !== undefined && right.statedAt > left.statedAt ? right : left;
+}
+
 function decay(ageMs: number, halfLifeMs: number): number {
     return 2 ** (-Math.max(0, ageMs) / halfLifeMs);
 }
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -132,6 +132,7 @@
             serverLoad: this.serverLoad,
             serverHealth: health,
             serverLimits: this.serverLimits,
+            usesReportedLoad: settings.capabilities.contendedServers,
         });
         this.quotas = new ledgers.QuotaLedger({
             ...silence,
--- a/test/placement/stated-load.test.ts
+++ b/test/placement/stated-load.test.ts
@@ -9,7 +9,7 @@
 const TARGET_MS = 150;
 /** Share of the calls that may be late; under more load than that allows, half of those without statements. */
 const LATE_SHARE = 0.05;
-const COUNTED = { total: 2, own: 0 };
+const COUNTED: statedLoads.ObservedLoad = { counted: { total: 2, own: 0 }, isEngine: false };
 const USUAL: fleet.StatedLoad = { running: 2, waiting: 0, slots: 6, pace: 1 };
 const FULL: fleet.StatedLoad = { running: 6, waiting: 24, slots: 6, pace: 1 };
 const REJECTION = { load: FULL, isEngine: false };
@@ -29,6 +29,10 @@
     };
 }
 
+function calledAndWaiting(state: statedLoads.StatedState | undefined): readonly number[] {
+    return [Math.round(state!.calls), Math.round(state!.waiting * 2) / 2];
+}
+
 interface Load {
     readonly name: string;
     readonly course: Partial<replays.Course>;
@@ -104,11 +108,30 @@
     assert.equal(loads.stateOf(server(), COUNTED, 2001), undefined, "an old statement is not used");
 });
 
+testing.test("engine: calls that entries do not count are known from its statement or its agent's report, whichever is later", () => {
+    const loads = new statedLoads.StatedLoads();
+    const reported = { running: 20, waiting: 10, receivedAt: 1350 };
+    const engine = { ...COUNTED, isEngine: true };
+    loads.record(server(), { running: 9, waiting: 3, slots: 32, pace: 1 }, 0, 1000);
+    assert.deepEqual(calledAndWaiting(loads.stateOf(server(), engine, 1000)), [12, 3]);
+    assert.deepEqual(calledAndWaiting(loads.stateOf(server(), engine, 2000)), [7, 1.5]);
+    assert.deepEqual(calledAndWaiting(loads.stateOf(server(), { ...engine, reported }, 1350)), [25, 8]);
+    const counted = { total: 40, own: 0 };
+    assert.equal(loads.stateOf(server(), { ...engine, counted }, 1000)!.calls, 40, "the counts are never too high");
+});
+
+testing.test("agent's report without a statement of the server: it counts until it is old", () => {
+    const loads = new statedLoads.StatedLoads();
+    const observed = { ...COUNTED, isEngine: true, reported: { running: 20, waiting: 10, receivedAt: 1000 } };
+    assert.equal(loads.stateOf(server(), observed, 1000)!.pace, 1);
+    assert.equal(loads.stateOf(server(), observed, 2100), undefined);
+});
+
 testing.test("calls placed since a statement: they are added to it, and those that ended are subtracted", () => {
     const loads = new statedLoads.StatedLoads();
     loads.record(server(), USUAL, 1, 1000);
-    assert.equal(loads.stateOf(server(), { total: 9, own: 4 }, 1000)!.calls, 5);
-    assert.equal(loads.stateOf(server(), { total: 9, own: 0 }, 1000)!.calls, 1);
+    assert.equal(loads.stateOf(server(), { ...COUNTED, counted: { total: 9, own: 4 } }, 1000)!.calls, 5);
+    assert.equal(loads.stateOf(server(), { ...COUNTED, counted: { total: 9, own: 0 } }, 1000)!.calls, 1);
 });
 
 testing.test("slow server: its pace counts until the statement is old", () => {
