--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -38,7 +38,7 @@
     };
 }
 
-function createView() {
+function createView(usesReportedLoad = false) {
     const serverLoad = new serverLoads.ServerLoadTracker();
     return {
         serverLoad,
@@ -46,6 +46,7 @@
             serverLoad,
             serverHealth: new serverHealth.ServerHealth(),
             serverLimits: { stateOf: () => "none", retain: () => undefined },
+            usesReportedLoad,
         }),
     };
 }
@@ -128,3 +129,17 @@
     view.updateServers([server("sound", 1000), server("odd", 9500)], 200);
     assert.deepEqual(ids(), ["odd"], "its next run");
 });
+
+testing.test("contended servers: the calls that an agent reports count while its report is recent and of this run", () => {
+    const load = { running: 5, waiting: 3 };
+    const callsAt = (usesReportedLoad: boolean, startedAt: number, now: number) => {
+        const { view } = createView(usesReportedLoad);
+        view.updateServers([server("a", 1000)], 0);
+        view.applyReport(report(startedAt, 1, load), 0);
+        return Math.round(view.candidates("menu", "m", now)[0]!.calls);
+    };
+    assert.ok(callsAt(true, 1000, 0) > 0);
+    assert.equal(callsAt(true, 1000, 1500), 0, "an old report");
+    assert.equal(callsAt(true, 2000, 0), 0, "a report of another run");
+    assert.equal(callsAt(false, 1000, 0), 0, "as before where servers are not contended");
+});
