--- a/src/forwarding/fleet-view.ts
+++ b/src/forwarding/fleet-view.ts
@@ -30,6 +30,8 @@
     readonly coldServers?: Pick<coldServers.ColdServers, "isCold"> | undefined;
     /** Undefined where data centres are never evacuated. */
     readonly evacuations?: Pick<evacuations.Evacuations, "includes" | "isKnown"> | undefined;
+    /** The calls that agents report of their servers count as well. */
+    readonly usesReportedLoad?: boolean;
 }
 
 export class FleetView {
@@ -170,7 +172,11 @@
             isLaterStart(reportAtAddress.startedAt, server.startedAt);
         const load = this.ports.serverLoad.totalLoad(server.id, now);
         const counted = { total: load.calls, own: this.ports.serverLoad.ownCalls(server.id) };
-        const stated = this.statedLoads.stateOf(server, counted, now);
+        const isEngine = this.routing?.configuration.services.get(server.service)?.engine !== undefined;
+        const reported = this.ports.usesReportedLoad === true && report !== undefined
+            ? { ...report, receivedAt: this.reports.get(server.address)!.receivedAt }
+            : undefined;
+        const stated = this.statedLoads.stateOf(server, { counted, isEngine, reported }, now);
         const isDead = report !== undefined && !report.isAlive || hasLaterIncarnation;
         const weightsVersion = model === undefined ? undefined : this.weightsVersionOf(server, report, model);
         const history = model === undefined ? undefined : this.histories.get(model);
--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -164,6 +164,7 @@
             serverLimits: this.serverLimits,
             coldServers: this.coldServers,
             evacuations: this.evacuations,
+            usesReportedLoad: settings.capabilities.contendedServers,
         });
         this.quotas = new ledgers.QuotaLedger({
             ...silence,
