--- a/src/forwarding/call-refusal.ts
+++ b/src/forwarding/call-refusal.ts
@@ -14,8 +14,6 @@
     "all-full": 400,
     "on-trial": 400,
 };
-/** Retry delay in milliseconds after the servers rejected the call, or at its deadline. */
-export const RETRY_AFTER_REJECTION_MS = 300;
 
 export type UnplacedReason = placement.UnplacedReason | "on-trial";
 
@@ -50,6 +48,20 @@
         : unknown(`calls like it crash servers: ${fingerprint}`);
 }
 
+/**
+ * Refusal of a call at its deadline, `elapsedMs` after its arrival. `retryAfterMs` is undefined for a call whose body has
+ * not arrived.
+ */
+export function atDeadline(elapsedMs: number, mayHaveRun: boolean, retryAfterMs: number | undefined): CallRefusal {
+    const detail = `after ${Math.round(elapsedMs)} ms`;
+    if (retryAfterMs === undefined) {
+        return { failure: "call-upload-timed-out", detail, retryAfterMs, refunds: false };
+    }
+    return mayHaveRun
+        ? { failure: "call-timed-out", detail, retryAfterMs: undefined, refunds: false }
+        : notRun("no-server-available", "no server before the deadline of the call", retryAfterMs);
+}
+
 function notRun(kind: failure.FailureKind, detail: string, retryAfterMs: number): CallRefusal {
     return { failure: kind, detail, retryAfterMs, refunds: true };
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -111,9 +111,7 @@
             this.endUnknown();
             return;
         }
-        if (this.admission !== undefined) {
-            this.refund(this.admission);
-        }
+        this.refund(this.admission);
         this.refuse("entry-closing", "", admissions.RETRY_AFTER_CLOSING_MS);
         this.isFinished = true;
         this.interrupt?.();
@@ -205,13 +203,13 @@
                     log: this.log,
                 });
             },
-            refuse: refusal => this.refuseUnplaced(admission, refusal),
+            refuse: refusal => this.refuseCall(admission, refusal),
         });
         this.interrupt = () => wait.cancel();
         return await wait.run();
     }
 
-    private refuseUnplaced(admission: admissions.Admission, refusal: callRefusals.CallRefusal): void {
+    private refuseCall(admission: admissions.Admission | undefined, refusal: callRefusals.CallRefusal): void {
         if (refusal.refunds) {
             this.refund(admission);
         }
@@ -219,12 +217,6 @@
         this.refuse(kind, detail, retryAfterMs, { expectedWaitMs: expectedWaitMs && Math.round(expectedWaitMs) });
     }
 
-    /** Delay in milliseconds after which the caller of a call that the servers did not run retries. */
-    private retryAfterRejectionMs(admission: admissions.Admission): number {
-        const unmet = { usualMs: callRefusals.RETRY_AFTER_REJECTION_MS, isFull: true, expectedMs: undefined };
-        return this.waitPolicy.retryAfterMs(admission, unmet, this.ports.clock.now());
-    }
-
     private async runAttempt(
         admission: admissions.Admission,
         { choice, cacheLookup, uncachedTokens, load, prefill }: placedCalls.PlacedCall,
@@ -303,8 +295,9 @@
             return;
         }
         if (decision === "fail-not-run" && !this.callerResponse.hasStarted) {
+            const retryAfterMs = this.waitPolicy.retryAfterRejectionMs(admission, this.ports.clock.now());
             this.refund(admission);
-            this.refuse("call-turned-away", result.reason, this.retryAfterRejectionMs(admission));
+            this.refuse("call-turned-away", result.reason, retryAfterMs);
             return;
         }
         this.refuse("call-outcome-unknown", result.reason);
@@ -329,21 +322,13 @@
             this.deadlineTimer = setTimeout(() => this.onDeadline(), LATE_ANSWER_POLL_MS);
             return;
         }
+        const retryAfterMs = admission && this.waitPolicy.retryAfterRejectionMs(admission, this.ports.clock.now());
+        const mayHaveRun = this.history.executed > 0 || this.isAttempting;
+        const refusal = callRefusals.atDeadline(this.elapsedMs, mayHaveRun, retryAfterMs);
         if (admission === undefined) {
             this.callerResponse.closeAfterResponse();
-            this.refuse("call-upload-timed-out", `after ${Math.round(this.elapsedMs)} ms`);
-        }
-        else if (this.history.executed === 0 && !this.isAttempting) {
-            this.refund(admission);
-            this.refuse(
-                "no-server-available",
-                "no server before the deadline of the call",
-                this.retryAfterRejectionMs(admission),
-            );
-        }
-        else {
-            this.refuse("call-timed-out", `after ${Math.round(this.elapsedMs)} ms`);
         }
+        this.refuseCall(admission, refusal);
         this.isFinished = true;
         this.interrupt?.();
     }
@@ -361,8 +346,8 @@
         }
     }
 
-    private refund(admission: admissions.Admission): void {
-        if (admission.customer !== undefined) {
+    private refund(admission: admissions.Admission | undefined): void {
+        if (admission?.customer !== undefined) {
             this.ports.quotas.refund(admission.customer, admission.chargedTokens, this.ports.clock.now());
         }
     }
--- a/src/forwarding/wait-policy.ts
+++ b/src/forwarding/wait-policy.ts
@@ -14,6 +14,11 @@
 /** Time in milliseconds that a server takes for one output token, while it runs other calls as well. */
 const OUTPUT_TOKEN_MS = 10;
 
+/** Retry delay in milliseconds after the servers rejected the call, or at its deadline. */
+const RETRY_AFTER_REJECTION_MS = 300;
+/** The same while no call waits: other servers have capacity, and only the budget for another attempt is used up. */
+const RETRY_ELSEWHERE_MS = 80;
+
 /** A call that has been admitted. */
 export interface WaitingCall {
     readonly admission: admissions.Admission;
@@ -51,6 +56,8 @@
     ) => number | undefined;
     /** Delay in milliseconds after which a refused caller retries. */
     readonly retryAfterMs: (admission: admissions.Admission, unmet: UnmetWait, now: number) => number;
+    /** Delay in milliseconds after which the caller of a call that the servers rejected retries. */
+    readonly retryAfterRejectionMs: (admission: admissions.Admission, now: number) => number;
 }
 
 type RankedCall = Pick<admissions.Admission, "customer" | "route" | "service">;
@@ -68,10 +75,19 @@
     waitEndsAt: (call, now) => waitLimits.waitEndsAt(timedCall(call), now),
     expectedWaitMs: () => undefined,
     retryAfterMs: (_admission, { usualMs }) => usualMs,
+    retryAfterRejectionMs: () => RETRY_AFTER_REJECTION_MS,
 };
 
 function contendedPolicy(ports: PolicyPorts): WaitPolicy {
     const rank = (call: RankedCall) => rankIn(ports.view.routingTable, call);
+    const retryAfterMs = (admission: admissions.Admission, availableInMs: number, now: number) => {
+        return expectedWaits.retryAfterMs({
+            ...rank(admission),
+            availableInMs,
+            remainingMs: admission.deadlineAt - now,
+            share: hashing.unitHash(admission.head.id),
+        });
+    };
     const startTimes = (call: WaitingCall) => {
         const timed = timedCall(call);
         return callTimes.startTimes(
@@ -94,12 +110,11 @@
         },
         retryAfterMs: (admission, { usualMs, isFull, expectedMs }, now) => {
             const isKnown = isFull && expectedMs !== undefined && Number.isFinite(expectedMs);
-            return expectedWaits.retryAfterMs({
-                ...rank(admission),
-                availableInMs: isKnown ? expectedMs : usualMs,
-                remainingMs: admission.deadlineAt - now,
-                share: hashing.unitHash(admission.head.id),
-            });
+            return retryAfterMs(admission, isKnown ? expectedMs : usualMs, now);
+        },
+        retryAfterRejectionMs: (admission, now) => {
+            const hasCapacity = ports.queues.of(admission.service).waitingForServer === 0;
+            return retryAfterMs(admission, hasCapacity ? RETRY_ELSEWHERE_MS : RETRY_AFTER_REJECTION_MS, now);
         },
     };
 }
