--- a/test/forwarding/waiting-under-load.test.ts
+++ b/test/forwarding/waiting-under-load.test.ts
@@ -126,3 +126,42 @@
     queue.dispatch(2100);
     assert.equal(refusedAt.length, 100);
 });
+
+testing.test("freeze: after the clock has jumped, calls that are still of use wait on, and the others are refused", () => {
+    const queue = new callQueues.CallQueue();
+    const throughput = new throughputs.ServiceThroughput();
+    const refused: number[] = [];
+    let places = 0;
+    const enqueue = (arrivedAt: number) => {
+        const startTimes = { onTimeUntil: arrivedAt + 400, usefulUntil: arrivedAt + 2100 };
+        queue.enqueue({
+            priority: 0,
+            arrivedAt,
+            timeoutAt: startTimes.usefulUntil,
+            startTimes,
+            requirements: "model",
+            tryPlace: () => places-- > 0,
+            isFutile: (ahead, now) => {
+                const waitMs = expectedWaits.expectedWaitMs(0, ahead, throughput.at(now));
+                return expectedWaits.isFutile(waitMs, startTimes.usefulUntil, now);
+            },
+            onTimeout: () => void refused.push(arrivedAt),
+            onError: error => assert.fail(String(error)),
+        });
+    };
+    for (let now = 0; now < 1000; now += TICK_MS) {
+        enqueue(now);
+        throughput.observe(true, now);
+        places = now % 100 === 0 ? 1 : 0;
+        queue.dispatch(now);
+        throughput.recordPlacement(0, now);
+    }
+    const waiting = queue.size;
+    const thawedAt = 2600;
+    places = 3;
+    throughput.observe(true, thawedAt);
+    queue.dispatch(thawedAt);
+    assert.ok(refused.every(arrivedAt => arrivedAt + 2100 <= thawedAt), `refused: ${refused.join(" ")}`);
+    assert.equal(queue.size, waiting - refused.length - 3);
+    assert.ok(queue.size > 10, `${queue.size} calls wait on`);
+});
