--- a/test/forwarding/contended-calls.test.ts
+++ b/test/forwarding/contended-calls.test.ts
@@ -108,3 +108,36 @@
     assert.equal(results.filter(({ status }) => status === 503).length, CAPACITY);
     assert.equal(held.length, CAPACITY);
 });
+
+testing.test("burst: a stream waits for a busy server that is reported to work, and the server is not excluded", async () => {
+    const arrivals: number[] = [];
+    const script: harnesses.ServerScript = (socket, { id }) => {
+        arrivals.push(performance.now());
+        setTimeout(() => void socket.end(`${harnesses.streamHead(id)}id: 1\ndata: answer\n\n`), 2000);
+    };
+    const options = { capabilities: CONTENDED, targetLatencyMs: 1200, routeTimeoutMs: 8000 };
+    await using harness = await harnesses.EntryHarness.start([script, script], options);
+    for (const server of harness.view.listedServers()) {
+        const report = { ...server, startedAt: 1, isAlive: true, isUpdatingWeights: false, isUpdatePending: false };
+        harness.view.applyReport({ ...report, weights: [], running: 0, waiting: 0 }, performance.now());
+    }
+    const result = await harness.call("review");
+    assert.equal(result.status, 200);
+    assert.match(result.body, /data: answer/);
+    assert.equal(arrivals.length, 1);
+    assert.ok(harness.events.every(({ name }) => name !== "server-suspected"));
+});
+
+testing.test("crash: a stream leaves a silent server that is not reported to work", async () => {
+    let arrivals = 0;
+    const script: harnesses.ServerScript = (socket, { id }) => {
+        arrivals++;
+        if (arrivals > 1) {
+            socket.end(`${harnesses.streamHead(id)}id: 1\ndata: answer\n\n`);
+        }
+    };
+    const options = { capabilities: CONTENDED, targetLatencyMs: 1200, routeTimeoutMs: 8000 };
+    await using harness = await harnesses.EntryHarness.start([script, script], options);
+    assert.match((await harness.call("review")).body, /data: answer/);
+    assert.ok(harness.events.some(({ name }) => name === "server-suspected"));
+});
--- a/test/support/entry-harness.ts
+++ b/test/support/entry-harness.ts
@@ -66,6 +66,8 @@
     readonly customers?: readonly fleet.Customer[];
     readonly limits?: Partial<fleet.CallLimits>;
     readonly routeTimeoutMs?: number;
+    /** Latency target of all routes; 300 by default. */
+    readonly targetLatencyMs?: number;
     /** Priorities by route; 1 for the others. */
     readonly priorities?: Readonly<Record<string, number>>;
     /** None by default. */
@@ -136,7 +138,7 @@
                 host: HOST,
                 targets: [{ service: SERVICE, weight: 1 }],
                 timeoutMs: options.routeTimeoutMs ?? ROUTE_TIMEOUT_MS,
-                targetLatencyMs: 300,
+                targetLatencyMs: options.targetLatencyMs ?? 300,
                 targetGapMs: 200,
                 priority: options.priorities?.[route.name] ?? 1,
                 open: options.customers === undefined,
