--- a/src/scheduling/call-times.ts
+++ b/src/scheduling/call-times.ts
@@ -6,6 +6,9 @@
 /** Time in milliseconds before its deadline by which another answer has to be on the way. */
 const ANSWER_MARGIN_MS = 30;
 
+/** Share of a call's time after which its caller needs the rest for another try. */
+const LAST_START_SHARE = 0.7;
+
 /** What the caller of a call expects. */
 export interface TimedCall {
     readonly kind: fleet.CallKind;
@@ -27,17 +30,18 @@
 export interface StartTimes {
     /** Last start in milliseconds with which the call meets its latency target. */
     readonly onTimeUntil: number;
-    /** Last start in milliseconds with which its caller still gets the answer. */
+    /** Last start in milliseconds with which its caller still gets the answer, or can still retry if there is none. */
     readonly usefulUntil: number;
 }
 
 export function startTimes(call: TimedCall, service: ServiceTimes): StartTimes {
     const isStream = call.kind === "stream";
     const wholeUntil = call.deadlineAt - service.wholeMs - ANSWER_MARGIN_MS;
+    const retryUntil = call.arrivedAt + LAST_START_SHARE * (call.deadlineAt - call.arrivedAt);
     const firstUntil = call.abandonedAt - service.firstMs - NEXT_EVENT_MARGIN_MS;
     return {
         onTimeUntil: call.arrivedAt + call.targetLatencyMs - service.firstMs,
-        usefulUntil: isStream ? Math.min(wholeUntil, firstUntil) : wholeUntil,
+        usefulUntil: Math.min(wholeUntil, retryUntil, isStream ? firstUntil : wholeUntil),
     };
 }
 
