--- a/src/forwarding/call-wait.ts
+++ b/src/forwarding/call-wait.ts
@@ -160,7 +160,7 @@
             return false;
         }
         this.expectedMs = this.subject.policy.expectedWaitMs(this.subject, ahead, now);
-        return expectedWaits.isFutile(this.expectedMs, this.startTimes!.usefulUntil, now);
+        return expectedWaits.isFutile(this.expectedMs, this.startTimes!, now);
     }
 
     onTimeout(): void {
--- a/src/scheduling/call-times.ts
+++ b/src/scheduling/call-times.ts
@@ -32,6 +32,8 @@
     readonly onTimeUntil: number;
     /** Last start in milliseconds with which its caller still gets the answer, or can still retry if there is none. */
     readonly usefulUntil: number;
+    /** Expected time in milliseconds that a server takes for the call. */
+    readonly callMs: number;
 }
 
 export function startTimes(call: TimedCall, service: ServiceTimes): StartTimes {
@@ -42,6 +44,7 @@
     return {
         onTimeUntil: call.arrivedAt + call.targetLatencyMs - service.firstMs,
         usefulUntil: Math.min(wholeUntil, retryUntil, isStream ? firstUntil : wholeUntil),
+        callMs: service.wholeMs,
     };
 }
 
--- a/src/scheduling/expected-wait.ts
+++ b/src/scheduling/expected-wait.ts
@@ -18,8 +18,7 @@
 
 /**
  * Expected wait in milliseconds, 0 with no call ahead and undefined if it is not known. The calls ahead are placed at the
- * recent rate; what more urgent ones use of it is not there for the less urgent. One placement more than were seen is
- * assumed, since few of them say little.
+ * recent rate; what more urgent ones use of it is not there for the less urgent.
  */
 export function expectedWaitMs(
     rank: number,
@@ -32,13 +31,19 @@
     if (throughput === undefined) {
         return undefined;
     }
-    const { windowMs, placed, placedFrom } = throughput;
-    return windowMs * (ahead.moreUrgent / (placed + 1) + ahead.sameRank / (placedFrom(rank) + 1));
+    return ahead.moreUrgent / throughput.rateFrom(undefined) + ahead.sameRank / throughput.rateFrom(rank);
 }
 
-/** Whether the call is known not to be placed while that is of use. A wait that is not known is no reason. */
-export function isFutile(waitMs: number | undefined, usefulUntil: number, now: number): boolean {
-    return waitMs !== undefined && waitMs > 0 && now + waitMs > usefulUntil;
+/**
+ * Whether the call is known not to be placed while that is of use. A wait that is not known is no reason, and one that is
+ * known may be shorter by the time of one call, since servers may take the next calls all at once.
+ */
+export function isFutile(
+    waitMs: number | undefined,
+    { usefulUntil, callMs }: { readonly usefulUntil: number; readonly callMs: number; },
+    now: number,
+): boolean {
+    return waitMs !== undefined && waitMs > 0 && now + waitMs - callMs > usefulUntil;
 }
 
 export interface RetryAdvice {
--- a/src/scheduling/service-throughput.ts
+++ b/src/scheduling/service-throughput.ts
@@ -6,6 +6,8 @@
 const MINIMUM_CONTENTION_MS = 300;
 /** Placements with which the rate is known. Fewer say little: servers may take many calls at once as soon as one ends. */
 const MINIMUM_PLACEMENTS = 4;
+/** Parts of the window in milliseconds, of which the fastest counts: servers often take several calls at once. */
+const RECENT_MS = [250, 100] as const;
 /** With more milliseconds between two observations the process did not run, and what it saw before says nothing. */
 const MAXIMUM_PAUSE_MS = 250;
 
@@ -16,11 +18,8 @@
 
 /** Placements of a service while calls waited. */
 export interface Throughput {
-    /** Time in milliseconds in which they were counted. */
-    readonly windowMs: number;
-    readonly placed: number;
-    /** Placements of calls of this rank, or of a less urgent one. */
-    readonly placedFrom: (rank: number) => number;
+    /** Placements a millisecond of calls of this rank or of a less urgent one; of all calls if it is undefined. */
+    readonly rateFrom: (rank: number | undefined) => number;
 }
 
 export class ServiceThroughput {
@@ -56,10 +55,15 @@
         if (!isKnown || now - this.observedAt > MAXIMUM_PAUSE_MS) {
             return undefined;
         }
-        return {
-            windowMs: Math.min(WINDOW_MS, contendedMs),
-            placed: this.placements.length,
-            placedFrom: rank => this.placements.filter(placement => placement.rank >= rank).length,
-        };
+        return { rateFrom: rank => this.rate(rank, Math.min(WINDOW_MS, contendedMs), now) };
+    }
+
+    /** One placement more than were seen is assumed for the whole window, since few of them say little. */
+    private rate(rank: number | undefined, windowMs: number, now: number): number {
+        const placed = rank === undefined
+            ? this.placements
+            : this.placements.filter(placement => placement.rank >= rank);
+        const recent = RECENT_MS.map(lengthMs => placed.filter(({ at }) => now - at < lengthMs).length / lengthMs);
+        return Math.max((placed.length + 1) / windowMs, ...recent);
     }
 }
--- a/test/forwarding/waiting-under-load.test.ts
+++ b/test/forwarding/waiting-under-load.test.ts
@@ -42,7 +42,11 @@
                     continue;
                 }
                 result.arrived++;
-                const startTimes = { onTimeUntil: at + kind.targetLatencyMs, usefulUntil: at + kind.usefulMs };
+                const startTimes = {
+                    onTimeUntil: at + kind.targetLatencyMs,
+                    usefulUntil: at + kind.usefulMs,
+                    callMs: kind.workMs,
+                };
                 queue.enqueue({
                     priority: kind.rank,
                     arrivedAt: at,
@@ -60,7 +64,7 @@
                     },
                     isFutile: ahead => {
                         const waitMs = expectedWaits.expectedWaitMs(kind.rank, ahead, throughput.at(passAt));
-                        return expectedWaits.isFutile(waitMs, startTimes.usefulUntil, passAt);
+                        return expectedWaits.isFutile(waitMs, startTimes, passAt);
                     },
                     onTimeout: () => void result.refused++,
                     onError: error => assert.fail(String(error)),
@@ -105,7 +109,7 @@
 testing.test("without servers, calls wait for as long as that is of use, and none is refused at once", () => {
     const refusedAt: number[] = [];
     const queue = new callQueues.CallQueue();
-    const startTimes: callTimes.StartTimes = { onTimeUntil: 400, usefulUntil: 2100 };
+    const startTimes: callTimes.StartTimes = { onTimeUntil: 400, usefulUntil: 2100, callMs: 60 };
     for (let call = 0; call < 100; call++) {
         queue.enqueue({
             priority: 0,
@@ -115,7 +119,7 @@
             requirements: "model",
             tryPlace: () => false,
             isFutile: ahead => {
-                return expectedWaits.isFutile(expectedWaits.expectedWaitMs(0, ahead, undefined), 2100, 0);
+                return expectedWaits.isFutile(expectedWaits.expectedWaitMs(0, ahead, undefined), startTimes, 0);
             },
             onTimeout: () => void refusedAt.push(queue.size),
             onError: error => assert.fail(String(error)),
@@ -133,7 +137,7 @@
     const refused: number[] = [];
     let places = 0;
     const enqueue = (arrivedAt: number) => {
-        const startTimes = { onTimeUntil: arrivedAt + 400, usefulUntil: arrivedAt + 2100 };
+        const startTimes = { onTimeUntil: arrivedAt + 400, usefulUntil: arrivedAt + 2100, callMs: 60 };
         queue.enqueue({
             priority: 0,
             arrivedAt,
@@ -143,7 +147,7 @@
             tryPlace: () => places-- > 0,
             isFutile: (ahead, now) => {
                 const waitMs = expectedWaits.expectedWaitMs(0, ahead, throughput.at(now));
-                return expectedWaits.isFutile(waitMs, startTimes.usefulUntil, now);
+                return expectedWaits.isFutile(waitMs, startTimes, now);
             },
             onTimeout: () => void refused.push(arrivedAt),
             onError: error => assert.fail(String(error)),
--- a/test/scheduling/call-times.test.ts
+++ b/test/scheduling/call-times.test.ts
@@ -20,10 +20,10 @@
 
 testing.test("a start is of use until the caller can no longer get the answer", () => {
     const booking = callTimes.startTimes(BOOKING, { firstMs: 20, wholeMs: 20 });
-    assert.deepEqual(booking, { onTimeUntil: 128, usefulUntil: 0.7 * 627 });
+    assert.deepEqual(booking, { onTimeUntil: 128, usefulUntil: 0.7 * 627, callMs: 20 });
     assert.equal(callTimes.startTimes(BOOKING, { firstMs: 20, wholeMs: 300 }).usefulUntil, 297);
     const note = callTimes.startTimes(NOTE, { firstMs: 20, wholeMs: 500 });
-    assert.deepEqual(note, { onTimeUntil: 380, usefulUntil: 2130 });
+    assert.deepEqual(note, { onTimeUntil: 380, usefulUntil: 2130, callMs: 500 });
     const whole = callTimes.startTimes({ ...NOTE, deadlineAt: 1000 }, { firstMs: 20, wholeMs: 500 });
     assert.equal(whole.usefulUntil, 470);
 });
--- a/test/scheduling/expected-wait.test.ts
+++ b/test/scheduling/expected-wait.test.ts
@@ -24,22 +24,29 @@
     assert.equal(throughput.at(200), undefined);
     const unknown = expectedWaits.expectedWaitMs(0, { sameRank: 50, moreUrgent: 50 }, throughput.at(200));
     assert.equal(unknown, undefined);
-    assert.equal(expectedWaits.isFutile(unknown, 0, 1), false);
-    assert.equal(expectedWaits.isFutile(0, 0, 1), false);
+    assert.equal(expectedWaits.isFutile(unknown, { usefulUntil: 0, callMs: 0 }, 1), false);
+    assert.equal(expectedWaits.isFutile(0, { usefulUntil: 0, callMs: 0 }, 1), false);
 });
 
 testing.test("crash: a rate is not known from calls that wait while hardly any is placed", () => {
     assert.equal(contended(1000, 500).at(1000), undefined);
 });
 
+testing.test("servers that take several calls at once after a pause: the latest rate counts", () => {
+    const throughput = contended(980, 1000);
+    [980, 982, 984, 986].forEach(now => void throughput.recordPlacement(0, now));
+    const waitMs = expectedWaits.expectedWaitMs(0, { sameRank: 8, moreUrgent: 0 }, throughput.at(990))!;
+    assert.equal(Math.round(waitMs), 200);
+});
+
 testing.test("burst: what more urgent calls use of the rate is not there for the less urgent", () => {
     const throughput = contended(1000, 20, 0).at(1000);
     const urgentMs = expectedWaits.expectedWaitMs(0, { sameRank: 10, moreUrgent: 0 }, throughput)!;
     const leastUrgentMs = expectedWaits.expectedWaitMs(2, { sameRank: 10, moreUrgent: 0 }, throughput)!;
     assert.ok(urgentMs < 250, `${urgentMs} ms`);
     assert.equal(leastUrgentMs, 10_000);
-    assert.equal(expectedWaits.isFutile(leastUrgentMs, 6000, 1000), true);
-    assert.equal(expectedWaits.isFutile(urgentMs, 6000, 1000), false);
+    assert.equal(expectedWaits.isFutile(leastUrgentMs, { usefulUntil: 6000, callMs: 200 }, 1000), true);
+    assert.equal(expectedWaits.isFutile(urgentMs, { usefulUntil: 6000, callMs: 200 }, 1000), false);
 });
 
 testing.test("freeze: what an entry saw before it stopped running refuses no call afterwards", () => {
