--- a/stand-ins/platform/worker.ts
+++ b/stand-ins/platform/worker.ts
@@ -145,6 +145,11 @@
         this.versions = new Map(models.map(model => [model, 1]));
     }
 
+    /** Id of the present run, or of the last one. */
+    get currentId(): string {
+        return this.id;
+    }
+
     /** Starts, with a new id unless one is given; the weights versions survive a restart. */
     async start(id?: string): Promise<void> {
         this.startedAt = Date.now();
--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -66,6 +66,8 @@
 export interface FleetOptions {
     /** Called before the processes start. */
     readonly prepare?: (store: standIns.Store) => void;
+    /** Contracts that the settings of all processes list. */
+    readonly contracts?: readonly string[];
     /** Heap limit in megabytes of the processes of each role. */
     readonly heapMb?: Readonly<Record<Node["role"], number>>;
     readonly httpWorkers?: Pick<standIns.WorkerOptions, "slowness" | "bodyBytes">;
@@ -251,6 +253,19 @@
         return [...lines, "Content-Length: 0", "", ""].join("\r\n");
     }
 
+    /** Requests that workers of a zone have run since a time. */
+    runsIn(zone: string, since: number): readonly standIns.Run[] {
+        const ids = new Set(
+            this.workers.filter(worker => worker.options.zone === zone).map(worker => worker.currentId),
+        );
+        return this.log.runs.filter(run => ids.has(run.worker) && run.arrivedAt >= since);
+    }
+
+    /** Kills an entry; it is started again. */
+    killEntry(random: () => number): void {
+        this.randomNode(random, "entry").process.signal("SIGKILL");
+    }
+
     /** Injects one random fault, waits until it is over, and returns its name. */
     async injectFault(random: () => number): Promise<string> {
         const faults = Object.keys(FAULTS) as (keyof typeof FAULTS)[];
@@ -418,6 +433,7 @@
             `zone = "${zone}"`,
             `internalPorts = [${peers}, ${peers + 1}]`,
             `seeds = ["127.0.2.1:${peers}"]`,
+            `contracts = ${JSON.stringify(this.options.contracts ?? [])}`,
             ...role === "agent" ? [`app = "${ip}:${worker}"`] : [],
             "[listen]",
             ...role === "entry" ? [`front = "${ip}:${front}"`, `ready = "${ip}:${ready}"`] : [],
