--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -16,9 +16,7 @@
 import * as memberTables from "../peering/member-table.js";
 import type * as peering from "../peering/types.js";
 import * as cacheIndexes from "../placement/cache-index.js";
-import * as coldServers from "../placement/cold-servers.js";
 import * as demands from "../placement/demand.js";
-import * as evacuations from "../placement/evacuations.js";
 import * as latencyEstimates from "../placement/latency-estimates.js";
 import * as prefills from "../placement/prefills.js";
 import * as serverHealth from "../placement/server-health.js";
@@ -36,6 +34,7 @@
 import * as entryWatches from "./entry-watches.js";
 import * as directories from "./member-directory.js";
 import * as meters from "./meter.js";
+import * as placementConstraints from "./placement-constraints.js";
 import * as storeConnections from "./store-connections.js";
 import type * as types from "./types.js";
 
@@ -82,10 +81,8 @@
     private readonly storeConnections: storeConnections.StoreConnections;
     private readonly serverLoad = new serverLoads.ServerLoadTracker();
     private readonly serverLimits: serverLimits.ServerLimits;
-    /** Undefined where no server is ever cold. */
-    private readonly coldServers: coldServers.ColdServers | undefined;
-    /** Undefined where data centres are never evacuated. */
-    private readonly evacuations: evacuations.Evacuations | undefined;
+    /** Undefined where the deployment has none. */
+    private readonly constraints: placementConstraints.PlacementConstraints | undefined;
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly prefills = new prefills.PrefillTracker();
     private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
@@ -128,36 +125,31 @@
             silenceMs: () => PEER_SILENCE_MS * this.heartbeats.periodFactor,
             expiryMs: PEER_EXPIRY_MS,
         };
-        this.coldServers = !settings.capabilities.placementConstraints ? undefined : new coldServers.ColdServers({
-            journal,
-            bounds: settings.coldBounds,
-            coldStart: service => this.view.routingTable?.configuration.services.get(service)?.coldStart,
-            isFirstStart: settings.isFirstStart,
-        });
-        this.evacuations = !settings.capabilities.placementConstraints ? undefined : new evacuations.Evacuations({
-            journal,
-            onReturn: dataCentre => this.coldServers?.recordReturn(dataCentre, clock.now()),
-        });
+        if (settings.capabilities.placementConstraints) {
+            this.constraints = new placementConstraints.PlacementConstraints({
+                journal,
+                settings,
+                now: () => clock.now(),
+                service: name => this.view.routingTable?.configuration.services.get(name),
+                registeredEntries: () => ({
+                    registered: members.peers().filter(({ role }) => role === "entry").length + 1,
+                    hasRead: this.directory.hasRead,
+                }),
+            });
+        }
         this.serverLimits = new serverLimits.ServerLimits({
             journal,
             self: settings.name,
             slotMs: () => (ENTRY_HEARTBEAT_MS + HEARTBEAT_TRANSIT_MS) * this.heartbeats.periodFactor,
             ledger: { ...silence, overdraftTokens: 0 },
-            cold: this.coldServers && {
-                limitOf: (server, now) => this.coldServers?.limitOf(server, now),
-                registeredEntries: () => ({
-                    registered: members.peers().filter(({ role }) => role === "entry").length + 1,
-                    hasRead: this.directory.hasRead,
-                }),
-                startedAt: this.startedAt,
-            },
+            cold: this.constraints?.coldLimits,
         });
         this.view = new views.FleetView({
             serverLoad: this.serverLoad,
             serverHealth: health,
             serverLimits: this.serverLimits,
-            coldServers: this.coldServers,
-            evacuations: this.evacuations,
+            coldServers: this.constraints?.coldServers,
+            evacuations: this.constraints?.evacuations,
         });
         this.quotas = new ledgers.QuotaLedger({
             ...silence,
@@ -203,7 +195,7 @@
             view: this.view,
             serverLoad: this.serverLoad,
             serverLimits: this.serverLimits,
-            coldServers: this.coldServers,
+            coldServers: this.constraints?.coldServers,
             cacheIndex: this.cacheIndex,
             prefills: this.prefills,
             demand: new demands.DemandEstimates(now => this.quotas.entryCount(now)),
@@ -388,15 +380,7 @@
     private renderMetrics(): string {
         const waitingAnswers = `ibisstep_answers_waiting_for_callers ${this.server.waitingAnswers}\n`;
         return this.meter.render() + this.renderCopyAges() + this.memory.renderMetrics() + waitingAnswers
-            + this.renderConstraints() + this.server.renderMetrics();
-    }
-
-    /** Cold servers and evacuated data centres, in the Prometheus text format. */
-    private renderConstraints(): string {
-        return this.coldServers === undefined || this.evacuations === undefined
-            ? ""
-            : `ibisstep_cold_servers ${this.coldServers.count(this.clock.now())}\n`
-                + `ibisstep_evacuated_data_centres ${this.evacuations.count}\n`;
+            + (this.constraints?.render() ?? "") + this.server.renderMetrics();
     }
 
     /** Times since the store last confirmed the copies, in the Prometheus text format. */
@@ -431,7 +415,7 @@
         const now = this.clock.now();
         const decoded = this.platform.decodeServers(copy.records(now));
         this.reportInvalid(this.platform.kinds.servers, decoded.invalid);
-        this.coldServers?.recordServers(decoded.values, { now, wallTime: this.clock.wallTime() });
+        this.constraints?.coldServers.recordServers(decoded.values, { now, wallTime: this.clock.wallTime() });
         this.view.updateServers(decoded.values, now, copy.revision);
         this.rollouts.recordServers(decoded.values);
         this.connectionPool.retain(new Set(decoded.values.map(server => server.address)));
@@ -456,7 +440,7 @@
     private adoptEvacuations(copy: copies.KindCopy): void {
         const decoded = this.platform.decodeEvacuations(copy.records(this.clock.now()));
         this.reportInvalid(this.platform.kinds.evacuations, decoded.invalid);
-        this.evacuations?.adopt({ dataCentres: decoded.values, unreadable: decoded.invalid.map(({ name }) => name) });
+        this.constraints?.adoptEvacuations(decoded);
         this.updateState();
     }
 
