--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -20,6 +20,9 @@
 const START_TIMEOUT_MS = 60_000;
 const SOCKET_TIMEOUT_MS = 6000;
 const OUTPUT_TOKENS = 20;
+/** Cold starts of model workers, where the settings list the contract for them. */
+const COLD_START_S = 1;
+const COLD_REQUESTS_PER_S = 16;
 /** Statuses with which the system states that the request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -351,6 +354,14 @@
         this.workers.forEach(worker => worker.registerAgain());
     }
 
+    /** @internal Used by `FAULTS`. */
+    async evacuate(random: () => number, durationMs: number): Promise<void> {
+        const zone = ZONES[Math.floor(random() * ZONES.length)]!;
+        this.store.put("evacuations", zone, {});
+        await standIns.pause(durationMs);
+        this.store.remove("evacuations", zone);
+    }
+
     /** @internal Used by `FAULTS`. */
     publishNextWeights(): void {
         this.weightsVersion++;
@@ -403,6 +414,8 @@
             {
                 name: MODEL_SERVICE,
                 maxConnections: 200,
+                coldStartS: COLD_START_S,
+                coldPerS: COLD_REQUESTS_PER_S,
                 engine: { slots: 32, kvCapacity: 90_000, models: [{ name: MODEL }] },
             },
             { name: "desk", maxConnections: 100 },
@@ -486,6 +499,7 @@
     "store-restored": (fleet, random) => fleet.restoreStore(500 + random() * 4000, 200 + random() * 800),
     "weights-published": fleet => fleet.publishNextWeights(),
     "configuration-changed": fleet => fleet.publishConfiguration(),
+    "zone-evacuated": (fleet, random) => fleet.evacuate(random, 500 + random() * 2500),
 } satisfies Readonly<Record<string, Fault>>;
 
 /** Guarantees that a call violates, given how often its request ran. */
--- a/test/platform/soak.test.ts
+++ b/test/platform/soak.test.ts
@@ -23,7 +23,7 @@
 const CONSECUTIVE_CALLS = 20;
 
 testing.test("guarantees hold while processes, workers and the store fail at random, and service resumes", async () => {
-    await using fleet = await fleets.SoakFleet.start();
+    await using fleet = await fleets.SoakFleet.start({ contracts: ["base", "places"] });
     const { random } = new simulationClock.SimulationClock(SEED);
     let isOver = false;
     const callers = Array.from({ length: CALLER_COUNT }, async (_, index) => {
