--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -119,7 +119,9 @@
     }
 
     private permitted(candidates: readonly placement.Candidate[]): readonly placement.Candidate[] {
-        return candidates.filter(candidate => selection.isPermitted(candidate, { isHome: this.call.homes?.includes }));
+        return candidates.filter(candidate =>
+            selection.isPermitted(candidate, { mayRunIn: this.call.homes?.includes })
+        );
     }
 
     /** Chooses among the versions in the order in which a rollout of the service uses them. */
@@ -147,7 +149,7 @@
             expectedOutputTokens: head.expectedOutputTokens,
             triedServers: this.triedServers,
             dataCentre: this.ports.settings.dataCentre,
-            isHome: this.call.homes?.includes,
+            mayRunIn: this.call.homes?.includes,
             utilization: this.ports.demand.utilization(service, candidates.length, latency, now),
             isShort: head.promptTokens < this.ports.demand.meanPromptTokens(service, now),
             isHttpService: head.model === undefined || !this.ports.view.servesModels(service),
--- a/src/forwarding/prompt-cache-access.ts
+++ b/src/forwarding/prompt-cache-access.ts
@@ -85,7 +85,7 @@
         const isHolder = holders.has(candidate.server.id);
         const holder = this.ports.view.listedServers().find(server => {
             return server.state === "ready" && server.id !== candidate.server.id && holders.has(server.id)
-                && this.isHome(server.dataCentre);
+                && this.isInHomes(server.dataCentre);
         });
         const plan = cachePlans.planCache({
             store,
@@ -134,11 +134,11 @@
     /** The store that is assigned to the last shared part; the parts before it are kept in the same store. */
     private get store(): fleet.CacheStore | undefined {
         const all = this.ports.view.routingTable?.configuration.cacheStores ?? [];
-        const stores = all.filter(store => this.isHome(store.dataCentre));
+        const stores = all.filter(store => this.isInHomes(store.dataCentre));
         return this.lastSharedPart === undefined ? undefined : cachePlans.storeForPart(this.lastSharedPart.id, stores);
     }
 
-    private isHome(dataCentre: string): boolean {
+    private isInHomes(dataCentre: string): boolean {
         return this.homes === undefined || this.homes.includes(dataCentre);
     }
 
--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -64,7 +64,7 @@
     });
     const filters: readonly (readonly [types.UnplacedReason, (candidate: types.Candidate) => boolean])[] = [
         ["no-server", candidate => candidate.server.state === "ready"],
-        ["all-outside-homes", candidate => isAtHome(candidate, request)],
+        ["all-outside-homes", candidate => isInHomes(candidate, request)],
         ["all-evacuated", candidate => candidate.isEvacuated !== true],
         ["no-server", candidate => !request.triedServers.has(candidate.server.id)],
         ["all-suspected", candidate => !candidate.isSuspected],
@@ -112,13 +112,13 @@
 /** Whether the operator permits the call at the server, apart from the server's state. */
 export function isPermitted(
     candidate: types.Candidate,
-    request: Pick<types.PlacementRequest, "isHome">,
+    request: Pick<types.PlacementRequest, "mayRunIn">,
 ): boolean {
-    return isAtHome(candidate, request) && candidate.isEvacuated !== true;
+    return isInHomes(candidate, request) && candidate.isEvacuated !== true;
 }
 
-function isAtHome(candidate: types.Candidate, { isHome }: Pick<types.PlacementRequest, "isHome">): boolean {
-    return isHome === undefined || isHome(candidate.server.dataCentre);
+function isInHomes(candidate: types.Candidate, { mayRunIn }: Pick<types.PlacementRequest, "mayRunIn">): boolean {
+    return mayRunIn === undefined || mayRunIn(candidate.server.dataCentre);
 }
 
 /**
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -47,7 +47,7 @@
     /** Data centre of this entry. */
     readonly dataCentre: string;
     /** Whether the call may run in a data centre; undefined if it may run in all of them. */
-    readonly isHome?: ((dataCentre: string) => boolean) | undefined;
+    readonly mayRunIn?: ((dataCentre: string) => boolean) | undefined;
     /** Load of all servers of the service together, relative to their capacity. */
     readonly utilization: number;
     /** The prompt is shorter than the mean of the service's calls. */
