--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -115,7 +115,7 @@
 ): readonly Filter[] {
     return [
         ["no-server", candidate => candidate.server.state === "ready"],
-        ["all-outside-homes", candidate => isAtHome(candidate, request)],
+        ["all-outside-homes", candidate => isInHomes(candidate, request)],
         ["all-evacuated", candidate => candidate.isEvacuated !== true],
         ["no-server", candidate => !request.triedServers.has(candidate.server.id)],
         ["all-suspected", candidate => !candidate.isSuspected],
@@ -165,13 +165,13 @@
 /** Whether the operator permits the call at the server, apart from the server's state. */
 export function isPermitted(
     candidate: types.Candidate,
-    request: Pick<types.PlacementRequest, "isHome">,
+    request: Pick<types.PlacementRequest, "mayRunIn">,
 ): boolean {
-    return isAtHome(candidate, request) && candidate.isEvacuated !== true;
+    return isInHomes(candidate, request) && candidate.isEvacuated !== true;
 }
 
-function isAtHome(candidate: types.Candidate, { isHome }: Pick<types.PlacementRequest, "isHome">): boolean {
-    return isHome === undefined || isHome(candidate.server.dataCentre);
+function isInHomes(candidate: types.Candidate, { mayRunIn }: Pick<types.PlacementRequest, "mayRunIn">): boolean {
+    return mayRunIn === undefined || mayRunIn(candidate.server.dataCentre);
 }
 
 /**
--- a/test/platform/soak-fleet.ts
+++ b/test/platform/soak-fleet.ts
@@ -20,6 +20,9 @@
 const START_TIMEOUT_MS = 60_000;
 const SOCKET_TIMEOUT_MS = 6000;
 const OUTPUT_TOKENS = 20;
+/** Cold starts of model workers, where the settings list the contract for them. */
+const COLD_START_S = 1;
+const COLD_REQUESTS_PER_S = 16;
 /** Statuses with which the system states that the request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -66,6 +69,8 @@
 export interface FleetOptions {
     /** Called before the processes start. */
     readonly prepare?: (store: standIns.Store) => void;
+    /** Contracts that the settings of all processes list. */
+    readonly contracts?: readonly string[];
     /** Heap limit in megabytes of the processes of each role. */
     readonly heapMb?: Readonly<Record<Node["role"], number>>;
     readonly httpWorkers?: Pick<standIns.WorkerOptions, "slowness" | "bodyBytes">;
@@ -251,6 +256,19 @@
         return [...lines, "Content-Length: 0", "", ""].join("\r\n");
     }
 
+    /** Requests that workers of a zone have run since a time. */
+    runsIn(zone: string, since: number): readonly standIns.Run[] {
+        const ids = new Set(
+            this.workers.filter(worker => worker.options.zone === zone).map(worker => worker.currentId),
+        );
+        return this.log.runs.filter(run => ids.has(run.worker) && run.arrivedAt >= since);
+    }
+
+    /** Kills an entry; it is started again. */
+    killEntry(random: () => number): void {
+        this.randomNode(random, "entry").process.signal("SIGKILL");
+    }
+
     /** Injects one random fault, waits until it is over, and returns its name. */
     async injectFault(random: () => number): Promise<string> {
         const faults = Object.keys(FAULTS) as (keyof typeof FAULTS)[];
@@ -336,6 +354,14 @@
         this.workers.forEach(worker => worker.registerAgain());
     }
 
+    /** @internal Used by `FAULTS`. */
+    async evacuate(random: () => number, durationMs: number): Promise<void> {
+        const zone = ZONES[Math.floor(random() * ZONES.length)]!;
+        this.store.put("evacuations", zone, {});
+        await standIns.pause(durationMs);
+        this.store.remove("evacuations", zone);
+    }
+
     /** @internal Used by `FAULTS`. */
     publishNextWeights(): void {
         this.weightsVersion++;
@@ -388,6 +414,8 @@
             {
                 name: MODEL_SERVICE,
                 maxConnections: 200,
+                coldStartS: COLD_START_S,
+                coldPerS: COLD_REQUESTS_PER_S,
                 engine: { slots: 32, kvCapacity: 90_000, models: [{ name: MODEL }] },
             },
             { name: "desk", maxConnections: 100 },
@@ -418,6 +446,7 @@
             `zone = "${zone}"`,
             `internalPorts = [${peers}, ${peers + 1}]`,
             `seeds = ["127.0.2.1:${peers}"]`,
+            `contracts = ${JSON.stringify(this.options.contracts ?? [])}`,
             ...role === "agent" ? [`app = "${ip}:${worker}"`] : [],
             "[listen]",
             ...role === "entry" ? [`front = "${ip}:${front}"`, `ready = "${ip}:${ready}"`] : [],
@@ -470,6 +499,7 @@
     "store-restored": (fleet, random) => fleet.restoreStore(500 + random() * 4000, 200 + random() * 800),
     "weights-published": fleet => fleet.publishNextWeights(),
     "configuration-changed": fleet => fleet.publishConfiguration(),
+    "zone-evacuated": (fleet, random) => fleet.evacuate(random, 500 + random() * 2500),
 } satisfies Readonly<Record<string, Fault>>;
 
 /** Guarantees that a call violates, given how often its request ran. */
