Take settings without rollouts of services for ones whose calls compete for servers

The settings tell such deployments by the engines that they have without rollouts of services; where there are rollouts, the comparison of two versions' latencies needs servers that are treated alike.

--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -175,8 +175,10 @@
     const capabilities = (contracts: string) => read(`contracts = ${contracts}\n${FILE}`, "entry").process.capabilities;
     const none = { placementConstraints: false, contendedServers: false };
     assert.deepEqual(read(FILE, "entry").process.capabilities, none);
-    assert.deepEqual(capabilities('["base","engine"]'), none);
+    assert.deepEqual(capabilities('["base","engine","rollout"]'), none);
+    assert.deepEqual(capabilities('["base","rollout"]'), none);
+    assert.deepEqual(capabilities('["base","engine"]'), { ...none, contendedServers: true });
     assert.deepEqual(capabilities('["base","places"]'), { ...none, placementConstraints: true });
-    assert.deepEqual(capabilities('["pressure","base"]'), { ...none, contendedServers: true });
+    assert.deepEqual(capabilities('["pressure","base","rollout"]'), { ...none, contendedServers: true });
     assert.deepEqual(capabilities("7"), none);
 });
