--- a/src/placement/selection.ts
+++ b/src/placement/selection.ts
@@ -42,8 +42,9 @@
  * time of a whole prompt.
  */
 const OUTDATED_PENALTY_MS = 150;
-/** Penalty in milliseconds for a cold server, which is slow and has no cached parts: about the prefill of a long prompt. */
-const COLD_PENALTY_MS = 150;
+/** Penalty in milliseconds for a cold server, and the extra time for the call's prompt there relative to its prefill time. */
+const COLD_PENALTY_MS = 20;
+const COLD_PREFILL_RATIO = 1;
 /** Maximum queue of an HTTP server, relative to its slots; beyond it, a call would wait longer there than at the entry. */
 const HTTP_SERVICE_QUEUE_RATIO = 0.5;
 /** Maximum prefill time in milliseconds of the prompts queued at an engine; with more, the engine is full. */
@@ -123,13 +124,16 @@
 
 /**
  * Leaves the few requests of servers that name a limit to calls with long prompts, for which a server does most work for
- * one request; the others use them only when no other server has capacity.
+ * one request; the others use them only when no other server has capacity. What a cold server takes is lost if it is not
+ * used, and its cost is higher for long prompts, so that it is not spared.
  */
 function spareLimited(
     eligible: readonly types.Candidate[],
     request: types.PlacementRequest,
 ): readonly types.Candidate[] {
-    const unlimited = request.isShort ? eligible.filter(candidate => candidate.limit === "none") : [];
+    const unlimited = request.isShort ?
+        eligible.filter(candidate => candidate.limit === "none" || candidate.isCold === true)
+        : [];
     return unlimited.length === 0 ? eligible : unlimited;
 }
 
@@ -160,7 +164,8 @@
     const pendingUpdateMs = candidate.isUpdatePending
         ? request.expectedOutputTokens * PENDING_UPDATE_MS_PER_OUTPUT_TOKEN
         : 0;
-    const coldMs = candidate.isCold === true ? COLD_PENALTY_MS : 0;
+    const promptMs = (request.sharedTokens + request.unsharedTokens) * latency.msPerPromptToken;
+    const coldMs = candidate.isCold === true ? COLD_PENALTY_MS + promptMs * COLD_PREFILL_RATIO : 0;
     const penaltiesMs = crossDataCentreMs + outdatedMs + failingMs + pendingUpdateMs + coldMs;
     return queueMs(candidate, request, latency) + prefillMs(candidate, request, latency, isPreferred) + penaltiesMs;
 }
--- a/test/placement/cold-return.test.ts
+++ b/test/placement/cold-return.test.ts
@@ -254,7 +254,7 @@
     sent.forEach(times => assert.ok(busiestSecond(times) <= TOLERATED_REQUESTS));
 });
 
-testing.test("warm servers are preferred to cold ones, and short calls leave cold ones to long prompts", () => {
+testing.test("warm servers are preferred to cold ones until they have a queue, with long prompts for longer", () => {
     const base = { pauseMs: 0, failureShare: 0, calls: 0, pendingPromptTokens: 0, weightsVersion: 1 };
     const flags = { outdatedForMs: undefined, isUpdatingWeights: false, isUpdatePending: false, isSuspected: false };
     const cold = (limit: placement.Candidate["limit"]): placement.Candidate => {
@@ -264,15 +264,18 @@
         return { ...base, ...flags, calls, server: serverOf(1, {}), isCold: false, limit: "none" };
     };
     const choose = (candidates: readonly placement.Candidate[], isShort: boolean) => {
-        const request = { ...requestOf(1), affinityKey: undefined, isShort };
+        const tokens = isShort ? { sharedTokens: 200, unsharedTokens: 600 } : {};
+        const request = { ...requestOf(1), ...tokens, affinityKey: undefined, isShort };
         return selection.chooseServer(candidates, request, LATENCY, SETTINGS, () => 0.5);
     };
     const chosen = (decision: placement.PlacementDecision) => {
         return decision.kind === "server" ? decision.candidate.server.id : decision.reason;
     };
-    assert.equal(chosen(choose([cold("open"), warm(10)], false)), "server-1");
-    assert.equal(chosen(choose([cold("open"), { ...warm(10), pendingPromptTokens: 60_000 }], false)), "server-0");
-    assert.equal(chosen(choose([cold("open"), { ...warm(10), pendingPromptTokens: 60_000 }], true)), "server-1");
+    const busy = (pendingPromptTokens: number) => ({ ...warm(10), pendingPromptTokens });
+    assert.equal(chosen(choose([cold("open"), busy(500)], true)), "server-1");
+    assert.equal(chosen(choose([cold("open"), busy(5000)], true)), "server-0");
+    assert.equal(chosen(choose([cold("open"), busy(5000)], false)), "server-1");
+    assert.equal(chosen(choose([cold("open"), busy(30_000)], false)), "server-0");
     assert.equal(chosen(choose([cold("open"), warm(96)], true)), "server-0");
     assert.equal(chosen(choose([cold("closed"), warm(96)], true)), "all-full");
     assert.equal(chosen(choose([cold("closed")], false)), "all-cold");
