Refuse a call at once only if it would wait in vain for the servers of each version

During a rollout the reason of the last version's servers decided. With the servers of one version at their limit and those of the other in an evacuated data centre, a call was refused instead of waiting.

--- a/src/forwarding/call-placement.ts
+++ b/src/forwarding/call-placement.ts
@@ -170,14 +170,17 @@
         const now = this.ports.clock.now();
         const group = this.groupAmong(all, now);
         const groups = this.ports.rollouts.groups(service, head.id, all);
+        let reasonToWait: placement.PlacementDecision | undefined;
         let decision: placement.PlacementDecision = { kind: "none", reason: "no-server" };
         for (const candidates of groups) {
             decision = this.chooseAmong(candidates, group, now);
             if (decision.kind === "server") {
-                break;
+                return decision;
             }
+            // A call need not wait only if it would wait in vain for the servers of each version.
+            reasonToWait ??= LASTING_REASONS.has(decision.reason) ? undefined : decision;
         }
-        return decision;
+        return reasonToWait ?? decision;
     }
 
     /** The servers for prompts like the call's; undefined while all prompts share the servers. */
