Count the requests to cold servers over changes of the heartbeat period, and over divided entries

Found by the review, with simulated entries: 62 to 69 requests in a second to a cold server, with a bound of 29, while the number of peers fell, since the slots of time followed the period of heartbeats and requests were forgotten with each change; and 38 to 42 in two halves that had been apart since their start, since an entry took its half for all after 5 s. Slots now have a fixed length, and registered entries count for 30 s after a start, the time for which a silent peer counts.

The unit check of the settled state now names a time after 30 s, and one at 6 s checks the opposite.

--- a/src/placement/cold-rate.ts
+++ b/src/placement/cold-rate.ts
@@ -25,6 +25,11 @@
 /** With many entries: standard deviations between the mean number of requests in a second and the bound. */
 const BOUND_DEVIATIONS = 6;
 const MS_PER_SECOND = 1000;
+/**
+ * Length in milliseconds of the slots over which an entry spreads its part. It is the same at all times: if it changed, the
+ * slots would be counted anew, and what was sent in them would be forgotten.
+ */
+export const SLOT_MS = 200;
 
 export function coldLimit(requestsPerSecond: number, bounds: ColdBounds): ColdLimit {
     const toleratedRequests = requestsPerSecond * bounds.overshootFactor + bounds.slackRequests;
@@ -38,12 +43,12 @@
  * case would leave almost nothing, and does not occur, since their phases are random: the number of requests in a second is
  * then about a Poisson variable.
  */
-export function safeRate(limit: ColdLimit, entries: number, slotMs: number): number {
+export function safeRate(limit: ColdLimit, entries: number): number {
     const planned = limit.toleratedRequests * PLANNED_SHARE;
     const requestsOfEntry = Math.floor(planned / entries);
     // A second touches this many slots; an entry has no more requests in them than `requestsOfEntry`.
-    const slots = Math.ceil(MS_PER_SECOND / slotMs) + 1;
-    const certainRate = requestsOfEntry * entries * MS_PER_SECOND / (slots * slotMs);
+    const slots = Math.ceil(MS_PER_SECOND / SLOT_MS) + 1;
+    const certainRate = requestsOfEntry * entries * MS_PER_SECOND / (slots * SLOT_MS);
     const root = (Math.sqrt(BOUND_DEVIATIONS ** 2 + 4 * planned) - BOUND_DEVIATIONS) / 2;
     return Math.min(limit.requestsPerSecond, Math.max(certainRate, root ** 2));
 }
@@ -67,8 +72,11 @@
     readonly runningMs: number;
 }
 
-/** Time in milliseconds after its start until an entry has received heartbeats of all others that run. */
-const SETTLING_MS = 5000;
+/**
+ * Time in milliseconds after its start until an entry takes the heartbeats that it has received for those of all others.
+ * Entries that have been apart since they started know only their own side, and are registered on both.
+ */
+const SETTLING_MS = 30_000;
 
 /**
  * Number of entries that share a rate; undefined while an entry that has just started cannot know it. Registered entries may
--- a/src/placement/server-limits.ts
+++ b/src/placement/server-limits.ts
@@ -12,6 +12,7 @@
 import type * as peering from "../peering/types.js";
 import * as ledgers from "../quota/ledger.js";
 import * as coldRates from "./cold-rate.js";
+import * as slotCounters from "./slot-counter.js";
 
 /** Time in milliseconds for which peers are told that a limit has ended. */
 const ENDED_RETENTION_MS = 5000;
@@ -35,11 +36,6 @@
     readonly observedAt: number;
 }
 
-interface SlotCount {
-    readonly slot: number;
-    readonly requests: number;
-}
-
 /** Limits of servers that are cold. */
 export interface ColdLimits {
     /** Undefined for a server that is not cold, or takes any number of requests. */
@@ -66,10 +62,12 @@
     private readonly ledger: ledgers.QuotaLedger;
     /** Undefined until the servers are known. */
     private listed: ReadonlySet<string> | undefined;
-    /** Requests of this entry in the slot of the last one, by server. */
-    private readonly sent = new Map<string, SlotCount>();
+    /** Requests of this entry to servers that name a limit, and to cold ones. */
+    private readonly sent: slotCounters.SlotCounter;
+    private readonly sentCold = new slotCounters.SlotCounter(() => coldRates.SLOT_MS);
 
     constructor(private readonly ports: LimitPorts) {
+        this.sent = new slotCounters.SlotCounter(ports.slotMs);
         this.ledger = new ledgers.QuotaLedger(ports.ledger);
     }
 
@@ -100,11 +98,11 @@
     /** Counts a request that is sent to the server. */
     recordRequest(server: string, now: number): void {
         const account = this.accountOf(server);
-        if (account !== undefined || this.ports.cold?.limitOf(server, now) !== undefined) {
-            const { slot, requests } = this.countAt(server, now);
-            this.sent.set(server, { slot, requests: requests + 1 });
+        if (this.ports.cold?.limitOf(server, now) !== undefined) {
+            this.sentCold.record(server, now);
         }
         if (account !== undefined) {
+            this.sent.record(server, now);
             this.ledger.charge(account, 1, now);
         }
     }
@@ -134,16 +132,13 @@
     /** Names the servers that are listed. The limits of others are dropped once they have named none for a time. */
     retain(servers: ReadonlySet<string>): void {
         this.listed = servers;
-        for (const server of this.sent.keys()) {
-            if (!servers.has(server) && !this.limits.has(server)) {
-                this.sent.delete(server);
-            }
-        }
+        this.sent.retain(server => servers.has(server) || this.limits.has(server));
+        this.sentCold.retain(server => servers.has(server));
     }
 
     private isOpen(account: ledgers.Account, now: number): boolean {
         const { name: server } = account;
-        const { slot, requests } = this.countAt(server, now);
+        const { slot, requests } = this.sent.at(server, now);
         const requestsOfEntry = (this.allowance(account, now) + requests) / this.ledger.reachableCount(now);
         return requests + hashing.unitHash(`${this.ports.self}\u0000${server}\u0000${slot}`) < requestsOfEntry;
     }
@@ -158,9 +153,8 @@
         if (entries === undefined) {
             return false;
         }
-        const { slot, requests } = this.countAt(server, now);
-        const slotMs = this.ports.slotMs();
-        const requestsPerSlot = coldRates.safeRate(limit, entries, slotMs) * slotMs / 1000 / entries;
+        const { slot, requests } = this.sentCold.at(server, now);
+        const requestsPerSlot = coldRates.safeRate(limit, entries) * coldRates.SLOT_MS / 1000 / entries;
         const phase = hashing.unitHash(`${this.ports.self}\u0000${server}`);
         return requests < coldRates.requestsInSlot(slot, requestsPerSlot, phase);
     }
@@ -197,12 +191,6 @@
         return { name: server, tokensPerSecond: rate, burstTokens: Math.max(MINIMUM_BURST, rate * BURST_MS / 1000) };
     }
 
-    private countAt(server: string, now: number): SlotCount {
-        const slot = Math.floor(now / this.ports.slotMs());
-        const last = this.sent.get(server);
-        return last?.slot === slot ? last : { slot, requests: 0 };
-    }
-
     /** Peers may tell of such a limit again, so that it is dropped before each heartbeat. */
     private forgetStale(now: number): void {
         for (const [server, { requestsPerSecond, observedAt }] of this.limits) {
@@ -216,7 +204,7 @@
 
     private forget(server: string): void {
         this.limits.delete(server);
-        this.sent.delete(server);
+        this.sent.forget(server);
         this.ledger.retain(new Set(this.limits.keys()));
     }
 }
--- a/test/placement/cold-return.test.ts
+++ b/test/placement/cold-return.test.ts
@@ -39,6 +39,10 @@
     readonly restarts?: (entry: number, now: number) => boolean;
     /** Whether the servers become cold a second time, before their first cold time is over. */
     readonly isColdAgain?: boolean;
+    /** Time in milliseconds in which the entries learn of each other's requests; it follows their number. */
+    readonly slotMs?: (now: number) => number;
+    /** Two halves of the entries have been apart since they started. */
+    readonly isDivided?: boolean;
 }
 
 interface Message {
@@ -59,13 +63,19 @@
     readonly limits: serverLimits.ServerLimits;
     readonly incarnation: string;
 
-    constructor(readonly name: string, private readonly startedAt: number, clockOffset: number, entries: number) {
+    constructor(
+        readonly name: string,
+        private readonly startedAt: number,
+        clockOffset: number,
+        entries: number,
+        slotMs: () => number,
+    ) {
         this.incarnation = `${name}-${startedAt}`;
         this.clockOffset = clockOffset;
         this.limits = new serverLimits.ServerLimits({
             journal: { emit: () => undefined },
             self: name,
-            slotMs: () => SLOT_MS,
+            slotMs,
             ledger: { overdraftTokens: 0, silenceMs: () => 700, expiryMs: 30_000 },
             cold: {
                 limitOf: (server, now) => this.cold.limitOf(server, now),
@@ -134,8 +144,11 @@
 /** Times of the requests by server from the return on, while all servers are cold. */
 function simulate(course: Course, seed: number): ReadonlyMap<string, readonly number[]> {
     const { random } = new simulationClock.SimulationClock(seed);
+    let presentTime = 0;
+    const halfOf = (name: string) => Number(name.split("-")[1]) % 2;
     const create = (entry: number, now: number) => {
-        const created = new SimulatedEntry(`entry-${entry}`, now, random() * 10_000, course.entries);
+        const slotMs = () => course.slotMs?.(presentTime) ?? SLOT_MS;
+        const created = new SimulatedEntry(`entry-${entry}`, now, random() * 10_000, course.entries, slotMs);
         created.cold.recordServers(listed(now), { now: created.localTime(now), wallTime: now });
         return created;
     };
@@ -153,6 +166,7 @@
     let messages: Message[] = [];
     let calls = 0;
     for (let now = 0; now < END_AT; now += STEP_MS) {
+        presentTime = now;
         const arrived = messages.filter(({ arrivesAt }) => arrivesAt <= now);
         messages = messages.filter(({ arrivesAt }) => arrivesAt > now);
         const servers = listed(now);
@@ -166,6 +180,9 @@
             for (
                 const { from, incarnation, limits } of arrived.filter(message => message.from !== own.name && !isCut)
             ) {
+                if (course.isDivided === true && halfOf(from) !== halfOf(own.name)) {
+                    continue;
+                }
                 own.limits.applyPeer(from, incarnation, limits, local);
             }
             own.cold.recordServers(servers, { now: local, wallTime: now });
@@ -230,6 +247,15 @@
     });
 }
 
+testing.test("guards against requests that are forgotten when the heartbeats change their period", () => {
+    const slotMs = (now: number) => 200 * (1 + Math.max(0, RETURN_AT + 1200 - now) / 5000);
+    assertWithinBound({ entries: 26, servers: 8, slotMs }, 4);
+});
+
+testing.test("guards against two halves of the entries that each take the whole rate", () => {
+    assertWithinBound({ entries: 26, servers: 8, isDivided: true }, 4);
+});
+
 testing.test("bursts of calls after a pause keep the bound", () => {
     assertWithinBound({ entries: 26, servers: 8, calls: (_entry, now) => now % 1300 < 100 ? 20 : 0 }, 4);
     assertWithinBound({ entries: 70, servers: 4, calls: (_entry, now) => now % 1300 < 100 ? 20 : 0 }, 2);
@@ -285,8 +311,9 @@
     const known = { heard: 1, reachable: 1, registered: 1, hasRead: false, runningMs: 100 };
     assert.equal(coldRates.sharingEntries(known), undefined);
     assert.equal(coldRates.sharingEntries({ ...known, hasRead: true, registered: 26 }), 26);
-    assert.equal(coldRates.sharingEntries({ ...known, registered: 4, runningMs: 6000 }), 4);
-    const settled = { heard: 26, reachable: 25, registered: 30, hasRead: true, runningMs: 6000 };
+    assert.equal(coldRates.sharingEntries({ ...known, registered: 4, runningMs: 36_000 }), 4);
+    const settled = { heard: 26, reachable: 25, registered: 30, hasRead: true, runningMs: 36_000 };
     assert.equal(coldRates.sharingEntries(settled), 26);
     assert.equal(coldRates.sharingEntries({ ...settled, heard: 20, reachable: 1 }), 30);
+    assert.equal(coldRates.sharingEntries({ ...settled, heard: 13, reachable: 13, runningMs: 6000 }), 30);
 });
