--- a/src/forwarding/call-admission.ts
+++ b/src/forwarding/call-admission.ts
@@ -140,7 +140,6 @@
         head,
         route,
         service,
-        priority: priorityOf({ customer, route }),
         cache,
         fingerprints,
         homes,
