Keep a stated pace beside an agent's report, and take peers' rejections for one run only

A report that was later than the statement hid its pace, and the exclusion of an earlier run could be carried over to the next one by a peer's rejection.

--- a/src/placement/stated-load.ts
+++ b/src/placement/stated-load.ts
@@ -154,7 +154,7 @@
         if (load === undefined) {
             return { ...NO_CHANGE, isRejecting };
         }
-        this.keep(server.id, { startedAt: server.startedAt, load, statedAt: now, ownCalls, isOwn: true });
+        this.statements.set(server.id, { startedAt: server.startedAt, load, statedAt: now, ownCalls, isOwn: true });
         return { isRejecting, isSlow: this.recordPace(server.id, load.pace) };
     }
 
@@ -175,7 +175,7 @@
         const count = !isRepeated ? 1 : isSameMoment ? previous.count : previous.count + 1;
         const exclusionMs = Math.min(MAXIMUM_EXCLUSION_MS, FIRST_EXCLUSION_MS * 2 ** (count - 1));
         if (load !== undefined) {
-            this.keep(server.id, { startedAt: server.startedAt, load, statedAt: now, ownCalls, isOwn: true });
+            this.statements.set(server.id, { startedAt: server.startedAt, load, statedAt: now, ownCalls, isOwn: true });
         }
         this.rejections.set(server.id, {
             startedAt: server.startedAt,
@@ -194,7 +194,8 @@
     /** What is known of a server; undefined without a recent statement or rejection. */
     stateOf(server: fleet.BackendServer, observed: ObservedLoad, now: number): StatedState | undefined {
         const { counted, isEngine } = observed;
-        const statement = latest(this.statementOf(server, now), reportedStatement(server, observed, now));
+        const stated = this.statementOf(server, now);
+        const statement = latest(stated, reportedStatement(server, observed, now));
         const rejections = this.rejectionsOf(server);
         const isExcluded = rejections !== undefined && now < rejections.excludedUntil;
         if (statement === undefined) {
@@ -205,7 +206,7 @@
         return {
             calls: estimateCalls(statement, counted, isEngine, now),
             waiting: statement.load.waiting * decay(now - statement.statedAt, halfLifeMs(isEngine)),
-            pace: estimatePace(statement, now),
+            pace: stated === undefined ? 1 : estimatePace(stated, now),
             isFull: isExcluded || hasFullQueue(statement, rejections, now),
             ageMs: now - statement.statedAt,
         };
@@ -230,19 +231,9 @@
             if (statedAt <= (this.statements.get(server)?.statedAt ?? Number.NEGATIVE_INFINITY)) {
                 continue;
             }
-            this.keep(server, { startedAt, load, statedAt, ownCalls: ownCalls(server), isOwn: false });
+            this.statements.set(server, { startedAt, load, statedAt, ownCalls: ownCalls(server), isOwn: false });
             if (isRejecting) {
-                this.rejections.set(server, {
-                    startedAt,
-                    count: 1,
-                    rejectedAt: statedAt,
-                    excludedUntil: Math.max(
-                        statedAt + FIRST_EXCLUSION_MS,
-                        this.rejections.get(server)?.excludedUntil ?? 0,
-                    ),
-                    fullWaiting: this.rejections.get(server)?.fullWaiting,
-                    isOwn: false,
-                });
+                this.adoptRejection(server, startedAt, statedAt);
             }
         }
     }
@@ -254,8 +245,13 @@
         }
     }
 
-    private keep(server: string, statement: Statement): void {
-        this.statements.set(server, statement);
+    /** Adopts a rejection of a peer's call, which does not shorten an exclusion. */
+    private adoptRejection(server: string, startedAt: number | undefined, rejectedAt: number): void {
+        const known = this.rejections.get(server);
+        const previous = known?.startedAt === startedAt ? known : undefined;
+        const excludedUntil = Math.max(rejectedAt + FIRST_EXCLUSION_MS, previous?.excludedUntil ?? 0);
+        const { count = 1, fullWaiting } = previous ?? {};
+        this.rejections.set(server, { startedAt, count, rejectedAt, excludedUntil, fullWaiting, isOwn: false });
     }
 
     private statementOf(server: fleet.BackendServer, now: number): Statement | undefined {
--- a/test/placement/stated-load.test.ts
+++ b/test/placement/stated-load.test.ts
@@ -124,6 +124,9 @@
     const loads = new statedLoads.StatedLoads();
     const observed = { ...COUNTED, isEngine: true, reported: { running: 20, waiting: 10, receivedAt: 1000 } };
     assert.equal(loads.stateOf(server(), observed, 1000)!.pace, 1);
+    loads.record(server(), { ...SLOW, running: 1 }, 0, 500);
+    assert.ok(loads.stateOf(server(), observed, 1000)!.pace > 1, "a report does not hide the pace");
+    assert.ok(loads.stateOf(server(), observed, 1000)!.calls > 20);
     assert.equal(loads.stateOf(server(), observed, 2100), undefined);
 });
 
