Keep updates pending for up to 3 s where calls compete for the servers

With 1.6 s a server was still out of use for 2.5 to 4.4 s after the announcement, until its last long answer had ended; such answers take 1.6 s at the median and 3.2 s at the 90th percentile.

--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -9,10 +9,10 @@
  */
 const MAXIMUM_PENDING_MS = 800;
 /**
- * The same where calls compete for the servers: a busy server takes longer for its running calls, and it serves short calls
- * while its update is pending, but none while it is announced.
+ * The same where calls compete for the servers: long answers take longer on a busy server. It serves short calls while its
+ * update is pending, but none from the announcement until the last running call has ended.
  */
-const MAXIMUM_CONTENDED_PENDING_MS = 1600;
+const MAXIMUM_CONTENDED_PENDING_MS = 3000;
 /** Number of running calls up to which a server may update without waiting for them to end. */
 const NEARLY_IDLE_CALLS = 2;
 /** Time in milliseconds between the announcement to the entries and the order, so that calls stop arriving first. */
