--- a/src/forwarding/call-attempt.ts
+++ b/src/forwarding/call-attempt.ts
@@ -5,8 +5,8 @@
 import type * as cachePlans from "../placement/cache-plan.js";
 import type * as placement from "../placement/types.js";
 import type * as callOutcomes from "../rollout/call-outcome.js";
-import * as silentAttempts from "../scheduling/silent-attempt.js";
 import * as answerReceivers from "./answer-receiver.js";
+import * as attemptTimeouts from "./attempt-timeouts.js";
 import type * as callerResponses from "./caller-response.js";
 import type * as dialects from "./dialect.js";
 import type * as splitters from "./event-splitter.js";
@@ -17,16 +17,7 @@
 import * as serverRequests from "./server-request.js";
 import * as streamRelays from "./stream-relay.js";
 import type * as types from "./types.js";
-import * as waitLimits from "./wait-limit.js";
-
-/** Response timeout of an idempotent call, as a multiple of the mean call time of its service. */
-const IDEMPOTENT_TIMEOUT_FACTOR = 4;
-/** Minimum response timeout of an idempotent call in milliseconds. */
-const MINIMUM_IDEMPOTENT_TIMEOUT_MS = 300;
-/** Timeout in milliseconds for the first event of a resumable stream. Callers disconnect after 2 s. */
-const FIRST_EVENT_TIMEOUT_MS = 1500;
-/** Timeout in milliseconds between two events of a resumable stream. */
-const NEXT_EVENT_TIMEOUT_MS = 900;
+
 const SERVICE_UNAVAILABLE = 503;
 const MINIMUM_FAILURE_STATUS = 500;
 /** Codes of the errors of a request whose path or headers have characters that no request can hold. */
@@ -130,7 +121,7 @@
             body: admission.body,
             // On a kept connection, a second copy of the answer to an earlier attempt would have the id of this one.
             mayReuseConnection: !this.input.isRepeated
-                && (admission.route.kind === "idempotent" || this.isResumable),
+                && (admission.route.kind === "idempotent" || attemptTimeouts.isResumable(admission.route)),
         };
         try {
             this.inFlight = serverRequests.send(options, this.ports.connectionPool, this);
@@ -140,7 +131,7 @@
             this.finish({ kind: UNSENDABLE_CODES.has(reason) ? "unsendable" : "not-sent", reason });
             return this.result;
         }
-        this.restartTimer(this.initialTimeoutMs());
+        this.restartTimer(attemptTimeouts.initialMs(this.ports, admission.route, admission.service));
         return this.result;
     }
 
@@ -259,7 +250,7 @@
             reading: this.reading,
             owner: this.memoryOwner,
             onEvent: event => this.onEvent(event),
-            onResumed: () => this.restartTimer(this.eventTimeoutMs()),
+            onResumed: () => this.restartTimer(attemptTimeouts.nextEventMs(this.input.admission.route)),
         });
         this.ports.serverHealth.recordResponse(this.input.choice.candidate.server.id, false, now);
     }
@@ -289,7 +280,7 @@
         if (event.id !== undefined) {
             this.events++;
             this.lastEventAt = this.ports.clock.now();
-            this.restartTimer(this.eventTimeoutMs());
+            this.restartTimer(attemptTimeouts.nextEventMs(this.input.admission.route));
         }
     }
 
@@ -366,26 +357,6 @@
         this.resolveResult(end && { mismatch: undefined, response: undefined, isServerBusy: false, ...end, hasBegun });
     }
 
-    private get isResumable(): boolean {
-        return this.input.admission.route.kind === "stream" && this.input.admission.route.resumable;
-    }
-
-    private initialTimeoutMs(): number | undefined {
-        const { route, service } = this.input.admission;
-        if (this.isResumable) {
-            return FIRST_EVENT_TIMEOUT_MS;
-        }
-        const meanCallMs = this.ports.latencyEstimates.get(service).callMs;
-        return route.kind === "idempotent"
-            ? Math.max(MINIMUM_IDEMPOTENT_TIMEOUT_MS, meanCallMs * IDEMPOTENT_TIMEOUT_FACTOR)
-            : undefined;
-    }
-
-    /** Timeout in milliseconds until the next event. */
-    private eventTimeoutMs(): number | undefined {
-        return this.isResumable ? NEXT_EVENT_TIMEOUT_MS : undefined;
-    }
-
     /** Restarts the timeout of the attempt; undefined turns it off. */
     private restartTimer(timeoutMs: number | undefined): void {
         clearTimeout(this.timer);
@@ -400,13 +371,19 @@
             // The server waits for the caller.
             return;
         }
-        const silence = this.silence();
+        const { admission: { route, deadlineAt }, choice, callerResponse, arrivedAt } = this.input;
+        const silence = attemptTimeouts.silence(this.ports, {
+            route,
+            server: choice.candidate.server,
+            deadlineAt,
+            lastProgressAt: callerResponse.lastEventAt ?? arrivedAt,
+        });
         if (silence.kind === "wait") {
             this.timer = setTimeout(() => this.abandonIfRetryable(timeoutMs + silence.checkInMs), silence.checkInMs);
             return;
         }
         // The server may be slow, or the connection silent as well as others that were opened before.
-        this.ports.connectionPool.closeIdle(this.input.choice.candidate.server.address);
+        this.ports.connectionPool.closeIdle(choice.candidate.server.address);
         if (this.isRetryAllowed()) {
             this.inFlight?.abort();
             const { isServerBusy } = silence;
@@ -414,28 +391,6 @@
         }
     }
 
-    /** Whether the call goes on waiting for a server that sends nothing. */
-    private silence(): silentAttempts.SilenceDecision {
-        const { admission: { route, deadlineAt }, choice, callerResponse } = this.input;
-        if (!this.ports.settings.capabilities.contendedServers || !this.isResumable) {
-            return { kind: "abandon", isServerBusy: false };
-        }
-        const now = this.ports.clock.now();
-        return silentAttempts.decide({
-            isReportedAlive: this.ports.view.isReportedAlive(choice.candidate.server, now),
-            abandonedAt: Math.min(
-                deadlineAt,
-                waitLimits.abandonedAt({
-                    kind: route.kind,
-                    deadlineAt,
-                    lastProgressAt: callerResponse.lastEventAt ?? this.input.arrivedAt,
-                    targetLatencyMs: route.targetLatencyMs,
-                    targetGapMs: route.targetGapMs,
-                }),
-            ),
-        }, now);
-    }
-
     private isRetryAllowed(): boolean {
         const now = this.ports.clock.now();
         return this.input.hasAttemptLeft && this.ports.retryBudgets.of(this.input.admission.service, now).canRetry(now);
