--- a/src/forwarding/call-wait.ts
+++ b/src/forwarding/call-wait.ts
@@ -230,7 +230,7 @@
     private count(end: types.WaitEnd): void {
         if (this.isQueued) {
             this.isQueued = false;
-            const reason = this.waitsForServer ? this.reason : "part-being-read";
+            const reason = this.serverTimeoutAt === Infinity ? "part-being-read" : this.reason;
             const waitedMs = this.ports.clock.now() - this.startedAt;
             this.ports.meter.waited(this.subject.admission.service, reason, end, waitedMs);
         }
