--- a/src/forwarding/wait-policy.ts
+++ b/src/forwarding/wait-policy.ts
@@ -109,7 +109,8 @@
             return expectedWaits.expectedWaitMs(rank(admission).key, ahead, throughput);
         },
         retryAfterMs: (admission, { usualMs, isFull, expectedMs }, now) => {
-            const isKnown = isFull && expectedMs !== undefined && Number.isFinite(expectedMs);
+            // The first of the queue expects no wait behind others, and yet no server became available for it.
+            const isKnown = isFull && expectedMs !== undefined && expectedMs > 0;
             return retryAfterMs(admission, isKnown ? expectedMs : usualMs, now);
         },
         retryAfterRejectionMs: (admission, now) => {
