--- a/src/placement/cold-rate.ts
+++ b/src/placement/cold-rate.ts
@@ -61,7 +61,7 @@
 /** What an entry knows of the entries that share the rate. */
 export interface KnownEntries {
     /** Entries from which heartbeats came, this one included, also if they have been silent for some seconds. */
-    readonly heard: number;
+    readonly active: number;
     /** Those of them that are within reach. */
     readonly reachable: number;
     /** Registered entries, this one included. */
@@ -82,10 +82,12 @@
  * Number of entries that share a rate; undefined while an entry that has just started cannot know it. Registered entries may
  * be gone, so that they count only while the heartbeats do not tell.
  */
-export function sharingEntries({ heard, reachable, registered, hasRead, runningMs }: KnownEntries): number | undefined {
+export function sharingEntries(
+    { active, reachable, registered, hasRead, runningMs }: KnownEntries,
+): number | undefined {
     const isSettled = runningMs >= SETTLING_MS;
     if (!isSettled && !hasRead) {
         return undefined;
     }
-    return isSettled && reachable > 1 ? heard : Math.max(heard, registered);
+    return isSettled && reachable > 1 ? active : Math.max(active, registered);
 }
--- a/src/placement/server-limits.ts
+++ b/src/placement/server-limits.ts
@@ -146,7 +146,7 @@
     private isOpenCold(server: string, limit: coldRates.ColdLimit, now: number): boolean {
         const entries = coldRates.sharingEntries({
             ...this.ports.cold!.registeredEntries(),
-            heard: this.ledger.entryCount(now),
+            active: this.ledger.entryCount(now),
             reachable: this.ledger.reachableCount(now),
             runningMs: now - this.ports.cold!.startedAt,
         });
--- a/src/placement/stated-load.ts
+++ b/src/placement/stated-load.ts
@@ -126,7 +126,7 @@
     const stated = Math.max(0, running + waiting + counted.own - statement.ownCalls);
     const weight = decay(now - statement.statedAt, halfLifeMs(isEngine));
     const blended = stated * weight + counted.total * (1 - weight);
-    // The counts lack the calls of entries that are not heard, and those that an engine still runs for callers that left.
+    // The counts lack the calls of entries whose heartbeats are missing, and those that an engine still runs for callers that left.
     return isEngine ? Math.max(counted.total, blended) : blended;
 }
 
--- a/src/scheduling/call-times.ts
+++ b/src/scheduling/call-times.ts
@@ -49,8 +49,8 @@
 }
 
 /**
- * Order of two calls of the same rank, negative if the left one starts first: those that can still be on time, the
- * earliest time limit first, and then those that are late anyhow.
+ * Order of two calls of the same rank, negative if the left one starts first: those that can still be on time, in the
+ * order of their last starts on time, and then those that are late anyhow.
  */
 export function compareStarts(left: StartTimes, right: StartTimes, now: number): number {
     const isLeftLate = now > left.onTimeUntil;
--- a/test/placement/cold-return.test.ts
+++ b/test/placement/cold-return.test.ts
@@ -308,12 +308,12 @@
 });
 
 testing.test("an entry that has just started leaves cold servers alone until it knows how many entries share them", () => {
-    const known = { heard: 1, reachable: 1, registered: 1, hasRead: false, runningMs: 100 };
+    const known = { active: 1, reachable: 1, registered: 1, hasRead: false, runningMs: 100 };
     assert.equal(coldRates.sharingEntries(known), undefined);
     assert.equal(coldRates.sharingEntries({ ...known, hasRead: true, registered: 26 }), 26);
     assert.equal(coldRates.sharingEntries({ ...known, registered: 4, runningMs: 36_000 }), 4);
-    const settled = { heard: 26, reachable: 25, registered: 30, hasRead: true, runningMs: 36_000 };
+    const settled = { active: 26, reachable: 25, registered: 30, hasRead: true, runningMs: 36_000 };
     assert.equal(coldRates.sharingEntries(settled), 26);
-    assert.equal(coldRates.sharingEntries({ ...settled, heard: 20, reachable: 1 }), 30);
-    assert.equal(coldRates.sharingEntries({ ...settled, heard: 13, reachable: 13, runningMs: 6000 }), 30);
+    assert.equal(coldRates.sharingEntries({ ...settled, active: 20, reachable: 1 }), 30);
+    assert.equal(coldRates.sharingEntries({ ...settled, active: 13, reachable: 13, runningMs: 6000 }), 30);
 });
