Compare an open cold server with the random ones, so that its rate is used under load

With a third of the servers cold under a burst, calls met one of the few that were open only by chance: two entries sent 21 calls to cold servers in 3 s while 124 waits had all others full. Test: spread (every call uses an open one while the others have queues, few when they have none).

--- a/src/placement/spread.ts
+++ b/src/placement/spread.ts
@@ -33,9 +33,12 @@
     }
     const tier = chooseTier(input, random);
     const sample = draw(tier, SAMPLE_SIZE, random);
-    return preferred === undefined || !tier.includes(preferred) || sample.includes(preferred)
+    const compared = preferred === undefined || !tier.includes(preferred) || sample.includes(preferred)
         ? sample
         : [...sample, preferred];
+    // What a cold server takes is lost if it is not used, and its rate already bounds what it gets.
+    const cold = tier.filter(candidate => candidate.isCold === true && !compared.includes(candidate));
+    return cold.length === 0 ? compared : [...compared, ...draw(cold, 1, random)];
 }
 
 /** Either the updated servers or the outdated ones, by the share of the calls that the updated ones can serve. */
--- a/test/placement/spread.test.ts
+++ b/test/placement/spread.test.ts
@@ -113,3 +113,29 @@
     assert.ok(estimates.utilization("menu", 10, latency, 40_000) < 0.001);
     assert.equal(estimates.utilization("note", 10, latency, 20_000), 0);
 });
+
+testing.test("servers that return cold: calls use an open one while all others have queues, and leave it when they have none", () => {
+    const cold = (index: number) => index % 5 === 0 && index < 20;
+    const view = (pendingPromptTokens: number) =>
+        candidates(() => false).map((candidate, index) => ({
+            ...candidate,
+            ...cold(index)
+                ? { calls: 0, pendingPromptTokens: 0, isCold: true, limit: "open" as const }
+                : { calls: 4, pendingPromptTokens },
+        }));
+    const coldCalls = (pendingPromptTokens: number) => {
+        const { random } = new simulationClock.SimulationClock(SEED);
+        const decisions = Array.from({ length: BLIND_CALLS }, (_, call) => {
+            return selection.chooseServer(
+                view(pendingPromptTokens),
+                request(`p-${call}`, 0.9),
+                LATENCY,
+                SETTINGS,
+                random,
+            );
+        });
+        return decisions.filter(decision => decision.kind === "server" && decision.candidate.isCold === true).length;
+    };
+    assert.equal(coldCalls(60_000), BLIND_CALLS);
+    assert.ok(coldCalls(0) < BLIND_CALLS / 10, `${coldCalls(0)} calls at cold servers`);
+});
