--- a/test/placement/prompt-groups.test.ts
+++ b/test/placement/prompt-groups.test.ts
@@ -209,6 +209,21 @@
     assert.ok(decision.kind === "server" && decision.group === "long");
 });
 
+testing.test("overload of both kinds: that of the more urgent routes gets the servers that it needs", () => {
+    const sizeOf = (shortPriority: number, longPriority: number) => {
+        const entry = new Entry();
+        for (let call = 0; call < 100; call++) {
+            entry.groups.place({ ...SHORT_CALL, routePriority: shortPriority }, "short", 180, 0);
+            entry.groups.place({ ...LONG_CALL, routePriority: longPriority }, "long", 1200, 0);
+        }
+        return entry.groupOf(SHORT_CALL, 0)!.servers.size;
+    };
+    // Short prompts need 13 of 20 servers, long ones all of them and more.
+    assert.equal(sizeOf(0, 2), 13);
+    assert.equal(sizeOf(2, 0), 5);
+    assert.ok(sizeOf(1, 1) < 5);
+});
+
 testing.test("long queues in a group: short prompts use the other group, long ones only where no stream pauses too long", () => {
     const entry = new Entry();
     for (let call = 0; call < 40; call++) {
