--- a/src/weights/update-step.ts
+++ b/src/weights/update-step.ts
@@ -9,10 +9,12 @@
  */
 const MAXIMUM_PENDING_MS = 800;
 /**
- * The same where calls compete for the servers: long answers take longer on a busy server. It serves short calls while its
- * update is pending, but none from the announcement until the last running call has ended.
+ * The same where calls compete for the servers, for a busy server, and for each running call: long answers take longer on a
+ * busy server. It serves short calls while its update is pending, but none from the announcement until the last running
+ * call has ended.
  */
 const MAXIMUM_CONTENDED_PENDING_MS = 3000;
+const CONTENDED_PENDING_MS_PER_CALL = 150;
 /** Number of running calls up to which a server may update without waiting for them to end. */
 const NEARLY_IDLE_CALLS = 2;
 /** Time in milliseconds between the announcement to the entries and the order, so that calls stop arriving first. */
@@ -92,9 +94,8 @@
     }
     const since = update?.pendingSince ?? now;
     const next = { model: desired.model, version: desired.version, pendingSince: since, orderedAt: undefined };
-    const maximumPendingMs = input.isContended === true ? MAXIMUM_CONTENDED_PENDING_MS : MAXIMUM_PENDING_MS;
     const mayAnnounce = input.timing === "now"
-        && (now - since >= maximumPendingMs || engine.running <= NEARLY_IDLE_CALLS);
+        && (now - since >= maximumPendingMs(engine, input.isContended === true) || engine.running <= NEARLY_IDLE_CALLS);
     if (update?.announcedAt === undefined && !mayAnnounce) {
         const isPending = update?.version === desired.version;
         return isPending ? { kind: "wait" } : { kind: "set-pending", update: { ...next, announcedAt: undefined } };
@@ -118,6 +119,13 @@
     return { kind: "order", order };
 }
 
+/** Longest time in milliseconds for which the update of a server with these calls is pending. */
+function maximumPendingMs({ running }: types.EngineState, isContended: boolean): number {
+    return isContended
+        ? Math.min(MAXIMUM_CONTENDED_PENDING_MS, Math.max(MAXIMUM_PENDING_MS, running * CONTENDED_PENDING_MS_PER_CALL))
+        : MAXIMUM_PENDING_MS;
+}
+
 /** Other servers update first after all, such as servers whose heartbeats were missing when the update became pending. */
 function isPostponed(update: UpdateState, timing: rollingUpdates.UpdateTiming): boolean {
     return update.announcedAt === undefined && timing === "later";
--- a/test/weights/update-step.test.ts
+++ b/test/weights/update-step.test.ts
@@ -245,5 +245,8 @@
     };
     assert.equal(step(900, 20), "wait");
     assert.equal(step(900, 2), "announce");
+    assert.equal(step(900, 5), "announce", "a server with few calls");
+    assert.equal(step(2900, 20), "wait");
     assert.equal(step(3000, 20), "announce");
+    assert.equal(step(3000, 32), "announce");
 });
