--- a/src/runtime/entry.ts
+++ b/src/runtime/entry.ts
@@ -25,7 +25,7 @@
 import * as serverHealth from "../placement/server-health.js";
 import * as serverLimits from "../placement/server-limits.js";
 import * as serverLoads from "../placement/server-load.js";
-import * as followers from "../placement/store-follower.js";
+import * as storeFollowers from "../placement/store-followers.js";
 import * as transferBudgets from "../placement/transfer-budget.js";
 import * as refusalRecords from "../quarantine/refusal-record.js";
 import * as suspectTrackers from "../quarantine/suspect-tracker.js";
@@ -90,7 +90,7 @@
     private readonly cacheIndex = new cacheIndexes.CacheIndex();
     private readonly promptDemands = new promptDemands.PromptDemands(now => this.quotas.entryCount(now));
     private readonly prefills = new prefills.PrefillTracker();
-    private readonly cacheStoreFollowers = new Map<string, followers.StoreFollower>();
+    private readonly cacheStoreFollowers: storeFollowers.StoreFollowers;
     private readonly view: views.FleetView;
     private readonly quotas: ledgers.QuotaLedger;
     private readonly trafficShare: trafficShares.TrafficShare;
@@ -162,6 +162,13 @@
             ...silence,
             overdraftTokens: settings.quotaSlackTokens * OVERDRAFT_SHARE,
         });
+        this.cacheStoreFollowers = new storeFollowers.StoreFollowers({
+            clock,
+            journal,
+            source: platform.cacheChanges,
+            index: this.cacheIndex,
+            mayFollow: maximumFollowers => this.followerRank() < maximumFollowers,
+        });
         this.trafficShare = new trafficShares.TrafficShare(settings.name, now => this.quotas.entryCount(now));
         this.queues = new serviceQueues.ServiceQueues(clock);
         this.suspects = new suspectTrackers.SuspectTracker({
@@ -374,7 +381,7 @@
             this.readinessServer[Symbol.asyncDispose](),
             this.metricsServer[Symbol.asyncDispose](),
             this.documents[Symbol.asyncDispose](),
-            ...[...this.cacheStoreFollowers.values()].map(follower => follower[Symbol.asyncDispose]()),
+            this.cacheStoreFollowers[Symbol.asyncDispose](),
             ...Object.values(this.watches).map(watch => watch[Symbol.asyncDispose]()),
             this.refusals[Symbol.asyncDispose](),
             this.rolloutStatuses[Symbol.asyncDispose](),
@@ -415,7 +422,7 @@
         for (const configuration of decoded.values) {
             if (this.view.applyConfiguration(configuration)) {
                 this.server.setIdleTimeout(configuration.limits.idleTimeoutMs);
-                this.followCacheStores(configuration.cacheStores);
+                this.cacheStoreFollowers.follow(configuration.cacheStores);
                 this.quotas.track(configuration.customers, this.clock.now());
                 this.journal.emit("configuration-in-force", {
                     version: configuration.version,
@@ -495,31 +502,6 @@
         }
     }
 
-    /** Starts followers for the cache stores in the configuration and stops those of removed ones. */
-    private followCacheStores(stores: readonly fleet.CacheStore[]): void {
-        this.cacheIndex.setCapacity(stores.reduce((sum, store) => sum + store.memoryTokens, 0));
-        for (const [address, follower] of this.cacheStoreFollowers) {
-            if (!stores.some(store => store.address === address)) {
-                void follower[Symbol.asyncDispose]();
-                this.cacheStoreFollowers.delete(address);
-            }
-        }
-        for (
-            const { address, maximumFollowers } of stores.filter(store => !this.cacheStoreFollowers.has(store.address))
-        ) {
-            const follower = new followers.StoreFollower({
-                clock: this.clock,
-                journal: this.journal,
-                source: this.platform.cacheChanges,
-                index: this.cacheIndex,
-                address,
-                mayFollow: () => this.followerRank() < maximumFollowers,
-            });
-            this.cacheStoreFollowers.set(address, follower);
-            follower.start();
-        }
-    }
-
     /** Rank of this entry by name among the live ones. A cache store serves few followers, so only the first follow it. */
     private followerRank(): number {
         const members = this.members.recentHeartbeats(this.clock.now(), PEER_SILENCE_MS * this.heartbeats.periodFactor)
@@ -541,7 +523,7 @@
             serverLoads: this.serverLoad.snapshot(),
             prefills: this.prefills.snapshot(now),
             savedParts: this.cacheIndex.announcedSaves(now),
-            cacheStores: [...this.cacheStoreFollowers.values()].flatMap(follower => follower.status ?? []),
+            cacheStores: this.cacheStoreFollowers.statuses,
             serverLimits: this.serverLimits.snapshot(now),
             loadStatements: this.view.statedLoads.snapshot(now),
             rollouts: this.rollouts.snapshot(now),
