Build servers, candidates and routes of placement tests in one place

The tests of the new parts each had builders of their own, beside those of two earlier files. The values that tests depend on stay in the tests; all checks are unchanged.

--- a/test/placement/cold-return.test.ts
+++ b/test/placement/cold-return.test.ts
@@ -11,6 +11,7 @@
 import * as selection from "../../src/placement/selection.js";
 import * as serverLimits from "../../src/placement/server-limits.js";
 import type * as placement from "../../src/placement/types.js";
+import * as builders from "../support/placement-builders.js";
 import * as simulationClock from "../support/simulation-clock.js";
 
 const COLD_START: fleet.ColdStart = { durationMs: 3000, requestsPerSecond: 16 };
@@ -93,37 +94,14 @@
 }
 
 function serverOf(index: number, changes: Partial<fleet.BackendServer>): fleet.BackendServer {
-    return {
-        id: `server-${index}`,
-        startedAt: -100_000,
-        service: "menu",
-        address: `10.0.0.${index}:8000`,
-        dataCentre: "one",
-        slots: 96,
-        state: "ready",
-        softwareVersion: "v1",
-        weights: new Map([["menu", 1]]),
-        coldRemainingMs: 0,
-        revision: 1,
-        ...changes,
-    };
+    return builders.serverOf(`server-${index}`, { startedAt: -100_000, coldRemainingMs: 0, revision: 1, ...changes });
 }
 
 function candidateOf(server: fleet.BackendServer, entry: SimulatedEntry, now: number): placement.Candidate {
-    return {
-        server,
-        calls: 0,
-        pendingPromptTokens: 0,
-        weightsVersion: 1,
-        outdatedForMs: undefined,
-        isUpdatingWeights: false,
-        pauseMs: 0,
+    return builders.candidateOf(server, {
         limit: entry.limits.stateOf(server.id, now),
         isCold: entry.cold.isCold(server.id, now),
-        isUpdatePending: false,
-        isSuspected: false,
-        failureShare: 0,
-    };
+    });
 }
 
 function requestOf(index: number): placement.PlacementRequest {
--- a/test/placement/prompt-groups.test.ts
+++ b/test/placement/prompt-groups.test.ts
@@ -2,13 +2,13 @@
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
 import type * as event from "../../src/core/event.js";
-import type * as fleet from "../../src/fleet/types.js";
 import * as groupChoice from "../../src/placement/group-choice.js";
 import * as promptDemands from "../../src/placement/prompt-demand.js";
 import * as promptGroups from "../../src/placement/prompt-groups.js";
 import * as promptKinds from "../../src/placement/prompt-kinds.js";
 import * as selection from "../../src/placement/selection.js";
 import type * as types from "../../src/placement/types.js";
+import * as builders from "../support/placement-builders.js";
 
 const LATENCY: types.LatencyEstimate = { msPerPromptToken: 0.025, callMs: 80 };
 const SETTINGS = { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 };
@@ -25,62 +25,13 @@
     routePriority: 1,
 };
 
-function route(changes: Partial<fleet.Route>): fleet.Route {
-    return {
-        name: "r",
-        host: "h",
-        pathPrefix: "/",
-        kind: "stream",
-        resumable: false,
-        targets: [{ service: "menu", weight: 1 }],
-        timeoutMs: 5000,
-        targetLatencyMs: 400,
-        targetGapMs: 400,
-        maximumAttempts: 1,
-        priority: 0,
-        open: true,
-        ...changes,
-    };
-}
-
-function configurationOf(routes: readonly fleet.Route[]): fleet.Configuration {
-    return {
-        version: 1,
-        routes,
-        services: new Map(),
-        cacheStores: [],
-        customers: [],
-        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    };
-}
-
-const CONFIGURATION = configurationOf([route({})]);
+const CONFIGURATION = builders.configurationOf([builders.streamRoute({})]);
 
 function candidates(count: number, changes: Partial<types.Candidate> = {}): readonly types.Candidate[] {
-    return Array.from({ length: count }, (_, index) => ({
-        server: {
-            id: `i-${index}`,
-            startedAt: 1,
-            service: "menu",
-            address: `10.0.0.${index}:80`,
-            dataCentre: `centre-${index % 4}`,
-            slots: 48,
-            state: "ready" as const,
-            softwareVersion: "v1",
-            weights: new Map([["m", 1]]),
-        },
-        calls: 0,
-        pendingPromptTokens: 0,
-        weightsVersion: 1,
-        outdatedForMs: undefined,
-        pauseMs: 0,
-        limit: "none" as const,
-        isUpdatingWeights: false,
-        isUpdatePending: false,
-        isSuspected: false,
-        failureShare: 0,
-        ...changes,
-    }));
+    return Array.from({ length: count }, (_, index) => {
+        const server = builders.serverOf(`i-${index}`, { dataCentre: `centre-${index % 4}`, slots: 48 });
+        return builders.candidateOf(server, changes);
+    });
 }
 
 const SERVERS = candidates(20);
@@ -136,12 +87,15 @@
 });
 
 testing.test("the streams of a service with the shortest target gap decide; without one there is no division", () => {
-    const gaps = promptKinds.targetGaps(configurationOf([
-        route({ targetGapMs: 400 }),
-        route({ targetGapMs: 300 }),
-        route({ targetGapMs: 100, targets: [{ service: "menu", weight: 0 }, { service: "note", weight: 1 }] }),
-        route({ targetGapMs: 50, kind: "idempotent" }),
-        route({ targetGapMs: 0, targets: [{ service: "draft", weight: 1 }] }),
+    const gaps = promptKinds.targetGaps(builders.configurationOf([
+        builders.streamRoute({ targetGapMs: 400 }),
+        builders.streamRoute({ targetGapMs: 300 }),
+        builders.streamRoute({
+            targetGapMs: 100,
+            targets: [{ service: "menu", weight: 0 }, { service: "note", weight: 1 }],
+        }),
+        builders.streamRoute({ targetGapMs: 50, kind: "idempotent" }),
+        builders.streamRoute({ targetGapMs: 0, targets: [{ service: "draft", weight: 1 }] }),
     ]));
     assert.deepEqual([...gaps], [["menu", 300], ["note", 100]]);
     const entry = new Entry().load(0);
--- a/test/placement/prompt-load.test.ts
+++ b/test/placement/prompt-load.test.ts
@@ -5,12 +5,12 @@
  */
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
-import type * as fleet from "../../src/fleet/types.js";
 import * as promptDemands from "../../src/placement/prompt-demand.js";
 import * as promptGroups from "../../src/placement/prompt-groups.js";
 import * as selection from "../../src/placement/selection.js";
 import * as serverLoads from "../../src/placement/server-load.js";
 import type * as types from "../../src/placement/types.js";
+import * as builders from "../support/placement-builders.js";
 import * as prefillEngines from "../support/prefill-engine.js";
 import * as simulationClock from "../support/simulation-clock.js";
 
@@ -60,27 +60,7 @@
 
 type Results = Record<types.PromptKind, KindResult>;
 
-const CONFIGURATION: fleet.Configuration = {
-    version: 1,
-    routes: [{
-        name: "r",
-        host: "h",
-        pathPrefix: "/",
-        kind: "stream",
-        resumable: false,
-        targets: [{ service: "menu", weight: 1 }],
-        timeoutMs: 5000,
-        targetLatencyMs: 400,
-        targetGapMs: TARGET_GAP_MS,
-        maximumAttempts: 1,
-        priority: 0,
-        open: true,
-    }],
-    services: new Map(),
-    cacheStores: [],
-    customers: [],
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-};
+const CONFIGURATION = builders.configurationOf([builders.streamRoute({ targetGapMs: TARGET_GAP_MS })]);
 
 class Replay {
     readonly results: Results = { short: { calls: 0, late: 0 }, long: { calls: 0, late: 0 } };
--- a/test/placement/selection.test.ts
+++ b/test/placement/selection.test.ts
@@ -1,43 +1,17 @@
 /** Guards against server choices that waste time or cached parts. Test titles start with the load scenario. */
 import * as assert from "node:assert/strict";
 import * as testing from "node:test";
-import type * as fleet from "../../src/fleet/types.js";
 import * as selection from "../../src/placement/selection.js";
 import type * as types from "../../src/placement/types.js";
+import * as builders from "../support/placement-builders.js";
 
 const SETTINGS = { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 };
 const LATENCY: types.LatencyEstimate = { msPerPromptToken: 0.015, callMs: 80 };
 
-function server(id: string, changes: Partial<fleet.BackendServer> = {}): fleet.BackendServer {
-    return {
-        id,
-        startedAt: 1,
-        service: "menu",
-        address: `10.0.0.${id}:8000`,
-        dataCentre: "one",
-        slots: 96,
-        state: "ready",
-        softwareVersion: "v1",
-        weights: new Map([["menu", 1]]),
-        ...changes,
-    };
-}
+const server = builders.serverOf;
 
 function candidate(id: string, changes: Partial<types.Candidate> = {}): types.Candidate {
-    return {
-        server: server(id),
-        calls: 0,
-        pendingPromptTokens: 0,
-        weightsVersion: 1,
-        outdatedForMs: undefined,
-        isUpdatingWeights: false,
-        pauseMs: 0,
-        limit: "none",
-        isUpdatePending: false,
-        isSuspected: false,
-        failureShare: 0,
-        ...changes,
-    };
+    return builders.candidateOf(server(id), changes);
 }
 
 const REVIEW: types.PlacementRequest = {
--- a/test/placement/spread.test.ts
+++ b/test/placement/spread.test.ts
@@ -4,6 +4,7 @@
 import * as demands from "../../src/placement/demand.js";
 import * as selection from "../../src/placement/selection.js";
 import type * as types from "../../src/placement/types.js";
+import * as builders from "../support/placement-builders.js";
 import * as simulationClock from "../support/simulation-clock.js";
 
 const SETTINGS = { outdatedPenaltyFromMs: 1200, outdatedExcludedFromMs: 6000, crossDataCentreMs: 6 };
@@ -14,30 +15,16 @@
 const SEED = 4;
 
 function candidates(outdated: (index: number) => boolean): readonly types.Candidate[] {
-    return Array.from({ length: SERVERS }, (_, index) => ({
-        server: {
-            id: `i-${index}`,
-            startedAt: 1,
-            service: "menu",
-            address: `10.0.0.${index}:80`,
-            dataCentre: `centre-${index % 5}`,
-            slots: 24,
-            state: "ready" as const,
-            softwareVersion: "v1",
-            weights: new Map([["m", 1]]),
-        },
-        // The cheapest server by far: it has just become available.
-        calls: index === 0 ? 0 : 4,
-        pendingPromptTokens: index === 0 ? 0 : 6000,
-        weightsVersion: outdated(index) ? 1 : 2,
-        outdatedForMs: outdated(index) ? 2000 : undefined,
-        pauseMs: 0,
-        limit: "none" as const,
-        isUpdatingWeights: false,
-        isUpdatePending: false,
-        isSuspected: false,
-        failureShare: 0,
-    }));
+    return Array.from({ length: SERVERS }, (_, index) => {
+        const server = builders.serverOf(`i-${index}`, { dataCentre: `centre-${index % 5}`, slots: 24 });
+        return builders.candidateOf(server, {
+            // The cheapest server by far: it has just become available.
+            calls: index === 0 ? 0 : 4,
+            pendingPromptTokens: index === 0 ? 0 : 6000,
+            weightsVersion: outdated(index) ? 1 : 2,
+            outdatedForMs: outdated(index) ? 2000 : undefined,
+        });
+    });
 }
 
 function request(key: string, utilization: number): types.PlacementRequest {
