--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # project's own stand-ins is started.
 set -e
 cd "$(dirname "$0")"
-for file in stand-ins-2/*.mjs ./[6-9]/*.mjs ./10/*.mjs; do
+for file in stand-ins-2/*.mjs ./[6-9]/*.mjs ./10/*.mjs further-2/*/*.mjs; do
     [ ! -e "$file" ] || node --check "$file"
 done
