--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,6 +1,7 @@
 /**
  * Another writer leaves entries of kind `servers` that name a service which the configuration does not have, and the
- * addresses of the booking workers, which run on.
+ * addresses of the booking workers, which run on. The routes to the booking service were added by a later version of the
+ * configuration.
  */
 import { pause, run } from "../stand-ins-3/deployment.mjs";
 import { send } from "../stand-ins-3/requester.mjs";
@@ -10,13 +11,19 @@
 const MODEL_WORKERS = 3;
 const BOOKING_WORKERS = 3;
 const INTERVAL_MS = 60;
-const CALM_MS = 6000;
-const TROUBLE_MS = 24_000;
-/** A kind of requests is to be served at least this often, relative to all requests. */
-const STARVED_SHARE = 0.25;
+const CALM_MS = 4000;
+const TROUBLE_MS = 12_000;
+/** Time after the ack of a version by which it is in force, and some more. */
+const APPLIED_MS = 3000;
+/** Routes that were added later are to be served at least this often, relative to the first routes. */
+const LEAST_SHARE = 0.25;
+const LEAST_REQUESTS = 20;
+const ADDED_ROUTES = ["book", "lookUp"];
 
 await run(import.meta.dirname, async (deployment, hasTrouble) => {
-    deployment.store.put("config", "main", site.configuration());
+    const added = site.configuration(8);
+    const first = site.configuration(7, { routes: added.routes.filter(({ name }) => !ADDED_ROUTES.includes(name)) });
+    deployment.store.put("config", "main", first);
     deployment.store.put("versions", site.MODEL, { model: site.MODEL, version: 1 });
     const workers = Array.from({ length: MODEL_WORKERS + BOOKING_WORKERS }, (_, number) => {
         const address = deployment.workerAddress(number);
@@ -31,6 +38,9 @@
     [...entries, ...agents].forEach(machine => machine.start());
     await Promise.all(entries.map(entry => entry.ready()));
     await pause(4000);
+    deployment.store.put("config", "main", added);
+    deployment.record(`version ${added.version} adds the routes ${ADDED_ROUTES.join(" and ")}`);
+    await pause(APPLIED_MS);
 
     const kinds = [
         { name: "note", path: `${site.ROUTES.note}2f`, headers: site.modelHeaders([["5c1e07a2", 800], ["1", 250]], 10) },
@@ -81,9 +91,14 @@
     }
     await play("after", TROUBLE_MS);
     kinds.forEach(({ name }) => shareOf("before", name));
-    const all = shareOf("after");
-    const starved = kinds.filter(({ name }) => shareOf("after", name) < STARVED_SHARE * all).map(({ name }) => name);
+    const firstShare = shareOf("after", "note");
+    const late = answers.filter(({ phase, name }) => phase === "after" && ADDED_ROUTES.includes(name));
+    const lateShare = late.filter(({ isServed }) => isServed).length / late.length;
+    ADDED_ROUTES.forEach(name => shareOf("after", name));
     const runs = bookingWorkers.map(worker => `${worker.id} has run ${worker.arrivals.length}`);
     deployment.record(`${runs.join(", ")}; all of them run and are in the store`);
-    return starved.length > 0 ? `Starved: ${starved.join(" and ")}` : undefined;
+    return late.length >= LEAST_REQUESTS && lateShare < LEAST_SHARE * firstShare
+        ? `CONFIG: ${late.length} requests on routes that were added later, ${lateShare.toFixed(3)} of them served; `
+            + `${firstShare.toFixed(3)} of those on the first routes`
+        : undefined;
 });
