http: refuse responses in a transfer coding that was not requested

Callers got 200 with a body that was not the server's. A response with a transfer coding other than `chunked` alone was taken for one whose head delimits its body, and the field was dropped on the way: a part of an early answer to a long upload looked complete, and chunks under a misspelt coding reached the caller with their sizes inside.

Cause: `hasExplicitLength` in server-request.ts took any `Transfer-Encoding` for a delimiter, and no reader of answers looked at its value. The runtime's parser ends such a body with the connection, or decodes the last coding only (`gzip, chunked`).

Change: src/http/message-head.ts says whether a head is valid and what delimits the body. The entry, the JSON client (store, peers, stores of kept cache, servers beside agents), the object API's client (also calls of services) and the engine client ask it. A response in any coding but `chunked` is no answer; no request offers one (TE), so that no sound server sends one.

--- a/src/agent/engine-client.ts
+++ b/src/agent/engine-client.ts
@@ -7,6 +7,7 @@
 import * as zod from "zod";
 import * as failures from "../core/failure.js";
 import * as outcomes from "../core/outcome.js";
+import * as messageHeads from "../http/message-head.js";
 import type * as engineTypes from "./engine-types.js";
 import * as eventStream from "./event-stream.js";
 
@@ -95,7 +96,7 @@
         signal: AbortSignal,
     ): AsyncGenerator<engineTypes.EngineEvent, void, void> {
         try {
-            const response = await this.pool.request({
+            const response = await this.send({
                 method: "POST",
                 path: "/v1/generate",
                 headers: JSON_HEADERS,
@@ -234,7 +235,7 @@
 
     private async call<Value>(call: Call<Value>): Promise<outcomes.Outcome<Value>> {
         try {
-            const response = await this.pool.request({
+            const response = await this.send({
                 method: call.method,
                 path: call.path,
                 headers: call.body === undefined ? {} : JSON_HEADERS,
@@ -253,6 +254,17 @@
         }
     }
 
+    /** Throws `engine-protocol-error` if the head of the response is not valid. */
+    private async send(request: undici.Dispatcher.RequestOptions): Promise<undici.Dispatcher.ResponseData> {
+        const response = await this.pool.request(request);
+        const fault = messageHeads.responseFault(response.headers);
+        if (fault !== undefined) {
+            this.release(response.body, false);
+            throw new failures.FailureError({ kind: "engine-protocol-error", detail: `${this.address}: ${fault}` });
+        }
+        return response;
+    }
+
     private async failureOfResponse(response: undici.Dispatcher.ResponseData): Promise<failures.Failure> {
         await response.body.dump();
         // The response body is omitted because it can quote the prompt.
--- a/src/forwarding/answer-receiver.ts
+++ b/src/forwarding/answer-receiver.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from "node:http";
 import * as chunkCosts from "../http/chunk-cost.js";
+import * as messageHeads from "../http/message-head.js";
 import * as answerBuffers from "./answer-buffer.js";
 import type * as answerDeliveries from "./answer-delivery.js";
 import type * as callerResponses from "./caller-response.js";
@@ -44,8 +45,7 @@
 
     constructor(private readonly ports: AnswerPorts, private readonly input: AnswerInput) {
         this.body = new answerBuffers.AnswerBuffer(ports.memory, input.owner);
-        const declared = input.response.headers["content-length"];
-        this.declaredBytes = declared === undefined ? undefined : Number(declared);
+        this.declaredBytes = messageHeads.statedBytes(input.response.headers);
     }
 
     /** Bytes of the answer have been passed on. */
--- a/src/forwarding/server-request.ts
+++ b/src/forwarding/server-request.ts
@@ -3,6 +3,7 @@
 import type * as eventLoop from "../event-loop/types.js";
 import * as interimResponses from "../http/interim-responses.js";
 import * as jsonClient from "../http/json-client.js";
+import * as messageHeads from "../http/message-head.js";
 import type * as connectionPools from "./connection-pool.js";
 
 /** Connect timeout in milliseconds. A server in the same region accepts a connection within two round trips. */
@@ -121,6 +122,11 @@
         if (isDone) {
             return;
         }
+        const fault = messageHeads.responseFault(incoming.headers);
+        if (fault !== undefined) {
+            fail(fault);
+            return;
+        }
         response = incoming;
         incoming.on("data", (chunk: Buffer) => {
             if (!isDone) {
@@ -131,7 +137,7 @@
         incoming.on("end", () => {
             // A server that closes before it has read the request has not produced the whole answer either.
             const wasCutOff = wasReset || !outgoing.writableFinished;
-            if (!incoming.complete || wasCutOff && !hasExplicitLength(incoming)) {
+            if (!incoming.complete || wasCutOff && endsWithConnection(incoming)) {
                 fail("incomplete response");
             }
             else if (!isDone) {
@@ -170,7 +176,6 @@
     });
 }
 
-/** Whether the headers delimit the body. Otherwise the end of the connection is the end of the body. */
-function hasExplicitLength(response: http.IncomingMessage): boolean {
-    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+function endsWithConnection({ statusCode = 0, headers }: http.IncomingMessage): boolean {
+    return messageHeads.endsWithConnection(statusCode, headers);
 }
--- a/src/http/body-reader.ts
+++ b/src/http/body-reader.ts
@@ -3,6 +3,7 @@
 import type * as readMemory from "../memory/read-memory.js";
 import * as bodyBuffers from "./body-buffer.js";
 import * as chunkCosts from "./chunk-cost.js";
+import * as messageHeads from "./message-head.js";
 
 /** Size in bytes that a body of unknown length is first taken to have; the room doubles from there. */
 const INITIAL_BYTES = 64 * 1024;
@@ -36,8 +37,7 @@
         private readonly options: BodyOptions,
         private readonly resolve: (body: Body) => void,
     ) {
-        const length = Number(response.headers["content-length"]);
-        this.expectedBytes = Number.isSafeInteger(length) && length >= 0 ? length : undefined;
+        this.expectedBytes = messageHeads.statedBytes(response.headers);
     }
 
     start(): void {
--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -4,6 +4,7 @@
 import * as bodyReaders from "./body-reader.js";
 import * as interimResponses from "./interim-responses.js";
 import * as jsonParsing from "./json-parsing.js";
+import * as messageHeads from "./message-head.js";
 
 export interface JsonRequest {
     readonly method: string;
@@ -94,6 +95,11 @@
     request.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
     interimResponses.limit(request, giveUp);
     request.on("response", response => {
+        const fault = messageHeads.responseFault(response.headers);
+        if (fault !== undefined) {
+            giveUp(fault);
+            return;
+        }
         const { maximumBodyBytes: maximumBytes = MAXIMUM_BODY_BYTES, timeoutMs } = options;
         void bodyReaders.readBody(response, { reservation, maximumBytes, timeoutMs }).then(body => {
             if (body.kind !== "complete") {
--- /dev/null
+++ b/src/http/message-head.ts
@@ -0,0 +1,47 @@
+/** Heads of HTTP/1.1 messages: whether that of a response is valid, and what delimits the body (RFC 9112, section 6.3). */
+
+/** The only transfer coding of a message whose recipient has not offered any other. */
+const CHUNKED = "chunked";
+/** Statuses of responses that have no body, whatever their fields say. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Values of the fields by their names in lower case. */
+export type Fields = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** What delimits a body. */
+type Framing =
+    | { readonly kind: "length"; readonly bytes: number; }
+    | { readonly kind: "chunks"; }
+    /** No field does: the body of a response ends with its connection. */
+    | { readonly kind: "unstated"; }
+    /** What arrives is the body in another form. */
+    | { readonly kind: "unknown-coding"; readonly codings: string; };
+
+/** Reason why no answer can be read from the response; undefined if its head is valid. */
+export function responseFault(fields: Fields): string | undefined {
+    const stated = framing(fields);
+    return stated.kind === "unknown-coding"
+        ? `response in a transfer coding that was not requested: ${stated.codings}`
+        : undefined;
+}
+
+/** Whether the end of the connection is the end of the response. */
+export function endsWithConnection(status: number, fields: Fields): boolean {
+    return !BODILESS_STATUSES.has(status) && framing(fields).kind === "unstated";
+}
+
+/** Length of the body in bytes if the head states it. */
+export function statedBytes(fields: Fields): number | undefined {
+    const stated = framing(fields);
+    return stated.kind === "length" ? stated.bytes : undefined;
+}
+
+function framing(fields: Fields): Framing {
+    const codings = fields["transfer-encoding"];
+    if (codings !== undefined) {
+        const text = [codings].flat().join(", ");
+        return text.trim().toLowerCase() === CHUNKED ? { kind: "chunks" } : { kind: "unknown-coding", codings: text };
+    }
+    const length = fields["content-length"];
+    return length === undefined ? { kind: "unstated" } : { kind: "length", bytes: Number(length) };
+}
--- a/src/object-api/http-client.ts
+++ b/src/object-api/http-client.ts
@@ -3,6 +3,7 @@
 import * as undici from "undici";
 import type * as clocks from "../clock/clock.js";
 import * as chunkCosts from "../http/chunk-cost.js";
+import * as messageHeads from "../http/message-head.js";
 import * as byteBlocks from "../memory/byte-blocks.js";
 
 const CONNECT_TIMEOUT_MS = 2000;
@@ -129,6 +130,11 @@
         status: number,
         headers: http.IncomingHttpHeaders,
     ): void {
+        const fault = messageHeads.responseFault(headers);
+        if (fault !== undefined) {
+            this.end({ kind: "lost", detail: fault });
+            return;
+        }
         this.head = { status, headers: flattenHeaders(headers) };
     }
 
--- a/test/forwarding/mixed-answers.test.ts
+++ b/test/forwarding/mixed-answers.test.ts
@@ -24,6 +24,11 @@
 const HEADS: Readonly<Record<string, (id: string) => string>> = {
     "HTTP/1.1": id => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: s\r\nConnection: close\r\n\r\n`,
     "HTTP/1.0": id => `HTTP/1.0 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: s\r\n\r\n`,
+    ...Object.fromEntries(["identity", "gzip", "x"].map(coding => [
+        `the transfer coding ${coding}`,
+        (id: string) =>
+            `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: s\r\nTransfer-Encoding: ${coding}\r\n\r\n`,
+    ])),
     "a stream": id => `${harnesses.streamHead(id)}id: 1\ndata: one\n\n`,
 };
 
@@ -50,6 +55,99 @@
     }
 }
 
+/** A way to an early answer that is not the first response of its server to the entry. */
+interface LaterAnswer {
+    readonly routes: readonly (typeof ROUTES[number])[];
+    /** Whether the request is answered early. */
+    readonly isLater: (request: harnesses.ReceivedRequest) => boolean;
+    /** Answers the requests before. */
+    readonly before: (socket: net.Socket, id: string) => void;
+    readonly prepare: (harness: harnesses.EntryHarness) => Promise<unknown>;
+    /** The connection of the early answer has carried another call before. */
+    readonly isReused: boolean;
+}
+
+const LATER_ANSWERS: Readonly<Record<string, LaterAnswer>> = {
+    "on a reused connection": {
+        routes: ["lookup", "review"],
+        isLater: ({ id }) => id !== "first",
+        before: (socket, id) => void socket.write(harnesses.response(id, "first")),
+        prepare: harness => harness.call("lookup", { id: "first" }),
+        isReused: true,
+    },
+    "in the continuation of a stream": {
+        routes: ["review"],
+        isLater: ({ head }) => /^last-event-id:/im.test(head),
+        before: (socket, id) => {
+            const head = harnesses.streamHead(id).replace("Connection: close", "Transfer-Encoding: chunked");
+            const event = "id: 1\ndata: one\n\n";
+            socket.write(`${head}${event.length.toString(16)}\r\n${event}\r\n`);
+            setTimeout(() => void socket.resetAndDestroy(), DELAYS_MS[1]);
+        },
+        prepare: async () => undefined,
+        isReused: false,
+    },
+};
+
+/** Makes a call with an early answer. Resolves with undefined if its caller gets no answer. */
+async function callWithLaterAnswer(
+    { isLater, before, prepare, isReused }: LaterAnswer,
+    route: typeof ROUTES[number],
+    answer: harnesses.ServerScript,
+): Promise<harnesses.CallerResult | undefined> {
+    let wasReused: boolean | undefined;
+    await using harness = await harnesses.EntryHarness.start([(socket, request) => {
+        if (isLater(request)) {
+            wasReused ??= request.number > 1;
+            answer(socket, request);
+        }
+        else {
+            before(socket, request.id);
+        }
+    }], { limits: LIMITS });
+    await prepare(harness);
+    const result = await harness.call(route, { body: BODY }).catch(() => undefined);
+    assert.equal(wasReused, isReused, route);
+    return result;
+}
+
+for (const [name, later] of Object.entries(LATER_ANSWERS)) {
+    testing.test(`guards against a part of an answer to an upload that is passed on as whole, ${name}`, async () => {
+        const passedOn: string[] = [];
+        const tryOut = async (route: typeof ROUTES[number], head: string, end: string, delayMs: number) => {
+            const result = await callWithLaterAnswer(later, route, (socket, { id }) => {
+                socket.pause();
+                socket.write(HEADS[head]!(id) + (head === "a stream" ? "" : PART));
+                setTimeout(() => ENDS[end]!(socket), delayMs);
+            });
+            if (result?.isComplete === true && result.status === 200) {
+                passedOn.push(`${route}: ${head}, ${end} after ${delayMs} ms`);
+            }
+        };
+        for (const route of later.routes) {
+            for (const head of Object.keys(HEADS)) {
+                const trials = Object.keys(ENDS).flatMap(end => DELAYS_MS.map(delayMs => ({ end, delayMs })));
+                await Promise.all(trials.map(({ end, delayMs }) => tryOut(route, head, end, delayMs)));
+            }
+        }
+        assert.deepEqual(passedOn, []);
+    });
+
+    testing.test(`an early answer that states its length is passed on, ${name}`, async () => {
+        const event = "id: 2\ndata: two\n\n";
+        for (const route of later.routes) {
+            const result = await callWithLaterAnswer(later, route, (socket, { id }) => {
+                socket.pause();
+                socket.write(harnesses.streamHead(id).replace("Connection: close", `Content-Length: ${event.length}`));
+                socket.write(event);
+                setTimeout(() => socket.resume(), DELAYS_MS[2]);
+            });
+            assert.deepEqual([result?.status, result?.isComplete], [200, true], route);
+            assert.ok(result!.body.endsWith(event), route);
+        }
+    });
+}
+
 testing.test("an early answer with a length, and one that ends after the upload was read, are passed on", async () => {
     const scripts: Readonly<Record<string, harnesses.ServerScript>> = {
         "with a length": (socket, { id }) => {
--- /dev/null
+++ b/test/http/message-head.test.ts
@@ -0,0 +1,32 @@
+/** Guards against heads of responses that are taken for valid, and against bodies whose end is misjudged. */
+import * as assert from "node:assert/strict";
+import * as testing from "node:test";
+import * as messageHeads from "../../src/http/message-head.js";
+
+testing.test("chunked is the only transfer coding of a valid response, in any case and with blanks around it", () => {
+    for (const coding of ["chunked", "Chunked", " chunked\t"]) {
+        assert.equal(messageHeads.responseFault({ "transfer-encoding": coding }), undefined, coding);
+    }
+    for (const coding of ["", "identity", "gzip", "gzip, chunked", "chunked, chunked", "chunked,", "chunked;x=1"]) {
+        assert.ok(messageHeads.responseFault({ "transfer-encoding": coding })?.includes(coding), coding);
+    }
+    assert.ok(messageHeads.responseFault({ "transfer-encoding": ["gzip", "chunked"] }));
+    assert.equal(messageHeads.responseFault({}), undefined);
+});
+
+testing.test("a response ends with its connection unless its head states a length or chunks, or its status has no body", () => {
+    assert.equal(messageHeads.endsWithConnection(200, {}), true);
+    assert.equal(messageHeads.endsWithConnection(200, { "transfer-encoding": "identity" }), false);
+    for (const fields of [{ "content-length": "0" }, { "transfer-encoding": "chunked" }]) {
+        assert.equal(messageHeads.endsWithConnection(200, fields), false);
+    }
+    for (const status of [204, 304]) {
+        assert.equal(messageHeads.endsWithConnection(status, {}), false);
+    }
+});
+
+testing.test("only a length in the head is a stated length", () => {
+    assert.equal(messageHeads.statedBytes({ "content-length": "5" }), 5);
+    assert.equal(messageHeads.statedBytes({ "transfer-encoding": "chunked" }), undefined);
+    assert.equal(messageHeads.statedBytes({}), undefined);
+});
--- /dev/null
+++ b/test/http/response-readers.test.ts
@@ -0,0 +1,306 @@
+/**
+ * Guards against malformed responses that a process reads as answers: of the store, a peer, a store of kept
+ * cache, a model server or an HTTP service. Their sound twins are read.
+ */
+import * as assert from "node:assert/strict";
+import * as net from "node:net";
+import * as testing from "node:test";
+import * as cacheEvents from "../../platform/cache-events.js";
+import * as engines from "../../platform/engine.js";
+import * as stores from "../../platform/store.js";
+import * as engineClients from "../../src/agent/engine-client.js";
+import * as clocks from "../../src/clock/clock.js";
+import * as jsonClient from "../../src/http/json-client.js";
+import * as serviceClients from "../../src/idempotency/service-client.js";
+import * as instanceLists from "../../src/object-api/instance-list-client.js";
+import * as objectApiClients from "../../src/object-api/object-api-client.js";
+import * as malformedResponses from "../support/malformed-responses.js";
+
+const TIMEOUT_MS = 3000;
+/** Time in milliseconds after a read in which its connection becomes free for another one. */
+const RELEASED_AFTER_MS = 5;
+/** A whole request, without a body or with one in JSON. */
+const REQUEST = /\r\n\r\n(\{.*\})?$/s;
+
+/** Kind of reads of a process. */
+interface Reader {
+    /** Body of a sound response, and lines of its head that such a read needs. */
+    readonly body: string;
+    readonly fields?: readonly string[];
+    /** Creates a client of the server. A read resolves with whether it takes the response for an answer. */
+    readonly create: (address: string) => Client;
+    readonly reusesConnections: boolean;
+    /** The body tells where it ends, so that nothing that follows is awaited. */
+    readonly ignoresTrailers?: boolean;
+}
+
+interface Client extends AsyncDisposable {
+    readonly read: () => Promise<Result>;
+}
+
+/** What a read takes for the answer; true if it passes no body on. */
+type Result = string | boolean;
+
+function withoutDisposal(read: () => Promise<Result>): Client {
+    return { read, [Symbol.asyncDispose]: async () => undefined };
+}
+
+function withDisposal<Source extends AsyncDisposable>(
+    source: Source,
+    read: (source: Source) => Promise<Result>,
+): Client {
+    return { read: () => read(source), [Symbol.asyncDispose]: () => source[Symbol.asyncDispose]() };
+}
+
+async function call(client: serviceClients.ServiceClient, serviceKey: string): Promise<Result> {
+    const result = await client.call({ ...SERVICE_CALL, serviceKey });
+    return result.kind === "answered" && result.response.body.toString("latin1");
+}
+
+const SERVICE_CALL: serviceClients.ServiceCall = {
+    method: "POST",
+    target: "/bookings",
+    headers: [],
+    body: Buffer.from("{}"),
+    requestId: "call",
+    serviceKey: "",
+    timeoutMs: TIMEOUT_MS,
+};
+
+const LISTED = { metadata: { name: "one", revision: 1 }, spec: {} };
+
+const READERS: Readonly<Record<string, Reader>> = {
+    "a listing of the store": {
+        body: JSON.stringify({ storeRevision: 1, hasMore: false, items: [LISTED, LISTED] }),
+        create: address => {
+            const store = new stores.ObjectStore(address);
+            return withoutDisposal(async () => (await store.list("servers")).ok);
+        },
+        reusesConnections: true,
+    },
+    "changes of the store": {
+        body: JSON.stringify({ storeRevision: 1, events: [] }),
+        create: address => {
+            const store = new stores.ObjectStore(address);
+            return withoutDisposal(async () =>
+                (await store.watch("servers", 1, { waitMs: 500, mayBeStale: false })).ok
+            );
+        },
+        reusesConnections: true,
+    },
+    "a write to the store": {
+        body: "{}",
+        create: address => {
+            const store = new stores.ObjectStore(address);
+            return withoutDisposal(async () => (await store.put("members", "one", {})).ok);
+        },
+        reusesConnections: true,
+    },
+    "events of a store of kept cache": {
+        body: JSON.stringify({ bootEpoch: 1, next: 1, events: [] }),
+        create: address => withoutDisposal(async () => (await cacheEvents.readChanges(address, 0)).kind === "changes"),
+        reusesConnections: true,
+    },
+    "the report of a server": {
+        body: JSON.stringify({ models: [], running: 0, waiting: 0 }),
+        create: address => {
+            const engine = new engines.Engine(address, "agent");
+            return withoutDisposal(async () => await engine.state() !== undefined);
+        },
+        reusesConnections: true,
+    },
+    "the answer to an order": {
+        body: "{}",
+        create: address => {
+            const order = { model: "m", version: 2, fencingToken: 1, expectedOrderCount: 0 };
+            return withoutDisposal(async () => await new engines.Engine(address, "agent").order(order) === "in-force");
+        },
+        reusesConnections: false,
+    },
+    "the document of a peer": {
+        body: "{}",
+        create: address =>
+            withoutDisposal(async () => {
+                const request = { method: "GET", address, path: "/copies/servers", timeoutMs: TIMEOUT_MS };
+                const result = await jsonClient.send(request);
+                return result.kind === "response" && result.status === 200;
+            }),
+        reusesConnections: false,
+    },
+    "an object of the object API": {
+        body: "value",
+        fields: ['ETag: "1"'],
+        create: address => {
+            const client = new objectApiClients.ObjectApiClient(`http://${address}`, { clock: clocks.systemClock });
+            return withDisposal(client, async () => {
+                const result = await client.get("one");
+                return result.ok && result.value!.value;
+            });
+        },
+        reusesConnections: true,
+    },
+    "the instance list": {
+        body: JSON.stringify({ instances: [] }),
+        create: address => {
+            const client = new instanceLists.InstanceListClient(`http://${address}`, clocks.systemClock);
+            return withDisposal(client, async () => (await client.list()).ok);
+        },
+        reusesConnections: true,
+    },
+    "a call of a service that may be repeated": {
+        body: "answer of the service",
+        create: address => {
+            const client = new serviceClients.ServiceClient(address, clocks.systemClock);
+            return withDisposal(client, () => call(client, ""));
+        },
+        reusesConnections: true,
+    },
+    "a call of a service that runs at most once": {
+        body: "answer of the service",
+        create: address => {
+            const client = new serviceClients.ServiceClient(address, clocks.systemClock);
+            return withDisposal(client, () => call(client, "key"));
+        },
+        reusesConnections: false,
+    },
+    "the load of an engine": {
+        body: JSON.stringify({ boot: "boot", queued_tokens: 0, running: 0, waiting: 0, weights: [] }),
+        create: address => {
+            const client = new engineClients.EngineClient(address);
+            return withDisposal(client, async () => (await client.load()).ok);
+        },
+        reusesConnections: true,
+    },
+    "a generation": {
+        body: [
+            { type: "start", cached_tokens: 0, prompt_tokens: 1 },
+            { type: "token", index: 0, text: "one" },
+            { type: "end", count: 1, reason: "length" },
+        ].map(event => `data: ${JSON.stringify(event)}\n`).join("\n"),
+        fields: ["Content-Type: text/event-stream"],
+        create: address => {
+            const client = new engineClients.EngineClient(address);
+            return withDisposal(client, () => isGenerated(client));
+        },
+        reusesConnections: true,
+        ignoresTrailers: true,
+    },
+};
+
+async function isGenerated(client: engineClients.EngineClient): Promise<boolean> {
+    const request = {
+        requestId: "call",
+        model: "m",
+        adapter: "",
+        weightsVersion: "1",
+        cacheScope: "scope",
+        prompt: "prompt",
+        resumeTokens: [],
+        maxTokens: 1,
+        priority: "interactive",
+        route: "chat",
+    } as const;
+    let isComplete = false;
+    for await (const event of client.generate(request, new AbortController().signal)) {
+        isComplete = event.type === "end";
+    }
+    return isComplete;
+}
+
+/** Answers a request. */
+type Script = (socket: net.Socket) => void;
+
+/** Reads from a server with the script; with `warmsUp`, on a connection that has carried a sound response before. */
+async function read(reader: Reader, script: Script, warmsUp: boolean): Promise<Result> {
+    const sockets = new Set<net.Socket>();
+    let requests = 0;
+    let wasReused = false;
+    const server = net.createServer(socket => {
+        const isFirst = sockets.size === 0;
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        let received = "";
+        socket.on("data", (chunk: Buffer) => {
+            received += chunk.toString("latin1");
+            if (!REQUEST.test(received)) {
+                return;
+            }
+            received = "";
+            requests++;
+            if (warmsUp && requests === 1) {
+                sendSound(socket, malformedResponses.SOUND.length(contentOf(reader)));
+            }
+            else {
+                wasReused = isFirst;
+                script(socket);
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    try {
+        await using client = reader.create(`127.0.0.1:${(server.address() as net.AddressInfo).port}`);
+        if (warmsUp) {
+            assert.notEqual(await client.read(), false, "the first read succeeds");
+            await new Promise(resolve => setTimeout(resolve, RELEASED_AFTER_MS));
+        }
+        const result = await client.read();
+        assert.ok(wasReused || !warmsUp, "the connection is reused");
+        return result;
+    }
+    finally {
+        sockets.forEach(socket => socket.destroy());
+        await new Promise(resolve => server.close(resolve));
+    }
+}
+
+function contentOf({ fields = [], body }: Reader): malformedResponses.Content {
+    return { fields, body };
+}
+
+function sendSound(socket: net.Socket, response: malformedResponses.WireResponse): void {
+    socket.write(malformedResponses.render(response), "latin1");
+    if (malformedResponses.closesConnection(response)) {
+        socket.end();
+    }
+}
+
+const GROUPS: Readonly<Record<string, readonly malformedResponses.MalformedResponse[]>> = {
+    "field names that are malformed": malformedResponses.FIELD_NAMES,
+    "trailer names that are malformed": malformedResponses.TRAILER_NAMES,
+    "transfer codings that were not requested": malformedResponses.TRANSFER_CODINGS,
+};
+
+for (const [name, reader] of Object.entries(READERS)) {
+    for (const warmsUp of reader.reusesConnections ? [false, true] : [false]) {
+        const connection = warmsUp ? "a reused connection" : "a new connection";
+        for (const [group, responses] of Object.entries(GROUPS)) {
+            if (reader.ignoresTrailers === true && responses === malformedResponses.TRAILER_NAMES) {
+                continue;
+            }
+            testing.test(`${name}: guards against ${group}, on ${connection}`, async () => {
+                const accepted: string[] = [];
+                for (const { name: form, malformed } of responses) {
+                    const bytes = malformedResponses.render(malformed(contentOf(reader)));
+                    const script: Script = socket => void socket.end(bytes, "latin1");
+                    if (await read(reader, script, warmsUp) !== false) {
+                        accepted.push(form);
+                    }
+                }
+                assert.deepEqual(accepted, []);
+            });
+        }
+
+        testing.test(`${name}: sound responses are read, on ${connection}`, async () => {
+            const twins = Object.values(GROUPS).flat().map(response => response.sound);
+            for (const sound of new Set([...twins, ...Object.values(malformedResponses.SOUND)])) {
+                const response = sound(contentOf(reader));
+                const script: Script = socket => sendSound(socket, response);
+                const result = await read(reader, script, warmsUp);
+                assert.ok(
+                    result === true || result === reader.body,
+                    `${result} of ${malformedResponses.render(response)}`,
+                );
+            }
+        });
+    }
+}
--- /dev/null
+++ b/test/support/malformed-responses.ts
@@ -0,0 +1,186 @@
+/** Responses of a server in trouble as the bytes that it sends, each with a sound one that differs in nothing else. */
+
+/** The parts of a response as they are sent. */
+export interface WireResponse {
+    /** Interim responses before the final one. */
+    readonly interim: string;
+    /** What stands between `HTTP/1.1 ` and the end of the first line. */
+    readonly status: string;
+    /** Lines of the head without their ends. */
+    readonly fields: readonly string[];
+    /** What follows the head, with its framing. */
+    readonly rest: string;
+}
+
+export interface Content {
+    /** Lines of the head that tell nothing of the end of the body. */
+    readonly fields: readonly string[];
+    readonly body: string;
+}
+
+export interface MalformedResponse {
+    readonly name: string;
+    readonly malformed: (content: Content) => WireResponse;
+    readonly sound: (content: Content) => WireResponse;
+}
+
+/** Value of the fields whose names are malformed. */
+export const ODD_VALUE = "odd-value";
+
+/** Sound responses, by what delimits their bodies. Only the last one ends with its connection. */
+export const SOUND: Readonly<Record<"length" | "chunks" | "connection", (content: Content) => WireResponse>> = {
+    length: ({ fields, body }) => withHead([...fields, `Content-Length: ${body.length}`], body),
+    chunks: ({ fields, body }) => withHead([...fields, "Transfer-Encoding: chunked"], `${chunks(body)}0\r\n\r\n`),
+    connection: ({ fields, body }) => withHead([...fields, "Connection: close"], body),
+};
+
+const OCTETS: Readonly<Record<string, string>> = {
+    "a blank": " ",
+    "a tab": "\t",
+    "NUL": "\0",
+    "SOH": "\x01",
+    "LF": "\n",
+    "VT": "\x0b",
+    "CR": "\r",
+    "US": "\x1f",
+    "DEL": "\x7f",
+    "0x80": "\x80",
+    "a bracket": "(",
+};
+
+/** Where an octet stands in the name of a field. */
+const POSITIONS: Readonly<Record<string, (name: string, octet: string) => string>> = {
+    "at the start of": (name, octet) => octet + name,
+    "within": (name, octet) => name.slice(0, 2) + octet + name.slice(2),
+    "at the end of": (name, octet) => name + octet,
+};
+
+/** Where the field stands whose name `spoil` changes. */
+const PLACES: Readonly<Record<string, (content: Content, spoil: (name: string) => string) => WireResponse>> = {
+    "the first field": ({ fields, body }, spoil) => SOUND.length({ fields: [oddField(spoil), ...fields], body }),
+    "the last field": ({ fields, body }, spoil) => {
+        const sound = SOUND.length({ fields, body });
+        return { ...sound, fields: [...sound.fields, oddField(spoil)] };
+    },
+    "Content-Length": ({ fields, body }, spoil) => {
+        return withHead([...fields, `${spoil("Content-Length")}: ${body.length}`], body);
+    },
+    "Transfer-Encoding": ({ fields, body }, spoil) => {
+        return withHead([...fields, `${spoil("Transfer-Encoding")}: chunked`], `${chunks(body)}0\r\n\r\n`);
+    },
+    "a field of an interim response": (content, spoil) => ({
+        ...SOUND.length(content),
+        interim: `HTTP/1.1 103 Early Hints\r\n${oddField(spoil)}\r\n\r\n`,
+    }),
+};
+
+/** A place that follows the body. */
+const TRAILER_PLACE: typeof PLACES = {
+    "a trailer": (content, spoil) => ({
+        ...SOUND.chunks(content),
+        rest: `${chunks(content.body)}0\r\n${oddField(spoil)}\r\n\r\n`,
+    }),
+};
+
+/** Names of fields with an octet that no name has, and fields without a name or a colon. */
+export const FIELD_NAMES: readonly MalformedResponse[] = [
+    ...malformedNames(PLACES),
+    ...Object.entries({ "a field without a name": `: ${ODD_VALUE}`, "a field without a colon": ODD_VALUE }).map((
+        [name, field],
+    ) => ({
+        name,
+        malformed: ({ fields, body }: Content) => SOUND.length({ fields: [...fields, field], body }),
+        sound: SOUND.length,
+    })),
+];
+
+/** The same for fields that follow the body. */
+export const TRAILER_NAMES = malformedNames(TRAILER_PLACE);
+
+/** Statuses that no final response has. */
+export const STATUSES: readonly MalformedResponse[] = [
+    "000",
+    "0",
+    "00",
+    "099",
+    "20",
+    "101",
+    "199",
+    "600",
+    "999",
+    "2000",
+    "-1",
+    "2 00",
+    " 200",
+].map(status => ({
+    name: `the status ${JSON.stringify(status)}`,
+    malformed: (content: Content) => ({ ...SOUND.length(content), status: `${status} Odd` }),
+    sound: SOUND.length,
+}));
+
+/** Transfer codings other than `chunked` alone, whose bodies are not those that the head describes. */
+export const TRANSFER_CODINGS: readonly MalformedResponse[] = [
+    ...["identity", "gzip", "x", "", "chunked, gzip", "chunked, identity"].map(coding => ({
+        name: `the transfer coding ${JSON.stringify(coding)}`,
+        malformed: ({ fields, body }: Content) => withHead([...fields, `Transfer-Encoding: ${coding}`], body),
+        sound: SOUND.connection,
+    })),
+    ...["chunke", "xchunked", "chunked,", "chunked;x=1", "gzip, chunked", "chunked, chunked", "chunked, gzip"].map(
+        coding => ({
+            name: `chunks under the transfer coding ${JSON.stringify(coding)}`,
+            malformed: (content: Content) => {
+                const { fields, rest } = SOUND.chunks(content);
+                return withHead(fields.map(field => field.replace(/chunked$/, coding)), rest);
+            },
+            sound: SOUND.chunks,
+        }),
+    ),
+    {
+        name: "chunks under transfer codings on two lines",
+        malformed: ({ fields, body }) => {
+            const codings = ["Transfer-Encoding: gzip", "Transfer-Encoding: chunked"];
+            return withHead([...fields, ...codings], `${chunks(body)}0\r\n\r\n`);
+        },
+        sound: SOUND.chunks,
+    },
+];
+
+/** The bytes that the server sends, one character each. */
+export function render({ interim, status, fields, rest }: WireResponse): string {
+    return `${interim}HTTP/1.1 ${status}\r\n${fields.join("\r\n")}\r\n\r\n${rest}`;
+}
+
+/** Whether the server closes the connection after the response. */
+export function closesConnection({ fields }: WireResponse): boolean {
+    return fields.includes("Connection: close");
+}
+
+function malformedNames(places: typeof PLACES): readonly MalformedResponse[] {
+    return Object.entries(places).flatMap(([place, render]) => {
+        const sound = (content: Content) => render(content, name => name);
+        return Object.entries(POSITIONS).flatMap(([position, insert]) =>
+            Object.entries(OCTETS).map(([octet, text]) => ({
+                name: `${octet} ${position} the name of ${place}`,
+                malformed: (content: Content) => render(content, name => insert(name, text)),
+                sound,
+            }))
+        );
+    });
+}
+
+function withHead(fields: readonly string[], rest: string): WireResponse {
+    return { interim: "", status: "200 OK", fields, rest };
+}
+
+function oddField(spoil: (name: string) => string): string {
+    return `${spoil("X-Odd")}: ${ODD_VALUE}`;
+}
+
+/** The body in two chunks, without the last one. */
+function chunks(body: string): string {
+    const middle = Math.ceil(body.length / 2);
+    return [body.slice(0, middle), body.slice(middle)]
+        .filter(part => part.length > 0)
+        .map(part => `${part.length.toString(16)}\r\n${part}\r\n`)
+        .join("");
+}
