object-api: a response that is cut off before its end is not complete

Callers of the product's own edge got a part of an answer of an HTTP service as the whole answer, and a call that runs at most once was recorded as answered with it: a 200 without a length whose connection was reset, or that ended while a long upload was still being written. A value of the object API was read in part the same way.

Cause: undici, through which agents call services and processes call the object API, completes a response without a length on ECONNRESET and on any end of the connection, whatever of the request has been written (deliberately, for a platform that reports resets after whole bodies). Its handlers learn neither the reset nor the state of the upload.

Change: src/http/response-completion.ts holds the rule that the entry already followed (a response that ends with its connection is complete only without a reset and once the request has been written). The client of src/object-api uses it and goes through node:http, as the entry and the JSON client do. As before: 64 shared and 64 dedicated connections, idle ones for 4 s, `mayStart` right before the first byte, not-sent and lost. New: interim responses are bounded as elsewhere, and a connection closes once a request is answered before it has been written.

--- a/src/forwarding/server-request.ts
+++ b/src/forwarding/server-request.ts
@@ -4,6 +4,7 @@
 import * as interimResponses from "../http/interim-responses.js";
 import * as jsonClient from "../http/json-client.js";
 import * as messageHeads from "../http/message-head.js";
+import * as responseCompletions from "../http/response-completion.js";
 import type * as connectionPools from "./connection-pool.js";
 
 /** Connect timeout in milliseconds. A server in the same region accepts a connection within two round trips. */
@@ -66,7 +67,6 @@
     const [host, port] = request.address.split(":");
     let isDone = false;
     let wasConnected = false;
-    let wasReset = false;
     let response: http.IncomingMessage | undefined;
     const fail = (reason: string) => {
         if (!isDone) {
@@ -96,19 +96,13 @@
         }
     };
     const connectTimer = setTimeout(() => fail("connect timeout"), CONNECT_TIMEOUT_MS);
+    const completion = new responseCompletions.ResponseCompletion(outgoing);
     outgoing.on("socket", socket => {
         pool.assign(socket, request.work);
         const onConnected = () => {
             wasConnected = true;
             clearTimeout(connectTimer);
         };
-        // Node reports data and a reset that arrive together as a normal end. A socket that was reset has no remote
-        // address any more.
-        const detectReset = () => {
-            wasReset = socket.remoteAddress === undefined;
-        };
-        socket.prependOnceListener("end", detectReset);
-        outgoing.once("close", () => void socket.off("end", detectReset));
         if (socket.connecting) {
             socket.once("connect", onConnected);
         }
@@ -135,9 +129,7 @@
         });
         incoming.on("error", error => fail(jsonClient.errorCode(error)));
         incoming.on("end", () => {
-            // A server that closes before it has read the request has not produced the whole answer either.
-            const wasCutOff = wasReset || !outgoing.writableFinished;
-            if (!incoming.complete || wasCutOff && endsWithConnection(incoming)) {
+            if (!completion.isComplete(incoming)) {
                 fail("incomplete response");
             }
             else if (!isDone) {
@@ -175,7 +167,3 @@
         }
     });
 }
-
-function endsWithConnection({ statusCode = 0, headers }: http.IncomingMessage): boolean {
-    return messageHeads.endsWithConnection(statusCode, headers);
-}
--- a/src/object-api/http-client.ts
+++ b/src/object-api/http-client.ts
@@ -1,13 +1,18 @@
 /** HTTP calls whose result tells whether the request may have reached the server. */
-import type * as http from "node:http";
-import * as undici from "undici";
+import * as http from "node:http";
+import type * as net from "node:net";
 import type * as clocks from "../clock/clock.js";
 import * as chunkCosts from "../http/chunk-cost.js";
+import * as interimResponses from "../http/interim-responses.js";
+import * as jsonClient from "../http/json-client.js";
 import * as messageHeads from "../http/message-head.js";
+import * as responseCompletions from "../http/response-completion.js";
 import * as byteBlocks from "../memory/byte-blocks.js";
 
 const CONNECT_TIMEOUT_MS = 2000;
 const MAXIMUM_CONNECTIONS = 64;
+/** Time in milliseconds after which an idle connection is closed; servers commonly close theirs after 5 s. */
+const IDLE_TIMEOUT_MS = 4000;
 
 export interface HttpRequest {
     readonly method: "GET" | "POST" | "PUT" | "PATCH" | "DELETE";
@@ -49,116 +54,141 @@
 /** Sends HTTP requests to one origin. */
 export class HttpClient implements AsyncDisposable {
     /** Keep-alive connections that calls share. */
-    private readonly sharedPool: undici.Pool;
-    /** Connections that close after one call. */
-    private readonly dedicatedPool: undici.Pool;
+    private readonly sharedAgent = new http.Agent({
+        keepAlive: true,
+        maxSockets: MAXIMUM_CONNECTIONS,
+        timeout: IDLE_TIMEOUT_MS,
+    });
+    /** Connections that close after one call. With `maxSockets`, Node would hand them to calls that wait. */
+    private readonly dedicatedAgent = new http.Agent({ maxTotalSockets: MAXIMUM_CONNECTIONS });
+    private readonly exchanges = new Set<Exchange>();
 
     /** `origin` has the form `http://HOST:PORT`. */
-    constructor(origin: string, private readonly clock: clocks.Clock) {
-        const options = { connections: MAXIMUM_CONNECTIONS, connect: { timeout: CONNECT_TIMEOUT_MS } };
-        this.sharedPool = new undici.Pool(origin, options);
-        this.dedicatedPool = new undici.Pool(origin, options);
-    }
+    constructor(private readonly origin: string, private readonly clock: clocks.Clock) {}
 
     /** Never rejects; errors are reported in the result. */
     async send(request: HttpRequest): Promise<HttpResult> {
         const timer = new AbortController();
-        const exchange = new Exchange(request.maximumBytes, request.mayStart ?? (() => true));
+        const exchange = new Exchange(request);
+        this.exchanges.add(exchange);
         void this.clock.sleep(request.timeoutMs, timer.signal).then(() => {
-            exchange.expire(`no response within ${Math.round(request.timeoutMs)} ms`);
+            exchange.abandon(`no response within ${Math.round(request.timeoutMs)} ms`);
         });
-        try {
-            const isDedicated = request.dedicatedConnection ?? false;
-            (isDedicated ? this.dedicatedPool : this.sharedPool).dispatch({
-                method: request.method,
-                path: request.target,
-                headers: { ...request.headers },
-                body: request.body,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-                reset: isDedicated,
-            }, exchange);
-            return await exchange.result;
-        }
-        catch (error) {
-            return { kind: exchange.wasSent ? "lost" : "not-sent", detail: describeError(error) };
-        }
-        finally {
-            timer.abort();
-        }
+        const isDedicated = request.dedicatedConnection ?? false;
+        exchange.start(this.origin, isDedicated ? this.dedicatedAgent : this.sharedAgent);
+        const result = await exchange.result;
+        this.exchanges.delete(exchange);
+        timer.abort();
+        return result;
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        await Promise.all([this.sharedPool.destroy(), this.dedicatedPool.destroy()]);
+        this.exchanges.forEach(exchange => exchange.abandon("the client was closed"));
+        this.sharedAgent.destroy();
+        this.dedicatedAgent.destroy();
     }
 }
 
-/** Dispatch handler of one request. Undici calls `onRequestStart` before the first byte is written. */
-class Exchange implements undici.Dispatcher.DispatchHandler {
+/** One request and its response. */
+class Exchange {
     readonly result: Promise<HttpResult>;
-    wasSent = false;
-    private hasEnded = false;
     private settle: (result: HttpResult) => void = () => undefined;
-    private controller: undici.Dispatcher.DispatchController | undefined;
-    private head: Omit<HttpResponse, "body"> = { status: 0, headers: {} };
-    private readonly body = new byteBlocks.ByteBlocks();
-    private chunks = 0;
+    private outgoing: http.ClientRequest | undefined;
+    private connectTimer: NodeJS.Timeout | undefined;
+    private wasSent = false;
+    private hasEnded = false;
 
-    constructor(private readonly maximumBytes: number, private readonly mayStart: () => boolean) {
+    constructor(private readonly request: HttpRequest) {
         this.result = new Promise(resolve => {
             this.settle = resolve;
         });
     }
 
-    onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-        // A request that timed out may still be in the queue of the pool; the abort prevents it from being written.
-        if (this.hasEnded) {
-            controller.abort(new undici.errors.RequestAbortedError());
-            return;
+    start(origin: string, agent: http.Agent): void {
+        const { method, target: path, headers } = this.request;
+        try {
+            const outgoing = http.request(origin, {
+                method,
+                path,
+                agent,
+                headers: { ...headers, ...this.bodyHeaders() },
+            });
+            this.outgoing = outgoing;
+            const completion = new responseCompletions.ResponseCompletion(outgoing);
+            outgoing.on("error", error => this.abandon(jsonClient.errorCode(error)));
+            outgoing.on("socket", socket => this.awaitConnection(socket));
+            interimResponses.limit(outgoing, reason => this.abandon(reason));
+            outgoing.on("response", response => this.receive(response, completion));
         }
-        if (!this.mayStart()) {
-            this.end({ kind: "not-sent", detail: "the latest start time has passed" });
-            controller.abort(new undici.errors.RequestAbortedError());
-            return;
+        catch (error) {
+            // Such as a header that no request can hold.
+            this.abandon(jsonClient.errorCode(error as Error));
         }
-        this.controller = controller;
-        this.wasSent = true;
     }
 
-    onResponseStart(
-        _controller: undici.Dispatcher.DispatchController,
-        status: number,
-        headers: http.IncomingHttpHeaders,
-    ): void {
-        const fault = messageHeads.responseFault(headers);
-        if (fault !== undefined) {
-            this.end({ kind: "lost", detail: fault });
-            return;
-        }
-        this.head = { status, headers: flattenHeaders(headers) };
+    /** Ends the call without a response. */
+    abandon(detail: string): void {
+        this.end({ kind: this.wasSent ? "lost" : "not-sent", detail });
     }
 
-    onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-        this.chunks++;
-        const isTooLarge = this.body.bytes + chunk.length > this.maximumBytes;
-        if (isTooLarge || this.chunks > chunkCosts.maximumChunks(this.maximumBytes)) {
-            this.end({ kind: "oversized", response: this.head });
-            return;
-        }
-        this.body.add(chunk);
+    private bodyHeaders(): Readonly<Record<string, string>> {
+        const { body } = this.request;
+        return body === undefined ? {} : { "content-length": String(Buffer.byteLength(body)) };
     }
 
-    onResponseEnd(): void {
-        this.end({ kind: "answered", response: { ...this.head, body: this.body.takeAll() } });
+    private awaitConnection(socket: net.Socket): void {
+        if (!socket.connecting) {
+            this.write();
+            return;
+        }
+        this.connectTimer = setTimeout(() => this.abandon("connect timeout"), CONNECT_TIMEOUT_MS);
+        socket.once("connect", () => {
+            clearTimeout(this.connectTimer);
+            this.write();
+        });
     }
 
-    onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
-        this.end({ kind: this.wasSent ? "lost" : "not-sent", detail: describeError(error) });
+    private write(): void {
+        if (this.hasEnded) {
+            return;
+        }
+        if (this.request.mayStart?.() === false) {
+            this.abandon("the latest start time has passed");
+            return;
+        }
+        this.wasSent = true;
+        this.outgoing!.end(this.request.body);
     }
 
-    /** Ends a call that exceeds its timeout. */
-    expire(detail: string): void {
-        this.end({ kind: this.wasSent ? "lost" : "not-sent", detail });
+    private receive(response: http.IncomingMessage, completion: responseCompletions.ResponseCompletion): void {
+        const { statusCode: status = 0 } = response;
+        const fault = messageHeads.responseFault(response.headers);
+        if (fault !== undefined) {
+            this.abandon(fault);
+            return;
+        }
+        const head = { status, headers: flattenHeaders(response.headersDistinct) };
+        const { maximumBytes } = this.request;
+        const body = new byteBlocks.ByteBlocks();
+        let chunks = 0;
+        response.on("data", (chunk: Buffer) => {
+            chunks++;
+            const isTooLarge = body.bytes + chunk.length > maximumBytes;
+            if (isTooLarge || chunks > chunkCosts.maximumChunks(maximumBytes)) {
+                this.end({ kind: "oversized", response: head });
+                return;
+            }
+            body.add(chunk);
+        });
+        response.on("error", error => this.abandon(jsonClient.errorCode(error)));
+        response.on("end", () => {
+            if (completion.isComplete(response)) {
+                this.end({ kind: "answered", response: { ...head, body: body.takeAll() } });
+            }
+            else {
+                this.abandon("incomplete response");
+            }
+        });
     }
 
     private end(result: HttpResult): void {
@@ -166,24 +196,21 @@
             return;
         }
         this.hasEnded = true;
-        this.settle(result);
-        if (result.kind !== "answered") {
-            this.controller?.abort(new undici.errors.RequestAbortedError());
+        clearTimeout(this.connectTimer);
+        // Nobody waits for the rest of a request that is answered before it has been written.
+        if (result.kind !== "answered" || !this.outgoing!.writableFinished) {
+            this.outgoing?.destroy();
         }
+        this.settle(result);
     }
 }
 
-function flattenHeaders(headers: http.IncomingHttpHeaders): Readonly<Record<string, string>> {
+function flattenHeaders(headers: NodeJS.Dict<string[]>): Readonly<Record<string, string>> {
     const flat: Record<string, string> = {};
-    for (const [name, value] of Object.entries(headers)) {
-        if (value !== undefined && name !== "set-cookie") {
-            flat[name.toLowerCase()] = Array.isArray(value) ? value.join(", ") : value;
+    for (const [name, values = []] of Object.entries(headers)) {
+        if (name !== "set-cookie") {
+            flat[name] = values.join(", ");
         }
     }
     return flat;
 }
-
-function describeError(error: unknown): string {
-    const code = (error as { readonly code?: string; }).code;
-    return code ?? (error instanceof Error ? error.message : String(error));
-}
--- a/test/http/response-readers.test.ts
+++ b/test/http/response-readers.test.ts
@@ -1,5 +1,5 @@
 /**
- * Guards against malformed responses that a process reads as answers: of the store, a peer, a store of kept
+ * Guards against malformed and incomplete responses that a process reads as answers: of the store, a peer, a store of kept
  * cache, a model server or an HTTP service. Their sound twins are read.
  */
 import * as assert from "node:assert/strict";
@@ -17,10 +17,19 @@
 import * as malformedResponses from "../support/malformed-responses.js";
 
 const TIMEOUT_MS = 3000;
+/** Times in milliseconds from a response that is not complete to the end of its connection. */
+const DELAYS_MS = [0, 20, 150] as const;
+/** Resets of the connection after a part of a response. */
+const RESETS: Readonly<Record<string, (socket: net.Socket) => void>> = {
+    "after 20 ms": socket => void setTimeout(() => void socket.resetAndDestroy(), 20),
+    "after 150 ms": socket => void setTimeout(() => void socket.resetAndDestroy(), 150),
+};
 /** Time in milliseconds after a read in which its connection becomes free for another one. */
 const RELEASED_AFTER_MS = 5;
 /** A whole request, without a body or with one in JSON. */
 const REQUEST = /\r\n\r\n(\{.*\})?$/s;
+/** Bytes that a part of a response lacks. */
+const PART_MISSING_BYTES = 2;
 
 /** Kind of reads of a process. */
 interface Reader {
@@ -302,5 +311,53 @@
                 );
             }
         });
+
+        testing.test(`${name}: guards against a part of a response without a length, on ${connection}`, async () => {
+            const whole = malformedResponses.render(malformedResponses.SOUND.connection(contentOf(reader)));
+            const bytes = whole.slice(0, -PART_MISSING_BYTES);
+            const accepted: string[] = [];
+            for (const [moment, reset] of Object.entries(RESETS)) {
+                const script: Script = socket => void socket.write(bytes, "latin1", () => reset(socket));
+                if (await read(reader, script, warmsUp) !== false) {
+                    accepted.push(moment);
+                }
+            }
+            assert.deepEqual(accepted, []);
+        });
     }
 }
+
+testing.test("a call of a service: guards against a part of an early answer to a long upload", async () => {
+    const ends: Readonly<Record<string, (socket: net.Socket) => void>> = {
+        "reset": socket => void socket.resetAndDestroy(),
+        "closed": socket => void socket.destroy(),
+        "ended": socket => void socket.end(),
+    };
+    const accepted: string[] = [];
+    for (const serviceKey of ["", "key"]) {
+        for (const [end, finish] of Object.entries(ends)) {
+            for (const delayMs of DELAYS_MS) {
+                const server = net.createServer(socket => {
+                    socket.on("error", () => undefined);
+                    socket.once("data", () => {
+                        socket.pause();
+                        socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of an answer");
+                        setTimeout(() => finish(socket), delayMs);
+                    });
+                });
+                await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+                const { port } = server.address() as net.AddressInfo;
+                await using client = new serviceClients.ServiceClient(`127.0.0.1:${port}`, clocks.systemClock);
+                const body = Buffer.alloc(4 * 1024 * 1024, "x");
+                const { kind } = await client.call({ ...SERVICE_CALL, serviceKey, body });
+                if (kind === "answered") {
+                    accepted.push(
+                        `${end} after ${delayMs} ms, ${serviceKey === "" ? "may be repeated" : "at most once"}`,
+                    );
+                }
+                server.close();
+            }
+        }
+    }
+    assert.deepEqual(accepted, []);
+});
