http: one place checks the status of a response, for all readers

Callers of the product's own edge got the answers of an HTTP service whose status was 600 or 999, and calls that run at most once were recorded with them. The agent passed on any status from 200 up.

Cause: only the entry checked that a status is one of a final response.

Change: the check moves from src/forwarding/response-fault.ts to src/http/message-head.ts, beside the one of transfer codings, where all readers of answers ask.

Evidence: the new tests of response-readers fail on the code before for both kinds of calls of a service (600 and 999 of 13 statuses). The status 000 and ten others were refused by all readers before: at the entry on each route kind, on new and reused connections and in the continuation of a stream (malformed-responses), and by the 13 kinds of reads. Those tests stay, nothing else is changed for them.

--- a/src/agent/engine-client.ts
+++ b/src/agent/engine-client.ts
@@ -257,7 +257,7 @@
     /** Throws `engine-protocol-error` if the head of the response is not valid. */
     private async send(request: undici.Dispatcher.RequestOptions): Promise<undici.Dispatcher.ResponseData> {
         const response = await this.pool.request(request);
-        const fault = messageHeads.responseFault(response.headers);
+        const fault = messageHeads.responseFault(response.statusCode, response.headers);
         if (fault !== undefined) {
             this.release(response.body, false);
             throw new failures.FailureError({ kind: "engine-protocol-error", detail: `${this.address}: ${fault}` });
--- a/src/forwarding/response-fault.ts
+++ b/src/forwarding/response-fault.ts
@@ -1,11 +1,8 @@
-/** Validity of the head of a response for the call that it answers. */
+/** Whether a response is valid for the call that it answers. */
 import type * as http from "node:http";
 import type * as dialects from "./dialect.js";
 
 export const MISDIRECTED_REQUEST = 421;
-/** Statuses of final responses. */
-const MINIMUM_STATUS = 200;
-const MAXIMUM_STATUS = 599;
 const EVENT_STREAM = "text/event-stream";
 
 export interface Expectation {
@@ -23,9 +20,6 @@
     { callId, isReused, continuesStream }: Expectation,
 ): string | undefined {
     const status = response.statusCode ?? 0;
-    if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
-        return `status ${status}`;
-    }
     if (isReused && head.callId === undefined) {
         return "response without a call id on a connection that was used before";
     }
--- a/src/forwarding/server-request.ts
+++ b/src/forwarding/server-request.ts
@@ -116,7 +116,7 @@
         if (isDone) {
             return;
         }
-        const fault = messageHeads.responseFault(incoming.headers);
+        const fault = messageHeads.responseFault(incoming.statusCode ?? 0, incoming.headers);
         if (fault !== undefined) {
             fail(fault);
             return;
--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -95,7 +95,7 @@
     request.on("error", error => finish({ kind: "no-response", reason: errorCode(error) }));
     interimResponses.limit(request, giveUp);
     request.on("response", response => {
-        const fault = messageHeads.responseFault(response.headers);
+        const fault = messageHeads.responseFault(response.statusCode ?? 0, response.headers);
         if (fault !== undefined) {
             giveUp(fault);
             return;
--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -1,5 +1,8 @@
 /** Heads of HTTP/1.1 messages: whether that of a response is valid, and what delimits the body (RFC 9112, section 6.3). */
 
+/** Statuses of final responses. */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 599;
 /** The only transfer coding of a message whose recipient has not offered any other. */
 const CHUNKED = "chunked";
 /** Statuses of responses that have no body, whatever their fields say. */
@@ -18,7 +21,10 @@
     | { readonly kind: "unknown-coding"; readonly codings: string; };
 
 /** Reason why no answer can be read from the response; undefined if its head is valid. */
-export function responseFault(fields: Fields): string | undefined {
+export function responseFault(status: number, fields: Fields): string | undefined {
+    if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+        return `status ${status}`;
+    }
     const stated = framing(fields);
     return stated.kind === "unknown-coding"
         ? `response in a transfer coding that was not requested: ${stated.codings}`
--- a/src/object-api/http-client.ts
+++ b/src/object-api/http-client.ts
@@ -162,7 +162,7 @@
 
     private receive(response: http.IncomingMessage, completion: responseCompletions.ResponseCompletion): void {
         const { statusCode: status = 0 } = response;
-        const fault = messageHeads.responseFault(response.headers);
+        const fault = messageHeads.responseFault(status, response.headers);
         if (fault !== undefined) {
             this.abandon(fault);
             return;
--- a/test/http/message-head.test.ts
+++ b/test/http/message-head.test.ts
@@ -5,13 +5,22 @@
 
 testing.test("chunked is the only transfer coding of a valid response, in any case and with blanks around it", () => {
     for (const coding of ["chunked", "Chunked", " chunked\t"]) {
-        assert.equal(messageHeads.responseFault({ "transfer-encoding": coding }), undefined, coding);
+        assert.equal(messageHeads.responseFault(200, { "transfer-encoding": coding }), undefined, coding);
     }
     for (const coding of ["", "identity", "gzip", "gzip, chunked", "chunked, chunked", "chunked,", "chunked;x=1"]) {
-        assert.ok(messageHeads.responseFault({ "transfer-encoding": coding })?.includes(coding), coding);
+        assert.ok(messageHeads.responseFault(200, { "transfer-encoding": coding })?.includes(coding), coding);
+    }
+    assert.ok(messageHeads.responseFault(200, { "transfer-encoding": ["gzip", "chunked"] }));
+    assert.equal(messageHeads.responseFault(200, {}), undefined);
+});
+
+testing.test("a valid response has a final status", () => {
+    for (const status of [200, 204, 421, 503, 599]) {
+        assert.equal(messageHeads.responseFault(status, {}), undefined, String(status));
+    }
+    for (const status of [0, 20, 99, 100, 199, 600, 999]) {
+        assert.equal(messageHeads.responseFault(status, {}), `status ${status}`);
     }
-    assert.ok(messageHeads.responseFault({ "transfer-encoding": ["gzip", "chunked"] }));
-    assert.equal(messageHeads.responseFault({}), undefined);
 });
 
 testing.test("a response ends with its connection unless its head states a length or chunks, or its status has no body", () => {
--- a/test/http/response-readers.test.ts
+++ b/test/http/response-readers.test.ts
@@ -276,6 +276,7 @@
 const GROUPS: Readonly<Record<string, readonly malformedResponses.MalformedResponse[]>> = {
     "field names that are malformed": malformedResponses.FIELD_NAMES,
     "trailer names that are malformed": malformedResponses.TRAILER_NAMES,
+    "statuses that no final response has": malformedResponses.STATUSES,
     "transfer codings that were not requested": malformedResponses.TRANSFER_CODINGS,
 };
 
