http: a reset that arrives with a part of a response is not its end

An entry took a part of a listing of the store for the whole list, so that servers beyond it were gone from its copy, and a write or an order whose answer was cut off counted as acknowledged.

Cause: Node reports data and a reset that arrive together as a normal end of the connection. For a response without a length, `complete` is true then. The entry's path to backend servers knows that; the JSON client did not, and of a page that is no JSON the readable objects are used.

Change: the JSON client (store, peers, stores of kept cache, servers beside agents) asks ResponseCompletion, like the entry and the client of the object API.

With the reset at once, response-readers fails there for a listing, a write, an order and a peer's document, on new and reused connections (6 tests); all pass now. 20 and 150 ms after the part it was refused before.

--- a/src/http/body-reader.ts
+++ b/src/http/body-reader.ts
@@ -4,11 +4,14 @@
 import * as bodyBuffers from "./body-buffer.js";
 import * as chunkCosts from "./chunk-cost.js";
 import * as messageHeads from "./message-head.js";
+import type * as responseCompletions from "./response-completion.js";
 
 /** Size in bytes that a body of unknown length is first taken to have; the room doubles from there. */
 const INITIAL_BYTES = 64 * 1024;
 
 export interface BodyOptions {
+    /** Tells whether the response is complete when it has ended. */
+    readonly completion: responseCompletions.ResponseCompletion;
     /** Reserves what the reading holds; without it, nothing is counted. */
     readonly reservation: readMemory.ReadReservation | undefined;
     readonly maximumBytes: number;
@@ -106,7 +109,7 @@
         if (this.isOver) {
             return;
         }
-        if (!this.response.complete) {
+        if (!this.options.completion.isComplete(this.response)) {
             this.fail("no-response", "incomplete response");
             return;
         }
--- a/src/http/json-client.ts
+++ b/src/http/json-client.ts
@@ -5,6 +5,7 @@
 import * as interimResponses from "./interim-responses.js";
 import * as jsonParsing from "./json-parsing.js";
 import * as messageHeads from "./message-head.js";
+import * as responseCompletions from "./response-completion.js";
 
 export interface JsonRequest {
     readonly method: string;
@@ -76,6 +77,7 @@
         headers,
         agent: options.agent ?? false,
     });
+    const completion = new responseCompletions.ResponseCompletion(request);
     const reservation = options.memory?.begin(`${options.address} ${options.path.split("?")[0]}`);
     const giveUp = (reason: string) => {
         request.destroy();
@@ -101,7 +103,8 @@
             return;
         }
         const { maximumBodyBytes: maximumBytes = MAXIMUM_BODY_BYTES, timeoutMs } = options;
-        void bodyReaders.readBody(response, { reservation, maximumBytes, timeoutMs }).then(body => {
+        const bodyOptions = { completion, reservation, maximumBytes, timeoutMs };
+        void bodyReaders.readBody(response, bodyOptions).then(body => {
             if (body.kind !== "complete") {
                 request.destroy();
                 finish({ kind: body.kind, reason: body.reason });
--- a/test/http/response-readers.test.ts
+++ b/test/http/response-readers.test.ts
@@ -21,6 +21,7 @@
 const DELAYS_MS = [0, 20, 150] as const;
 /** Resets of the connection after a part of a response. */
 const RESETS: Readonly<Record<string, (socket: net.Socket) => void>> = {
+    "with the part": socket => void socket.resetAndDestroy(),
     "after 20 ms": socket => void setTimeout(() => void socket.resetAndDestroy(), 20),
     "after 150 ms": socket => void setTimeout(() => void socket.resetAndDestroy(), 150),
 };
