--- a/src/entry/http-server.ts
+++ b/src/entry/http-server.ts
@@ -6,6 +6,7 @@
 import type * as failure from "../core/failure.js";
 import type * as outcomes from "../core/outcome.js";
 import * as health from "../daemon/health-server.js";
+import * as messageHeads from "../http/message-head.js";
 import type * as budgets from "../memory/budget.js";
 import type * as settings from "../settings/schema.js";
 import * as errors from "./error-response.js";
@@ -76,7 +77,7 @@
     });
     server.addHook("preParsing", async (request, _reply, payload) => {
         const memory = memories.get(request.raw);
-        const isMetered = memory !== undefined && declaredBytes(request) === undefined;
+        const isMetered = memory !== undefined && messageHeads.requestBytes(request.headers) === undefined;
         return isMetered ? memory.meter(payload as stream.Readable) : payload;
     });
     const handle = (handler: types.Handler) => (request: fastify.FastifyRequest, reply: fastify.FastifyReply) =>
@@ -98,20 +99,13 @@
     return { method, target, headers, remoteAddress: request.raw.socket.remoteAddress ?? "" };
 }
 
-/** Length of the body in bytes; undefined if only its end tells. */
-function declaredBytes(request: fastify.FastifyRequest): number | undefined {
-    return request.headers["transfer-encoding"] === undefined
-        ? Number(request.headers["content-length"] ?? 0)
-        : undefined;
-}
-
 async function reserveMemory(
     request: fastify.FastifyRequest,
     owner: string,
     limitBytes: number,
     budget: budgets.MemoryBudget,
 ): Promise<outcomes.Outcome<requestMemories.RequestMemory>> {
-    const bytes = declaredBytes(request);
+    const bytes = messageHeads.requestBytes(request.headers);
     return bytes !== undefined && bytes > limitBytes
         ? { ok: false, failure: { kind: "body-too-large", detail: `allowed are ${limitBytes} bytes` } }
         : requestMemories.RequestMemory.reserve(budget, owner, bytes);
--- a/src/forwarding/upload.ts
+++ b/src/forwarding/upload.ts
@@ -2,10 +2,10 @@
 import type * as http from "node:http";
 import type * as clocks from "../clock/clock.js";
 import * as chunkCosts from "../http/chunk-cost.js";
+import * as messageHeads from "../http/message-head.js";
 import type * as budgets from "../memory/budget.js";
 import type * as reservations from "../memory/reservation.js";
 import * as bodyBuffers from "./body-buffer.js";
-import * as discards from "./body-discard.js";
 import type * as admissions from "./call-admission.js";
 import type * as fragmentPaces from "./fragment-pace.js";
 
@@ -62,7 +62,7 @@
     /** Resolves with `aborted` when the caller disconnects before the end of the body, or after `cancel`. */
     async receive(): Promise<UploadResult> {
         const { request, limitBytes, onAccept } = this.input;
-        const declaredBytes = declaredLength(request);
+        const declaredBytes = messageHeads.requestBytes(request.headers);
         if (declaredBytes !== undefined && declaredBytes > limitBytes) {
             return tooLarge(`more than ${limitBytes} bytes`);
         }
@@ -115,7 +115,7 @@
         pace: fragmentPaces.UploadPace,
     ): Promise<UploadEnd> {
         const { request, limitBytes } = this.input;
-        const isChunked = declaredLength(request) === undefined;
+        const isChunked = messageHeads.requestBytes(request.headers) === undefined;
         let chunks = 0;
         return new Promise(resolve => {
             const settle = (end: UploadEnd) => {
@@ -187,15 +187,6 @@
     }
 }
 
-/** Length in bytes that the head states; undefined for a body in chunks. */
-function declaredLength(request: http.IncomingMessage): number | undefined {
-    if (!discards.announcesBody(request)) {
-        return 0;
-    }
-    const { headers } = request;
-    return headers["transfer-encoding"] === undefined ? Number(headers["content-length"]) : undefined;
-}
-
 function tooLarge(detail: string): admissions.Refusal {
     return { kind: "refused", failure: "call-too-large", detail, closesConnection: true };
 }
--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -15,7 +15,7 @@
 type Framing =
     | { readonly kind: "length"; readonly bytes: number; }
     | { readonly kind: "chunks"; }
-    /** No field does: the body of a response ends with its connection. */
+    /** No field does: a request has no body, and that of a response ends with its connection. */
     | { readonly kind: "unstated"; }
     /** What arrives is the body in another form. */
     | { readonly kind: "unknown-coding"; readonly codings: string; };
@@ -42,6 +42,11 @@
     return stated.kind === "length" ? stated.bytes : undefined;
 }
 
+/** Length in bytes of the body of a request; undefined if only its end tells. */
+export function requestBytes(fields: Fields): number | undefined {
+    return framing(fields).kind === "unstated" ? 0 : statedBytes(fields);
+}
+
 function framing(fields: Fields): Framing {
     const codings = fields["transfer-encoding"];
     if (codings !== undefined) {
--- a/test/http/message-head.test.ts
+++ b/test/http/message-head.test.ts
@@ -34,6 +34,12 @@
     }
 });
 
+testing.test("a request without a length or chunks has no body", () => {
+    assert.equal(messageHeads.requestBytes({}), 0);
+    assert.equal(messageHeads.requestBytes({ "content-length": "5" }), 5);
+    assert.equal(messageHeads.requestBytes({ "transfer-encoding": "chunked" }), undefined);
+});
+
 testing.test("only a length in the head is a stated length", () => {
     assert.equal(messageHeads.statedBytes({ "content-length": "5" }), 5);
     assert.equal(messageHeads.statedBytes({ "transfer-encoding": "chunked" }), undefined);
