test: a caller of the own edge gets no part of a service's answer

Processes of the own edge, whose HTTP services each cut one answer (201 without a length, two bytes missing, reset after 20 ms). On the code before the caller of a booking got that part with status 201 as the whole answer.

--- a/stand-ins/booking-service/booking-service.ts
+++ b/stand-ins/booking-service/booking-service.ts
@@ -3,6 +3,10 @@
 import type * as net from "node:net";
 import type * as standIns from "../process.js";
 
+/** Bytes that a part of a response lacks, and the time in milliseconds after which its connection is reset. */
+const CUT_BYTES = 2;
+const CUT_DELAY_MS = 20;
+
 export interface Control {
     /** Closes all connections at the next booking and refuses new ones for `restart_ms`; bookings are kept. */
     readonly crash?: "none" | "before-run" | "after-run";
@@ -11,6 +15,8 @@
     readonly delay_ms?: number;
     /** Number of following bookings that run but whose response is not sent. */
     readonly lose_answers?: number;
+    /** Number of following bookings that run but whose response states no length and is reset after a part of it. */
+    readonly cut_answers?: number;
 }
 
 interface Booking {
@@ -34,7 +40,7 @@
     const server = fastify.fastify({ forceCloseConnections: true });
     const bookings: Booking[] = [];
     const runs = new Map<string, number>();
-    let state: Required<Control> = { crash: "none", restart_ms: 0, delay_ms: 0, lose_answers: 0 };
+    let state: Required<Control> = { crash: "none", restart_ms: 0, delay_ms: 0, lose_answers: 0, cut_answers: 0 };
     let headers: Readonly<Record<string, unknown>> = {};
     let restart: NodeJS.Timeout | undefined;
     let boundPort = port;
@@ -79,6 +85,16 @@
             request.raw.socket.destroy();
             return reply;
         }
+        if (state.cut_answers > 0) {
+            control({ cut_answers: state.cut_answers - 1 });
+            reply.hijack();
+            const { socket } = request.raw;
+            const part = JSON.stringify(booking.response).slice(0, -CUT_BYTES);
+            socket.write(`HTTP/1.1 201 Created\r\nConnection: close\r\n\r\n${part}`, () => {
+                setTimeout(() => void socket.resetAndDestroy(), CUT_DELAY_MS);
+            });
+            return reply;
+        }
         return reply.code(201).send(booking.response);
     });
     server.get("/bookings", async () => ({ bookings: bookings.map(booking => booking.request) }));
--- a/test/daemon/processes.test.ts
+++ b/test/daemon/processes.test.ts
@@ -180,6 +180,37 @@
         assert.ok(runs.every(count => count === 1), JSON.stringify(runs));
     });
 
+    testing.test("guards against a part of a service's answer that its caller gets as the whole one", async () => {
+        const services = deployment.backends.filter(backend => backend.kind === "service");
+        await Promise.all(services.map(service =>
+            fetch(`http://${service.address}/control`, {
+                method: "PUT",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({ cut_answers: 1 }),
+            })
+        ));
+        for (let index = 0; index < 4; index++) {
+            const headers = { "idempotency-key": `cut-${index}` };
+            const answer = await callers.send(caller(index), "POST", "/bookings", { guest: index }, headers);
+            if (answer.status >= 500) {
+                // The outcome of the call is unknown.
+                continue;
+            }
+            const { booking } = JSON.parse(answer.body) as { readonly booking: number; };
+            assert.ok(booking > 0, answer.body);
+        }
+        for (const service of services) {
+            const { cut_answers: remaining } = await (await fetch(`http://${service.address}/control`, {
+                method: "PUT",
+                headers: { "content-type": "application/json" },
+                body: "{}",
+            })).json() as { readonly cut_answers: number; };
+            assert.equal(remaining, 0, `${service.name} has cut an answer`);
+        }
+        const runs = await countRunsPerKey();
+        assert.ok(runs.every(count => count === 1), JSON.stringify(runs));
+    });
+
     testing.test("no engine receives the API key of a caller", async () => {
         for (const engine of deployment.backends.filter(backend => backend.kind === "engine")) {
             const seen = await (await fetch(`http://${engine.address}/control/headers`)).text();
