object-api: keep https origins

The settings take any URL for the object API and the instance list, and undici served https as well; the client on node:http did not. The scheme selects the module, its agent and the event after which bytes leave the process.

Measured by hand, with a certificate made for the run: four calls over TLS are answered, shared ones on one connection, dedicated ones on one each. No test of the suite covers https, as before.

--- a/src/object-api/http-client.ts
+++ b/src/object-api/http-client.ts
@@ -1,5 +1,6 @@
 /** HTTP calls whose result tells whether the request may have reached the server. */
 import * as http from "node:http";
+import * as https from "node:https";
 import type * as net from "node:net";
 import type * as clocks from "../clock/clock.js";
 import * as chunkCosts from "../http/chunk-cost.js";
@@ -14,6 +15,28 @@
 /** Time in milliseconds after which an idle connection is closed; servers commonly close theirs after 5 s. */
 const IDLE_TIMEOUT_MS = 4000;
 
+interface Scheme {
+    readonly request: typeof http.request;
+    readonly createAgent: (options: http.AgentOptions) => http.Agent;
+    /** Event of a socket from which on bytes of a request can leave this process. */
+    readonly connectedEvent: "connect" | "secureConnect";
+}
+
+const HTTP: Scheme = {
+    request: http.request,
+    createAgent: options => new http.Agent(options),
+    connectedEvent: "connect",
+};
+/** By the protocol of a URL. */
+const SCHEMES: Readonly<Record<string, Scheme>> = {
+    "http:": HTTP,
+    "https:": {
+        request: https.request,
+        createAgent: options => new https.Agent(options),
+        connectedEvent: "secureConnect",
+    },
+};
+
 export interface HttpRequest {
     readonly method: "GET" | "POST" | "PUT" | "PATCH" | "DELETE";
     /** Path and query string. */
@@ -53,18 +76,24 @@
 
 /** Sends HTTP requests to one origin. */
 export class HttpClient implements AsyncDisposable {
+    private readonly scheme: Scheme;
     /** Keep-alive connections that calls share. */
-    private readonly sharedAgent = new http.Agent({
-        keepAlive: true,
-        maxSockets: MAXIMUM_CONNECTIONS,
-        timeout: IDLE_TIMEOUT_MS,
-    });
-    /** Connections that close after one call. With `maxSockets`, Node would hand them to calls that wait. */
-    private readonly dedicatedAgent = new http.Agent({ maxTotalSockets: MAXIMUM_CONNECTIONS });
+    private readonly sharedAgent: http.Agent;
+    /** Connections that close after one call. */
+    private readonly dedicatedAgent: http.Agent;
     private readonly exchanges = new Set<Exchange>();
 
-    /** `origin` has the form `http://HOST:PORT`. */
-    constructor(private readonly origin: string, private readonly clock: clocks.Clock) {}
+    /** `origin` has the form `http://HOST:PORT` or `https://HOST:PORT`. */
+    constructor(private readonly origin: string, private readonly clock: clocks.Clock) {
+        this.scheme = SCHEMES[new URL(origin).protocol] ?? HTTP;
+        this.sharedAgent = this.scheme.createAgent({
+            keepAlive: true,
+            maxSockets: MAXIMUM_CONNECTIONS,
+            timeout: IDLE_TIMEOUT_MS,
+        });
+        // With `maxSockets`, Node keeps a connection open for the next call.
+        this.dedicatedAgent = this.scheme.createAgent({ maxTotalSockets: MAXIMUM_CONNECTIONS });
+    }
 
     /** Never rejects; errors are reported in the result. */
     async send(request: HttpRequest): Promise<HttpResult> {
@@ -75,7 +104,7 @@
             exchange.abandon(`no response within ${Math.round(request.timeoutMs)} ms`);
         });
         const isDedicated = request.dedicatedConnection ?? false;
-        exchange.start(this.origin, isDedicated ? this.dedicatedAgent : this.sharedAgent);
+        exchange.start(this.origin, this.scheme, isDedicated ? this.dedicatedAgent : this.sharedAgent);
         const result = await exchange.result;
         this.exchanges.delete(exchange);
         timer.abort();
@@ -104,10 +133,10 @@
         });
     }
 
-    start(origin: string, agent: http.Agent): void {
+    start(origin: string, scheme: Scheme, agent: http.Agent): void {
         const { method, target: path, headers } = this.request;
         try {
-            const outgoing = http.request(origin, {
+            const outgoing = scheme.request(origin, {
                 method,
                 path,
                 agent,
@@ -116,7 +145,7 @@
             this.outgoing = outgoing;
             const completion = new responseCompletions.ResponseCompletion(outgoing);
             outgoing.on("error", error => this.abandon(jsonClient.errorCode(error)));
-            outgoing.on("socket", socket => this.awaitConnection(socket));
+            outgoing.on("socket", socket => this.awaitConnection(socket, scheme.connectedEvent));
             interimResponses.limit(outgoing, reason => this.abandon(reason));
             outgoing.on("response", response => this.receive(response, completion));
         }
@@ -136,13 +165,13 @@
         return body === undefined ? {} : { "content-length": String(Buffer.byteLength(body)) };
     }
 
-    private awaitConnection(socket: net.Socket): void {
+    private awaitConnection(socket: net.Socket, connectedEvent: Scheme["connectedEvent"]): void {
         if (!socket.connecting) {
             this.write();
             return;
         }
         this.connectTimer = setTimeout(() => this.abandon("connect timeout"), CONNECT_TIMEOUT_MS);
-        socket.once("connect", () => {
+        socket.once(connectedEvent, () => {
             clearTimeout(this.connectTimer);
             this.write();
         });
