--- a/test/forwarding/malformed-responses.test.ts
+++ b/test/forwarding/malformed-responses.test.ts
@@ -85,14 +85,7 @@
     },
 };
 
-const GROUPS: Readonly<Record<string, readonly malformedResponses.MalformedResponse[]>> = {
-    "field names that are malformed": malformedResponses.FIELD_NAMES,
-    "trailer names that are malformed": malformedResponses.TRAILER_NAMES,
-    "statuses that no final response has": malformedResponses.STATUSES,
-    "transfer codings that were not requested": malformedResponses.TRANSFER_CODINGS,
-};
-
-for (const [group, responses] of Object.entries(GROUPS)) {
+for (const [group, responses] of Object.entries(malformedResponses.GROUPS)) {
     for (const [name, approach] of Object.entries(APPROACHES)) {
         for (const route of approach.routes) {
             testing.test(`${route}: guards against ${group}, ${name}`, async () => {
--- a/test/http/response-readers.test.ts
+++ b/test/http/response-readers.test.ts
@@ -289,17 +289,10 @@
     }
 }
 
-const GROUPS: Readonly<Record<string, readonly malformedResponses.MalformedResponse[]>> = {
-    "field names that are malformed": malformedResponses.FIELD_NAMES,
-    "trailer names that are malformed": malformedResponses.TRAILER_NAMES,
-    "statuses that no final response has": malformedResponses.STATUSES,
-    "transfer codings that were not requested": malformedResponses.TRANSFER_CODINGS,
-};
-
 for (const [name, reader] of Object.entries(READERS)) {
     for (const warmsUp of reader.reusesConnections ? [false, true] : [false]) {
         const connection = warmsUp ? "a reused connection" : "a new connection";
-        for (const [group, responses] of Object.entries(GROUPS)) {
+        for (const [group, responses] of Object.entries(malformedResponses.GROUPS)) {
             if (reader.ignoresTrailers === true && responses === malformedResponses.TRAILER_NAMES) {
                 continue;
             }
@@ -317,7 +310,7 @@
         }
 
         testing.test(`${name}: sound responses are read, on ${connection}`, async () => {
-            const twins = Object.values(GROUPS).flat().map(response => response.sound);
+            const twins = Object.values(malformedResponses.GROUPS).flat().map(response => response.sound);
             for (const sound of new Set([...twins, ...Object.values(malformedResponses.SOUND)])) {
                 const response = sound(contentOf(reader));
                 const script: Script = socket => sendSound(socket, response);
--- a/test/support/malformed-responses.ts
+++ b/test/support/malformed-responses.ts
@@ -83,7 +83,7 @@
 };
 
 /** Names of fields with an octet that no name has, and fields without a name or a colon. */
-export const FIELD_NAMES: readonly MalformedResponse[] = [
+const FIELD_NAMES: readonly MalformedResponse[] = [
     ...malformedNames(PLACES),
     ...Object.entries({ "a field without a name": `: ${ODD_VALUE}`, "a field without a colon": ODD_VALUE }).map((
         [name, field],
@@ -98,7 +98,7 @@
 export const TRAILER_NAMES = malformedNames(TRAILER_PLACE);
 
 /** Statuses that no final response has. */
-export const STATUSES: readonly MalformedResponse[] = [
+const STATUSES: readonly MalformedResponse[] = [
     "000",
     "0",
     "00",
@@ -119,7 +119,7 @@
 }));
 
 /** Transfer codings other than `chunked` alone, whose bodies are not those that the head describes. */
-export const TRANSFER_CODINGS: readonly MalformedResponse[] = [
+const TRANSFER_CODINGS: readonly MalformedResponse[] = [
     ...["identity", "gzip", "x", "", "chunked, gzip", "chunked, identity"].map(coding => ({
         name: `the transfer coding ${JSON.stringify(coding)}`,
         malformed: ({ fields, body }: Content) => withHead([...fields, `Transfer-Encoding: ${coding}`], body),
@@ -145,6 +145,14 @@
     },
 ];
 
+/** All of them, by what is wrong with them. */
+export const GROUPS: Readonly<Record<string, readonly MalformedResponse[]>> = {
+    "field names that are malformed": FIELD_NAMES,
+    "trailer names that are malformed": TRAILER_NAMES,
+    "statuses that no final response has": STATUSES,
+    "transfer codings that were not requested": TRANSFER_CODINGS,
+};
+
 /** The bytes that the server sends, one character each. */
 export function render({ interim, status, fields, rest }: WireResponse): string {
     return `${interim}HTTP/1.1 ${status}\r\n${fields.join("\r\n")}\r\n\r\n${rest}`;
