http: a transfer coding field without a value names no coding

The field is a list that may be empty (RFC 9112, 6.1), so that a sound server may send it.

Change: the body then ends with the connection, under the rule for responses without a length.

--- a/src/http/message-head.ts
+++ b/src/http/message-head.ts
@@ -48,10 +48,10 @@
 }
 
 function framing(fields: Fields): Framing {
-    const codings = fields["transfer-encoding"];
-    if (codings !== undefined) {
-        const text = [codings].flat().join(", ");
-        return text.trim().toLowerCase() === CHUNKED ? { kind: "chunks" } : { kind: "unknown-coding", codings: text };
+    const codings = [fields["transfer-encoding"] ?? ""].flat().join(", ").trim();
+    // A field without a value names no coding.
+    if (codings !== "") {
+        return codings.toLowerCase() === CHUNKED ? { kind: "chunks" } : { kind: "unknown-coding", codings };
     }
     const length = fields["content-length"];
     return length === undefined ? { kind: "unstated" } : { kind: "length", bytes: Number(length) };
